Add the core vocabulary, messages, settings and the build

Ruled out: one error type per part, which would make stable numbers hard to keep. Before: nothing. Conclusion: parts can be built side by side on these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Entry points for people and CI. The build itself is CMakeLists.txt.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: packages build test e2e fuzz demo bench-policy capacity format format-check lint proto clean
+
+packages:
+	sh scripts/packages.sh
+
+build:
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: packages build
+	cd $(BUILD) && ctest --output-on-failure -j $(JOBS)
+
+e2e: build
+	cd $(BUILD) && ctest --output-on-failure -L e2e
+
+demo: packages build
+	bash scripts/demo.sh $(BUILD)
+
+format:
+	sh scripts/sources.sh | xargs clang-format -i
+
+format-check:
+	sh scripts/sources.sh | xargs clang-format --dry-run --Werror
+
+lint: build
+	sh scripts/sources.sh | grep '\.cpp$$' | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
+
+proto:
+	protoc --proto_path=src/wire --cpp_out=src/wire/generated src/wire/balsamport.proto
+
+clean:
+	cmake --build $(BUILD) --target clean
--- /dev/null
+++ b/include/balsamport/core/ids.h
@@ -0,0 +1,159 @@
+#ifndef BALSAMPORT_CORE_IDS_H
+#define BALSAMPORT_CORE_IDS_H
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace balsamport {
+
+/// @brief A name that cannot be mixed up with a name of another kind.
+/// @tparam Tag an incomplete type that tells the kinds apart
+template<typename Tag>
+class StringId
+{
+public:
+    StringId() = default;
+    explicit StringId(std::string name)
+        : text(std::move(name))
+    { }
+    explicit StringId(std::string_view name)
+        : text(name)
+    { }
+    explicit StringId(const char *name)
+        : text(name)
+    { }
+
+    [[nodiscard]] const std::string &str() const noexcept { return this->text; }
+    [[nodiscard]] bool empty() const noexcept { return this->text.empty(); }
+
+    auto operator<=>(const StringId &) const = default;
+    bool operator==(const StringId &) const = default;
+
+    friend std::ostream &operator<<(std::ostream &out, const StringId &id)
+    {
+        return out << id.text;
+    }
+
+private:
+    std::string text;
+};
+
+/// @brief A number that cannot be mixed up with a number of another kind.
+/// @tparam Tag an incomplete type that tells the kinds apart
+template<typename Tag>
+class NumberId
+{
+public:
+    constexpr NumberId() noexcept = default;
+    constexpr explicit NumberId(std::uint64_t number) noexcept
+        : value(number)
+    { }
+
+    [[nodiscard]] constexpr std::uint64_t number() const noexcept { return this->value; }
+
+    constexpr auto operator<=>(const NumberId &) const noexcept = default;
+
+    friend std::ostream &operator<<(std::ostream &out, NumberId id) { return out << id.value; }
+
+private:
+    std::uint64_t value = 0;
+};
+
+using VmId = StringId<struct VmIdTag>;
+using DataCentreId = StringId<struct DataCentreIdTag>;
+using RegionId = StringId<struct RegionIdTag>;
+using BackendServerId = StringId<struct BackendServerIdTag>;
+using BaseModelId = StringId<struct BaseModelIdTag>;
+using AdapterId = StringId<struct AdapterIdTag>;
+using ServiceId = StringId<struct ServiceIdTag>;
+using RequestId = StringId<struct RequestIdTag>;
+using CallerId = StringId<struct CallerIdTag>;
+using CallerClassId = StringId<struct CallerClassIdTag>;
+/// The caller's Idempotency-Key, or a ticket.
+using RequestKey = StringId<struct RequestKeyTag>;
+
+/// The revision number that the platform gives to the whole configuration.
+using ConfigRevision = NumberId<struct ConfigRevisionTag>;
+/// Rises with every change of owner; engines that check it refuse orders with a lower number.
+using FencingNumber = NumberId<struct FencingNumberTag>;
+/// Tells one run of a VM's daemon from its earlier and later runs.
+using Incarnation = NumberId<struct IncarnationTag>;
+using AdapterVersion = NumberId<struct AdapterVersionTag>;
+using GrantId = NumberId<struct GrantIdTag>;
+/// One try at running a request; a request may have several.
+using AttemptId = NumberId<struct AttemptIdTag>;
+/// Hash of the adapter and the body of a request.
+using Fingerprint = NumberId<struct FingerprintTag>;
+
+/// @brief One version of one adapter of one base model: what a request runs on.
+///
+/// Written as `base/adapter@version`, for example `citrus-8b/burn-plan@3`.
+struct AdapterRef
+{
+    BaseModelId base;
+    AdapterId adapter;
+    AdapterVersion version;
+
+    auto operator<=>(const AdapterRef &) const = default;
+    bool operator==(const AdapterRef &) const = default;
+
+    /// @return the written form
+    [[nodiscard]] std::string str() const
+    {
+        return this->base.str() + "/" + this->adapter.str() + "@"
+                + std::to_string(this->version.number());
+    }
+    friend std::ostream &operator<<(std::ostream &out, const AdapterRef &ref)
+    {
+        return out << ref.str();
+    }
+};
+
+/// @brief One run of a daemon on a VM.
+struct VmInstance
+{
+    VmId vm;
+    Incarnation incarnation;
+
+    auto operator<=>(const VmInstance &) const = default;
+    bool operator==(const VmInstance &) const = default;
+};
+
+} // namespace balsamport
+
+template<typename Tag>
+struct std::hash<balsamport::StringId<Tag>>
+{
+    std::size_t operator()(const balsamport::StringId<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>()(id.str());
+    }
+};
+
+template<typename Tag>
+struct std::hash<balsamport::NumberId<Tag>>
+{
+    std::size_t operator()(balsamport::NumberId<Tag> id) const noexcept
+    {
+        return std::hash<std::uint64_t>()(id.number());
+    }
+};
+
+template<>
+struct std::hash<balsamport::AdapterRef>
+{
+    std::size_t operator()(const balsamport::AdapterRef &ref) const noexcept
+    {
+        constexpr std::size_t factor = 1'099'511'628'211U;
+        std::size_t seed = std::hash<balsamport::BaseModelId>()(ref.base);
+        seed = seed * factor ^ std::hash<balsamport::AdapterId>()(ref.adapter);
+        return seed * factor ^ std::hash<balsamport::AdapterVersion>()(ref.version);
+    }
+};
+
+#endif
--- /dev/null
+++ b/include/balsamport/core/log.h
@@ -0,0 +1,34 @@
+#ifndef BALSAMPORT_CORE_LOG_H
+#define BALSAMPORT_CORE_LOG_H
+
+#include <glog/logging.h>
+
+#include <string_view>
+
+namespace balsamport {
+
+/// Fixed prefix of each part's log lines. Lines are `prefix: short sentence. key=value ...`.
+namespace logprefix {
+constexpr std::string_view config = "config: ";
+constexpr std::string_view member = "member: ";
+constexpr std::string_view owner = "owner: ";
+constexpr std::string_view route = "route: ";
+constexpr std::string_view grant = "grant: ";
+constexpr std::string_view load = "load: ";
+constexpr std::string_view claim = "claim: ";
+constexpr std::string_view retry = "retry: ";
+constexpr std::string_view suspect = "suspect: ";
+constexpr std::string_view http = "http: ";
+constexpr std::string_view wire = "wire: ";
+constexpr std::string_view daemon = "daemon: ";
+constexpr std::string_view standin = "standin: ";
+} // namespace logprefix
+
+/// @brief Starts logging to standard error; nothing is written to disk.
+/// @param program name of the program, with static lifetime
+/// @param minimumLevel 0 info, 1 warning, 2 error
+void startLogging(const char *program, int minimumLevel = 0);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/http/http_message.h
@@ -0,0 +1,40 @@
+#ifndef BALSAMPORT_HTTP_HTTP_MESSAGE_H
+#define BALSAMPORT_HTTP_HTTP_MESSAGE_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief One header field.
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const HttpHeader &) const = default;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// @brief A whole answer.
+struct HttpAnswer
+{
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+
+    bool operator==(const HttpAnswer &) const = default;
+};
+
+/// @brief Finds a header field, without regard to the case of its name.
+/// @return the first one's value; nothing where there is none
+/// @complexity linear in the number of headers
+[[nodiscard]] std::optional<std::string> findHeader(const HttpHeaders &headers,
+                                                    std::string_view name);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/scripts/sources.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Lists the project's own C++ files, without generated code.
+find include src standins tests bench \( -name '*.h' -o -name '*.cpp' \) -print | grep -v '/generated/' | sort
--- /dev/null
+++ b/src/core/settings.cpp
@@ -0,0 +1,214 @@
+#include <balsamport/core/settings.h>
+
+#include <balsamport/core/ini_lines.h>
+
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace po = boost::program_options;
+
+namespace balsamport {
+
+namespace {
+
+po::options_description commonOptions()
+{
+    po::options_description common("Options");
+    common.add_options()("help", "print this help and exit")(
+            "version", "print the version and exit")("config", po::value<std::string>(),
+                                                     "INI file with settings")(
+            "set", po::value<std::vector<std::string>>()->composing(),
+            "KEY=VALUE: one setting; goes before the file; may be repeated")(
+            "check", "check the settings and exit");
+    return common;
+}
+
+Place placeOf(const std::string &file, const std::string &text, const std::string &key)
+{
+    const std::size_t dot = key.find('.');
+    if (dot == std::string::npos) {
+        return Place{file, findIniLine(text, "", key), key};
+    }
+    return Place{file, findIniLine(text, key.substr(0, dot), key.substr(dot + 1)), key};
+}
+
+/// Stores one `section.key` with its value; a wrong one gives the error.
+std::optional<Error> storeOne(const std::string &key, const std::string &value, const Place &place,
+                              const po::options_description &settings, po::variables_map &values)
+{
+    const po::option_description *known = settings.find_nothrow(key, false);
+    if (known == nullptr) {
+        return Error{ErrorCode::SettingUnknown, "there is no such setting", place};
+    }
+    po::parsed_options parsed(&settings);
+    parsed.options.emplace_back(key, std::vector<std::string>{value});
+    try {
+        po::store(parsed, values);
+    } catch (const po::error &error) {
+        return Error{ErrorCode::SettingInvalid,
+                     "\"" + value + "\" is not valid; expected: " + known->description(), place};
+    }
+    return std::nullopt;
+}
+
+std::optional<Error> storeSets(const std::vector<std::string> &sets,
+                               const po::options_description &settings, po::variables_map &values)
+{
+    for (const std::string &set : sets) {
+        const std::size_t equals = set.find('=');
+        const std::string key = set.substr(0, equals);
+        if (equals == std::string::npos) {
+            return Error{ErrorCode::SettingInvalid, "expected KEY=VALUE", Place{"--set", 0, key}};
+        }
+        auto error
+                = storeOne(key, set.substr(equals + 1), Place{"--set", 0, key}, settings, values);
+        if (error) {
+            return error;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Error> storeFile(const std::string &file, const po::options_description &settings,
+                               po::variables_map &values)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        return Error{ErrorCode::SettingFileUnreadable, "the file cannot be read",
+                     Place{file, 0, ""}};
+    }
+    std::ostringstream buffer;
+    buffer << stream.rdbuf();
+    const std::string text = buffer.str();
+    po::variables_map fromFile;
+    try {
+        std::istringstream input(text);
+        const po::parsed_options parsed = po::parse_config_file(input, settings, true);
+        for (const po::option &option : parsed.options) {
+            const std::string value = option.value.empty() ? std::string() : option.value.front();
+            const Place place = placeOf(file, text, option.string_key);
+            auto error = storeOne(option.string_key, value, place, settings, fromFile);
+            if (error) {
+                return error;
+            }
+        }
+    } catch (const po::error &error) {
+        return Error{ErrorCode::SettingInvalid, error.what(), Place{file, 0, ""}};
+    }
+    for (const auto &[key, value] : fromFile) {
+        if (values.count(key) == 0) {
+            values.insert({key, value});
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Error> storeDefaults(const po::options_description &settings,
+                                   po::variables_map &values)
+{
+    try {
+        po::store(po::parsed_options(&settings), values);
+        po::notify(values);
+    } catch (const po::required_option &error) {
+        return Error{ErrorCode::SettingMissing, "this setting must be given",
+                     Place{"", 0, error.get_option_name()}};
+    }
+    return std::nullopt;
+}
+
+std::optional<Error> storeSettings(const po::variables_map &command,
+                                   const po::options_description &settings,
+                                   po::variables_map &values)
+{
+    std::optional<Error> error;
+    if (command.count("set") != 0) {
+        error = storeSets(command["set"].as<std::vector<std::string>>(), settings, values);
+    }
+    if (!error && command.count("config") != 0) {
+        error = storeFile(command["config"].as<std::string>(), settings, values);
+    }
+    if (!error) {
+        error = storeDefaults(settings, values);
+    }
+    return error;
+}
+
+ProgramAction actionOf(const po::variables_map &command)
+{
+    if (command.count("help") != 0) {
+        return ProgramAction::Help;
+    }
+    if (command.count("version") != 0) {
+        return ProgramAction::Version;
+    }
+    return command.count("check") != 0 ? ProgramAction::Check : ProgramAction::Run;
+}
+
+} // namespace
+
+Result<ProgramSettings> readProgramSettings(int argc, const char *const *argv,
+                                            const po::options_description &settings,
+                                            const po::options_description &options)
+{
+    po::options_description visible = commonOptions();
+    visible.add(options);
+    po::options_description all;
+    all.add(visible).add_options()("argument", po::value<std::vector<std::string>>());
+    po::positional_options_description positional;
+    positional.add("argument", -1);
+    ProgramSettings result;
+    po::variables_map command;
+    try {
+        po::store(po::command_line_parser(argc, argv).options(all).positional(positional).run(),
+                  command);
+        po::notify(command);
+    } catch (const po::error &error) {
+        return Error{ErrorCode::SettingInvalid, error.what(), Place{"command line", 0, ""}};
+    }
+    result.action = actionOf(command);
+    if (command.count("argument") != 0) {
+        result.arguments = command["argument"].as<std::vector<std::string>>();
+    }
+    if (result.action == ProgramAction::Help || result.action == ProgramAction::Version) {
+        return result;
+    }
+    const std::optional<Error> error = storeSettings(command, settings, result.values);
+    if (error) {
+        return *error;
+    }
+    for (const auto &[key, value] : command) {
+        result.values.insert({key, value});
+    }
+    return result;
+}
+
+std::optional<int> finishUnlessRunning(const std::string &program, const std::string &purpose,
+                                       const Result<ProgramSettings> &result,
+                                       const po::options_description &settings,
+                                       const po::options_description &options)
+{
+    if (result.has_error()) {
+        std::cerr << program << ": " << describe(result.error()) << "\n";
+        return exitcode::usage;
+    }
+    switch (result.value().action) {
+    case ProgramAction::Help:
+        std::cout << program << ": " << purpose << "\n\n"
+                  << commonOptions() << options << "\nSettings (INI file or --set)\n"
+                  << settings;
+        return exitcode::success;
+    case ProgramAction::Version:
+        std::cout << program << " " << BALSAMPORT_VERSION << "\n";
+        return exitcode::success;
+    case ProgramAction::Check:
+        std::cout << "settings are valid\n";
+        return exitcode::success;
+    case ProgramAction::Run:
+        break;
+    }
+    return std::nullopt;
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/wire/message_client.cpp
@@ -0,0 +1,292 @@
+#include <balsamport/wire/message_client.h>
+
+#include "socket_support.h"
+
+#include <balsamport/core/log.h>
+#include <balsamport/wire/convert.h>
+#include <balsamport/wire/message_server.h>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+constexpr Millis longestPoll{1000};
+constexpr int sendQueueMessages = 10'000;
+
+struct PendingRequest
+{
+    Millis deadline;
+    Millis timeout;
+    ReplyHandler handler;
+};
+
+struct OutgoingMessage
+{
+    std::string endpoint;
+    wire::Envelope envelope;
+};
+
+} // namespace
+
+struct MessageClient::Loop
+{
+    Loop(VmInstanceName name, CurveKeys curveKeys)
+        : self(std::move(name))
+        , keys(std::move(curveKeys))
+        , wakeup(this->context, wakeupEndpoint("client"))
+    { }
+
+    void run()
+    {
+        while (!this->stopping) {
+            this->wait();
+            this->wakeup.drain();
+            this->sendAll();
+            for (auto &[endpoint, socket] : this->sockets) {
+                this->receiveAll(socket);
+            }
+            this->expire();
+        }
+        this->sendAll();
+    }
+
+    void wait()
+    {
+        std::vector<zmq::pollitem_t> items;
+        items.push_back({this->wakeup.receiver(), 0, ZMQ_POLLIN, 0});
+        for (auto &[endpoint, socket] : this->sockets) {
+            items.push_back({socket.handle(), 0, ZMQ_POLLIN, 0});
+        }
+        zmq::poll(items, std::chrono::milliseconds(this->timeToNextDeadline().count()));
+    }
+
+    Millis timeToNextDeadline()
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->deadlines.empty()) {
+            return longestPoll;
+        }
+        const Millis left = this->deadlines.begin()->first - monotonicNow() + Millis(1);
+        return std::clamp(left, Millis(0), longestPoll);
+    }
+
+    void sendAll()
+    {
+        std::deque<OutgoingMessage> batch;
+        {
+            const std::lock_guard lock(this->mutex);
+            batch.swap(this->outgoing);
+        }
+        for (OutgoingMessage &message : batch) {
+            message.envelope.mutable_sender()->set_vm(this->self.vm);
+            message.envelope.mutable_sender()->set_incarnation(this->self.incarnation);
+            zmq::message_t body = serialize(message.envelope);
+            this->sent += body.size();
+            try {
+                // A full queue drops the message; a request then ends by its timeout.
+                static_cast<void>(
+                        this->socketFor(message.endpoint).send(body, zmq::send_flags::dontwait));
+            } catch (const zmq::error_t &error) {
+                LOG(WARNING) << logprefix::wire << "Could not send. endpoint=" << message.endpoint
+                             << " reason=" << error.what();
+            }
+        }
+    }
+
+    zmq::socket_t &socketFor(const std::string &endpoint)
+    {
+        const auto found = this->sockets.find(endpoint);
+        if (found != this->sockets.end()) {
+            return found->second;
+        }
+        zmq::socket_t socket(this->context, zmq::socket_type::dealer);
+        socket.set(zmq::sockopt::linger, 200);
+        socket.set(zmq::sockopt::sndhwm, sendQueueMessages);
+        socket.set(zmq::sockopt::maxmsgsize, MessageServer::maxMessageBytes);
+        socket.set(zmq::sockopt::reconnect_ivl, 50);
+        socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
+        CurveGuard::protectClient(socket, this->keys);
+        socket.connect(endpoint);
+        return this->sockets.emplace(endpoint, std::move(socket)).first->second;
+    }
+
+    void receiveAll(zmq::socket_t &socket)
+    {
+        while (true) {
+            zmq::message_t body;
+            if (!socket.recv(body, zmq::recv_flags::dontwait)) {
+                return;
+            }
+            const bool extra = discardRest(socket, body);
+            this->received += body.size();
+            wire::Envelope envelope;
+            if (extra || !envelope.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+                LOG(WARNING) << logprefix::wire
+                             << "Dropped an invalid reply. bytes=" << body.size();
+                continue;
+            }
+            this->deliver(envelope);
+        }
+    }
+
+    void deliver(const wire::Envelope &envelope)
+    {
+        ReplyHandler handler = this->take(envelope.correlation());
+        if (!handler) {
+            return;
+        }
+        const bool failed = envelope.has_error();
+        const bool more = failed ? (handler(fromWire(envelope.error())), false) : handler(envelope);
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->pending.find(envelope.correlation());
+        if (found == this->pending.end()) {
+            return;
+        }
+        this->forgetDeadline(found->second.deadline, found->first);
+        if (!more) {
+            this->pending.erase(found);
+            return;
+        }
+        found->second.deadline = monotonicNow() + found->second.timeout;
+        this->deadlines.emplace(found->second.deadline, found->first);
+    }
+
+    ReplyHandler take(std::uint64_t number)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->pending.find(number);
+        return found == this->pending.end() ? ReplyHandler() : found->second.handler;
+    }
+
+    void expire()
+    {
+        const Millis now = monotonicNow();
+        std::vector<ReplyHandler> expired;
+        {
+            const std::lock_guard lock(this->mutex);
+            while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+                const std::uint64_t number = this->deadlines.begin()->second;
+                this->deadlines.erase(this->deadlines.begin());
+                const auto found = this->pending.find(number);
+                if (found != this->pending.end()) {
+                    expired.push_back(std::move(found->second.handler));
+                    this->pending.erase(found);
+                }
+            }
+        }
+        for (const ReplyHandler &handler : expired) {
+            handler(Error{ErrorCode::Timeout, "no reply from the peer in time"});
+        }
+    }
+
+    void forgetDeadline(Millis deadline, std::uint64_t number)
+    {
+        const auto range = this->deadlines.equal_range(deadline);
+        for (auto entry = range.first; entry != range.second; ++entry) {
+            if (entry->second == number) {
+                this->deadlines.erase(entry);
+                return;
+            }
+        }
+    }
+
+    VmInstanceName self;
+    CurveKeys keys;
+    zmq::context_t context;
+    Wakeup wakeup;
+    std::map<std::string, zmq::socket_t> sockets; ///< Of the loop's thread only.
+    std::mutex mutex;
+    std::deque<OutgoingMessage> outgoing; ///< Under mutex.
+    std::unordered_map<std::uint64_t, PendingRequest> pending; ///< Under mutex.
+    std::multimap<Millis, std::uint64_t> deadlines; ///< Under mutex.
+    std::uint64_t nextNumber = 1; ///< Under mutex.
+    std::atomic<bool> stopping{false};
+    std::atomic<std::uint64_t> received{0};
+    std::atomic<std::uint64_t> sent{0};
+    std::thread thread;
+};
+
+MessageClient::MessageClient(VmInstanceName self, CurveKeys keys)
+    : loop(std::make_unique<Loop>(std::move(self), std::move(keys)))
+{
+    this->loop->thread = std::thread([raw = this->loop.get()] { raw->run(); });
+}
+
+MessageClient::~MessageClient()
+{
+    this->loop->stopping = true;
+    this->loop->wakeup.signal();
+    this->loop->thread.join();
+}
+
+std::uint64_t MessageClient::request(const std::string &endpoint, wire::Envelope message,
+                                     Millis timeout, ReplyHandler handler)
+{
+    std::uint64_t number = 0;
+    {
+        const std::lock_guard lock(this->loop->mutex);
+        number = this->loop->nextNumber++;
+        message.set_correlation(number);
+        const Millis deadline = monotonicNow() + timeout;
+        this->loop->pending.emplace(number, PendingRequest{deadline, timeout, std::move(handler)});
+        this->loop->deadlines.emplace(deadline, number);
+        this->loop->outgoing.push_back(OutgoingMessage{endpoint, std::move(message)});
+    }
+    this->loop->wakeup.signal();
+    return number;
+}
+
+void MessageClient::cancel(std::uint64_t number)
+{
+    const std::lock_guard lock(this->loop->mutex);
+    const auto found = this->loop->pending.find(number);
+    if (found != this->loop->pending.end()) {
+        this->loop->forgetDeadline(found->second.deadline, number);
+        this->loop->pending.erase(found);
+    }
+}
+
+void MessageClient::notify(const std::string &endpoint, wire::Envelope message)
+{
+    message.set_correlation(0);
+    {
+        const std::lock_guard lock(this->loop->mutex);
+        this->loop->outgoing.push_back(OutgoingMessage{endpoint, std::move(message)});
+    }
+    this->loop->wakeup.signal();
+}
+
+Result<wire::Envelope> MessageClient::call(const std::string &endpoint, wire::Envelope message,
+                                           Millis timeout)
+{
+    auto promise = std::make_shared<std::promise<Result<wire::Envelope>>>();
+    std::future<Result<wire::Envelope>> future = promise->get_future();
+    this->request(endpoint, std::move(message), timeout,
+                  [promise](const Result<wire::Envelope> &reply) {
+                      promise->set_value(reply);
+                      return false;
+                  });
+    return future.get();
+}
+
+std::uint64_t MessageClient::bytesReceived() const noexcept
+{
+    return this->loop->received;
+}
+
+std::uint64_t MessageClient::bytesSent() const noexcept
+{
+    return this->loop->sent;
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/wire/socket_support.cpp
@@ -0,0 +1,174 @@
+#include "socket_support.h"
+
+#include <balsamport/core/log.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+
+namespace balsamport {
+
+namespace {
+
+constexpr std::size_t curveKeyBytes = 32;
+constexpr std::size_t z85KeyCharacters = 40;
+constexpr std::size_t zapCredentialFrame = 6;
+
+std::string toZ85(const zmq::message_t &key)
+{
+    std::array<char, z85KeyCharacters + 1> text{};
+    if (key.size() != curveKeyBytes
+        || zmq_z85_encode(text.data(), key.data<std::uint8_t>(), key.size()) == nullptr) {
+        return {};
+    }
+    return {text.data(), z85KeyCharacters};
+}
+
+std::vector<zmq::message_t> receiveFrames(zmq::socket_t &socket)
+{
+    std::vector<zmq::message_t> frames;
+    while (true) {
+        zmq::message_t frame;
+        if (!socket.recv(frame, zmq::recv_flags::dontwait)) {
+            return frames;
+        }
+        const bool more = frame.more();
+        frames.push_back(std::move(frame));
+        if (!more) {
+            return frames;
+        }
+    }
+}
+
+void answerZap(zmq::socket_t &socket, const std::vector<zmq::message_t> &request, bool accepted)
+{
+    const std::string_view code = accepted ? "200" : "400";
+    const std::string_view text = accepted ? "OK" : "key not accepted";
+    socket.send(zmq::str_buffer("1.0"), zmq::send_flags::sndmore);
+    socket.send(zmq::buffer(request[1].data(), request[1].size()), zmq::send_flags::sndmore);
+    socket.send(zmq::buffer(code), zmq::send_flags::sndmore);
+    socket.send(zmq::buffer(text), zmq::send_flags::sndmore);
+    socket.send(zmq::str_buffer(""), zmq::send_flags::sndmore);
+    socket.send(zmq::str_buffer(""), zmq::send_flags::none);
+}
+
+} // namespace
+
+std::string wakeupEndpoint(const std::string &kind)
+{
+    static std::atomic<std::uint64_t> next{0};
+    return "inproc://wakeup-" + kind + "-" + std::to_string(next++);
+}
+
+Wakeup::Wakeup(zmq::context_t &context, const std::string &endpoint)
+    : pull(context, zmq::socket_type::pull)
+    , push(context, zmq::socket_type::push)
+{
+    this->pull.set(zmq::sockopt::linger, 0);
+    this->push.set(zmq::sockopt::linger, 0);
+    this->pull.bind(endpoint);
+    this->push.connect(endpoint);
+}
+
+void Wakeup::signal()
+{
+    const std::lock_guard lock(this->mutex);
+    // A full queue has wakeups enough already.
+    static_cast<void>(this->push.send(zmq::message_t(), zmq::send_flags::dontwait));
+}
+
+void Wakeup::drain()
+{
+    zmq::message_t message;
+    while (this->pull.recv(message, zmq::recv_flags::dontwait)) { }
+}
+
+zmq::message_t serialize(const wire::Envelope &envelope)
+{
+    zmq::message_t message(envelope.ByteSizeLong());
+    envelope.SerializeToArray(message.data(), static_cast<int>(message.size()));
+    return message;
+}
+
+bool discardRest(zmq::socket_t &socket, const zmq::message_t &last)
+{
+    bool more = last.more();
+    const bool any = more;
+    while (more) {
+        zmq::message_t frame;
+        if (!socket.recv(frame, zmq::recv_flags::dontwait)) {
+            return any;
+        }
+        more = frame.more();
+    }
+    return any;
+}
+
+CurveGuard::CurveGuard(zmq::context_t &zmqContext, const CurveKeys &keys)
+    : accepted(keys.acceptedPublic)
+    , context(zmqContext)
+{
+    if (!keys.enabled()) {
+        return;
+    }
+    this->accepted.push_back(keys.publicKey);
+    this->handler = zmq::socket_t(this->context, zmq::socket_type::rep);
+    this->handler.set(zmq::sockopt::linger, 0);
+    this->handler.bind("inproc://zeromq.zap.01");
+    this->wakeup = std::make_unique<Wakeup>(this->context, wakeupEndpoint("zap"));
+    this->thread = std::thread([this] { this->run(); });
+}
+
+CurveGuard::~CurveGuard()
+{
+    if (this->thread.joinable()) {
+        this->wakeup->signal();
+        this->thread.join();
+    }
+}
+
+void CurveGuard::protectServer(zmq::socket_t &socket, const CurveKeys &keys)
+{
+    if (!keys.enabled()) {
+        return;
+    }
+    socket.set(zmq::sockopt::zap_domain, "balsamport");
+    socket.set(zmq::sockopt::curve_server, true);
+    socket.set(zmq::sockopt::curve_secretkey, keys.secretKey);
+}
+
+void CurveGuard::protectClient(zmq::socket_t &socket, const CurveKeys &keys)
+{
+    if (!keys.enabled()) {
+        return;
+    }
+    socket.set(zmq::sockopt::curve_serverkey, keys.publicKey);
+    socket.set(zmq::sockopt::curve_publickey, keys.publicKey);
+    socket.set(zmq::sockopt::curve_secretkey, keys.secretKey);
+}
+
+void CurveGuard::run()
+{
+    while (true) {
+        zmq::pollitem_t items[] = {{this->handler.handle(), 0, ZMQ_POLLIN, 0},
+                                   {this->wakeup->receiver(), 0, ZMQ_POLLIN, 0}};
+        zmq::poll(items, 2, std::chrono::milliseconds(-1));
+        if ((items[1].revents & ZMQ_POLLIN) != 0) {
+            return;
+        }
+        const std::vector<zmq::message_t> request = receiveFrames(this->handler);
+        if (request.size() <= zapCredentialFrame) {
+            continue;
+        }
+        const std::string key = toZ85(request[zapCredentialFrame]);
+        const bool known = std::find(this->accepted.begin(), this->accepted.end(), key)
+                != this->accepted.end();
+        if (!known) {
+            LOG(WARNING) << logprefix::wire << "Refused a peer. reason=key_not_accepted";
+        }
+        answerZap(this->handler, request, known);
+    }
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/tests/src/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/src/unit-settings.cpp
@@ -0,0 +1,101 @@
+#include <balsamport/core/settings.h>
+
+#include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+using namespace balsamport;
+namespace po = boost::program_options;
+
+namespace {
+
+po::options_description exampleSettings()
+{
+    po::options_description settings;
+    settings.add_options()("vm.id", po::value<std::string>()->required(), "name of this VM")(
+            "limits.threads", po::value<int>()->default_value(2), "a number of threads");
+    return settings;
+}
+
+Result<ProgramSettings> read(std::vector<const char *> arguments)
+{
+    arguments.insert(arguments.begin(), "program");
+    return readProgramSettings(static_cast<int>(arguments.size()), arguments.data(),
+                               exampleSettings());
+}
+
+/// A file that is removed at the end of the test.
+class TemporaryFile
+{
+public:
+    explicit TemporaryFile(const std::string &text)
+        : path("settings-test-" + std::to_string(getpid()) + ".ini")
+    {
+        std::ofstream(this->path) << text;
+    }
+    ~TemporaryFile() { std::remove(this->path.c_str()); }
+    TemporaryFile(const TemporaryFile &) = delete;
+    TemporaryFile &operator=(const TemporaryFile &) = delete;
+
+    std::string path;
+};
+
+} // namespace
+
+TEST_CASE("a program's settings")
+{
+    SECTION("come from --set, with defaults for the rest")
+    {
+        const auto result = read({"--set", "vm.id=vm1"});
+        REQUIRE(result.has_value());
+        REQUIRE(result.value().values["vm.id"].as<std::string>() == "vm1");
+        REQUIRE(result.value().values["limits.threads"].as<int>() == 2);
+    }
+
+    SECTION("come from a file, and --set goes before it")
+    {
+        const TemporaryFile file("[vm]\nid = vm1\n\n[limits]\nthreads = 5\n");
+        const auto result = read({"--config", file.path.c_str(), "--set", "limits.threads=7"});
+        REQUIRE(result.has_value());
+        REQUIRE(result.value().values["vm.id"].as<std::string>() == "vm1");
+        REQUIRE(result.value().values["limits.threads"].as<int>() == 7);
+    }
+
+    SECTION("an unknown one is named with file, line and key")
+    {
+        const TemporaryFile file("[vm]\nid = vm1\ncolour = blue\n");
+        const auto result = read({"--config", file.path.c_str()});
+        REQUIRE(result.has_error());
+        REQUIRE(result.error()
+                == Error{ErrorCode::SettingUnknown, "there is no such setting",
+                         Place{file.path, 3, "vm.colour"}});
+    }
+
+    SECTION("a wrong value is named with what was expected")
+    {
+        const TemporaryFile file("[vm]\nid = vm1\n[limits]\nthreads = many\n");
+        const auto result = read({"--config", file.path.c_str()});
+        REQUIRE(result.has_error());
+        REQUIRE(result.error().code == ErrorCode::SettingInvalid);
+        REQUIRE(result.error().place.line == 4);
+        REQUIRE(result.error().detail == "\"many\" is not valid; expected: a number of threads");
+    }
+
+    SECTION("a missing one is named")
+    {
+        const auto result = read({});
+        REQUIRE(result.has_error());
+        REQUIRE(result.error().code == ErrorCode::SettingMissing);
+        REQUIRE(result.error().place.key == "vm.id");
+    }
+
+    SECTION("--help needs no settings; --check does")
+    {
+        REQUIRE(read({"--help"}).value().action == ProgramAction::Help);
+        REQUIRE(read({"--check"}).has_error());
+        REQUIRE(read({"--check", "--set", "vm.id=a"}).value().action == ProgramAction::Check);
+    }
+}
