--- /dev/null
+++ b/include/balsamport/policy/claim_votes.h
@@ -0,0 +1,56 @@
+#ifndef BALSAMPORT_POLICY_CLAIM_VOTES_H
+#define BALSAMPORT_POLICY_CLAIM_VOTES_H
+
+#include <balsamport/policy/claim_table.h>
+#include <balsamport/policy/outcome.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief What a gateway knows of the vote of each seat for one key.
+struct ClaimVotes
+{
+    AttemptId attempt; ///< The gateway's own attempt.
+    Fingerprint body;
+    std::size_t majority = 2;
+    std::vector<std::optional<ClaimVerdict>> seats; ///< Nothing until a seat answered.
+
+    bool operator==(const ClaimVotes &) const = default;
+};
+
+/// @brief Where a claim stands.
+enum class ClaimStanding : std::uint8_t {
+    Open, ///< More answers may still decide it.
+    Won, ///< This attempt, and no other, may be dispatched.
+    Lost, ///< Another attempt holds the key.
+    Undecided, ///< No majority, and every answer is in.
+};
+
+/// @brief Starts the votes of one attempt.
+/// @param seatCount witnesses that are asked: three seats, or the one of a ticket
+[[nodiscard]] ClaimVotes startVotes(AttemptId attempt, Fingerprint body, std::size_t seatCount);
+
+/// @brief Takes the answer of a seat. A vote that names a holder is never replaced.
+void takeVote(ClaimVotes &votes, std::size_t seat, const ClaimVerdict &verdict);
+
+/// @brief Tells where a claim stands. Linear in the number of seats squared.
+[[nodiscard]] ClaimStanding standingOf(const ClaimVotes &votes);
+
+/// @brief Finds the attempt that holds a majority, other than this one.
+[[nodiscard]] std::optional<ClaimHolder> otherWinner(const ClaimVotes &votes);
+
+/// @brief Tells whether no attempt with this key can have been dispatched or ever will be, given
+/// that this gateway has abandoned its own attempt and never dispatched it.
+///
+/// Seats without a vote may have forgotten one, so they count for the worst.
+[[nodiscard]] bool isProvenNotRun(const ClaimVotes &votes);
+
+/// @brief Chooses the failure to tell a caller whose claim was not won.
+[[nodiscard]] ErrorCode failureOf(const ClaimVotes &votes);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/policy/answer_match.cpp
@@ -0,0 +1,19 @@
+#include <balsamport/policy/answer_match.h>
+
+namespace balsamport {
+
+std::optional<ErrorCode> mismatchOf(const ExpectedAnswer &expected, const AnswerLabel &label)
+{
+    if (label.attempt != expected.attempt) {
+        return ErrorCode::GrantExpired;
+    }
+    if (label.request && *label.request != expected.request) {
+        return ErrorCode::BadResponse;
+    }
+    if (label.adapter && *label.adapter != expected.adapter.str()) {
+        return ErrorCode::WrongVersion;
+    }
+    return std::nullopt;
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/policy/circuit_breaker.cpp
@@ -0,0 +1,54 @@
+#include <balsamport/policy/circuit_breaker.h>
+
+#include <algorithm>
+
+namespace balsamport {
+
+namespace {
+
+bool isOpen(const CircuitBreaker &breaker) noexcept
+{
+    return breaker.failures >= CircuitBreaker::failuresToOpen;
+}
+
+} // namespace
+
+bool mayPass(const CircuitBreaker &breaker, Millis now) noexcept
+{
+    if (!isOpen(breaker)) {
+        return true;
+    }
+    // A probe that was never reported blocks the circuit no longer than one pause.
+    return now >= breaker.openUntil;
+}
+
+CircuitBreaker afterPass(CircuitBreaker breaker, Millis now) noexcept
+{
+    if (isOpen(breaker)) {
+        breaker.probing = true;
+        breaker.openUntil = now + CircuitBreaker::longestPause;
+    }
+    return breaker;
+}
+
+CircuitBreaker afterAnswer(CircuitBreaker breaker) noexcept
+{
+    breaker = CircuitBreaker{};
+    return breaker;
+}
+
+CircuitBreaker afterFailure(CircuitBreaker breaker, Millis now) noexcept
+{
+    constexpr std::uint32_t maxDoublings = 8;
+    breaker.failures
+            = std::min(breaker.failures + 1, CircuitBreaker::failuresToOpen + maxDoublings);
+    breaker.probing = false;
+    if (isOpen(breaker)) {
+        const std::uint32_t doublings = breaker.failures - CircuitBreaker::failuresToOpen;
+        const Millis pause = CircuitBreaker::firstPause * (std::int64_t{1} << doublings);
+        breaker.openUntil = now + std::min(pause, CircuitBreaker::longestPause);
+    }
+    return breaker;
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/policy/outcome.cpp
@@ -0,0 +1,128 @@
+#include <balsamport/policy/outcome.h>
+
+namespace balsamport {
+
+namespace {
+
+constexpr int firstServerErrorStatus = 500;
+
+int statusOfRequestFault(ErrorCode failure) noexcept
+{
+    switch (failure) {
+    case ErrorCode::BodyTooLarge:
+        return 413;
+    case ErrorCode::HeadersTooLarge:
+        return 431;
+    case ErrorCode::Unauthorized:
+        return 401;
+    case ErrorCode::UnknownModel:
+    case ErrorCode::UnknownService:
+    case ErrorCode::UnknownPath:
+        return 404;
+    case ErrorCode::MethodNotAllowed:
+        return 405;
+    case ErrorCode::RequestTimeout:
+        return 408;
+    default:
+        return 400;
+    }
+}
+
+int statusOfClaimFault(ErrorCode failure) noexcept
+{
+    switch (failure) {
+    case ErrorCode::KeyMissing:
+    case ErrorCode::KeyInvalid:
+    case ErrorCode::KeyTooOld:
+    case ErrorCode::KeyFromFuture:
+        return 400;
+    case ErrorCode::KeyUsed:
+    case ErrorCode::KeyInProgress:
+    case ErrorCode::KeyClosed:
+        return 409;
+    case ErrorCode::KeyBodyMismatch:
+        return 422;
+    case ErrorCode::TicketUnknown:
+        return 410;
+    case ErrorCode::OutcomeUnknown:
+        return 502;
+    default:
+        return 503;
+    }
+}
+
+bool isRequestFault(ErrorCode failure) noexcept
+{
+    return errorNumber(failure) < 200;
+}
+
+} // namespace
+
+Outcome outcomeOf(const AttemptEnd &end) noexcept
+{
+    const bool answered = end.stage == AttemptStage::Answered && !end.failure;
+    if (answered && end.answerStatus < firstServerErrorStatus) {
+        return Outcome::Ran;
+    }
+    if (end.stage == AttemptStage::Sent || end.stage == AttemptStage::Answered) {
+        return Outcome::Unknown;
+    }
+    const bool refusedWithoutKey = end.stage == AttemptStage::Refused && !end.hasKey;
+    if (end.repeatable || refusedWithoutKey || end.provenNotRun) {
+        return Outcome::NotRun;
+    }
+    return Outcome::Unknown;
+}
+
+NextStep nextStepOf(ErrorCode failure, Outcome outcome, bool repeatable) noexcept
+{
+    if (failure == ErrorCode::KeyBodyMismatch || failure == ErrorCode::Quarantined
+        || isRequestFault(failure) || failure == ErrorCode::KeyMissing
+        || failure == ErrorCode::KeyInvalid || failure == ErrorCode::KeyFromFuture) {
+        return NextStep::Correct;
+    }
+    if (repeatable) {
+        return NextStep::Repeat;
+    }
+    if (outcome == Outcome::NotRun) {
+        return NextStep::RepeatWithNewKey;
+    }
+    if (failure == ErrorCode::KeyInProgress || failure == ErrorCode::KeyUsed
+        || failure == ErrorCode::WitnessUnavailable) {
+        return NextStep::AskWithSameKey;
+    }
+    return NextStep::CheckTheLedger;
+}
+
+int statusOf(ErrorCode failure) noexcept
+{
+    const std::uint16_t number = errorNumber(failure);
+    if (number < 200) {
+        return statusOfRequestFault(failure);
+    }
+    if (number >= 300 && number < 400) {
+        return statusOfClaimFault(failure);
+    }
+    switch (failure) {
+    case ErrorCode::DeadlineExceeded:
+    case ErrorCode::Timeout:
+        return 504;
+    case ErrorCode::Quarantined:
+        return 422;
+    case ErrorCode::RateLimited:
+        return 429;
+    case ErrorCode::ConnectionBroken:
+    case ErrorCode::BadResponse:
+    case ErrorCode::BackendServerCrashed:
+    case ErrorCode::WrongVersion:
+    case ErrorCode::BackendServerError:
+    case ErrorCode::AnswerIncomplete:
+        return 502;
+    case ErrorCode::Internal:
+        return 500;
+    default:
+        return 503;
+    }
+}
+
+} // namespace balsamport
