--- a/include/balsamport/http/http_client.h
+++ b/include/balsamport/http/http_client.h
@@ -23,6 +23,8 @@
     Millis connectTimeout{1000};
     Millis timeout{60'000}; ///< For the whole exchange.
     Millis idleTimeout{0}; ///< Longest silence while the answer is awaited; 0 for none.
+    /// Opens a new connection, so that a kept one cannot break under the request.
+    bool freshConnection = false;
 };
 
 /// @brief The status line and headers of an answer, before its body.
--- /dev/null
+++ b/src/http/curl_exchange.cpp
@@ -0,0 +1,212 @@
+#include "curl_exchange.h"
+
+#include <mutex>
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+constexpr long maxKeptConnectionAgeSeconds = 5;
+constexpr std::int64_t millisPerSecond = 1000;
+
+std::string_view trimLineEnd(std::string_view line) noexcept
+{
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
+std::string_view trimBlanks(std::string_view text) noexcept
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    return text;
+}
+
+} // namespace
+
+void startCurl()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+CurlExchange::CurlExchange(OutgoingRequest ownedRequest, ExchangeHandlers ownedHandlers)
+    : request(std::move(ownedRequest))
+    , handlers(std::move(ownedHandlers))
+    , easy(curl_easy_init())
+{
+    this->setOptions();
+    this->setBody();
+}
+
+CurlExchange::~CurlExchange()
+{
+    curl_easy_cleanup(this->easy);
+    curl_slist_free_all(this->headerList);
+}
+
+void CurlExchange::setOptions()
+{
+    curl_easy_setopt(this->easy, CURLOPT_URL, this->request.url.c_str());
+    curl_easy_setopt(this->easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(this->easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(this->easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(this->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(this->request.connectTimeout.count()));
+    curl_easy_setopt(this->easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(this->request.timeout.count()));
+    curl_easy_setopt(this->easy, CURLOPT_MAXAGE_CONN, maxKeptConnectionAgeSeconds);
+    curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, this->request.freshConnection ? 1L : 0L);
+    if (this->request.idleTimeout > Millis(0)) {
+        const std::int64_t seconds
+                = (this->request.idleTimeout.count() + millisPerSecond - 1) / millisPerSecond;
+        curl_easy_setopt(this->easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+        curl_easy_setopt(this->easy, CURLOPT_LOW_SPEED_TIME, static_cast<long>(seconds));
+    }
+    curl_easy_setopt(this->easy, CURLOPT_PREREQFUNCTION, &CurlExchange::onPrerequest);
+    curl_easy_setopt(this->easy, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &CurlExchange::onHeader);
+    curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, &CurlExchange::onBody);
+    curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
+}
+
+void CurlExchange::setBody()
+{
+    for (const HttpHeader &header : this->request.headers) {
+        const std::string line = header.name + ": " + header.value;
+        this->headerList = curl_slist_append(this->headerList, line.c_str());
+    }
+    this->headerList = curl_slist_append(this->headerList, "Expect:");
+    if (this->request.method != "GET") {
+        curl_easy_setopt(this->easy, CURLOPT_CUSTOMREQUEST, this->request.method.c_str());
+    }
+    if (this->request.method != "GET" && this->request.method != "HEAD") {
+        curl_easy_setopt(this->easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(this->request.body.size()));
+        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDS, this->request.body.data());
+    }
+    if (this->request.method == "HEAD") {
+        curl_easy_setopt(this->easy, CURLOPT_NOBODY, 1L);
+    }
+    curl_easy_setopt(this->easy, CURLOPT_HTTPHEADER, this->headerList);
+}
+
+int CurlExchange::onPrerequest(void *user, char * /*remoteIp*/, char * /*localIp*/,
+                               int /*remotePort*/, int /*localPort*/)
+{
+    return static_cast<CurlExchange *>(user)->maySend() ? CURL_PREREQFUNC_OK
+                                                        : CURL_PREREQFUNC_ABORT;
+}
+
+bool CurlExchange::maySend()
+{
+    // libcurl sends a request again when a kept connection breaks before an answer; refuse that.
+    if (this->sendingStarted) {
+        return false;
+    }
+    if (this->handlers.mayStillSend && !this->handlers.mayStillSend()) {
+        this->sendRefused = true;
+        return false;
+    }
+    this->sendingStarted = true;
+    return true;
+}
+
+std::size_t CurlExchange::onHeader(char *data, std::size_t size, std::size_t count, void *user)
+{
+    static_cast<CurlExchange *>(user)->takeHeaderLine(std::string_view(data, size * count));
+    return size * count;
+}
+
+void CurlExchange::takeHeaderLine(std::string_view line)
+{
+    line = trimLineEnd(line);
+    if (line.substr(0, 5) == "HTTP/") {
+        this->head = ResponseHead{};
+        return;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        this->head.headers.push_back(HttpHeader{std::string(line.substr(0, colon)),
+                                                std::string(trimBlanks(line.substr(colon + 1)))});
+        return;
+    }
+    long status = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
+    this->head.status = static_cast<int>(status);
+    constexpr int firstFinalStatus = 200;
+    if (line.empty() && this->head.status >= firstFinalStatus) {
+        this->announceHead();
+    }
+}
+
+void CurlExchange::announceHead()
+{
+    if (this->headAnnounced) {
+        return;
+    }
+    this->headAnnounced = true;
+    if (this->handlers.onHead) {
+        this->handlers.onHead(this->head);
+    }
+}
+
+std::size_t CurlExchange::onBody(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto *self = static_cast<CurlExchange *>(user);
+    const std::size_t bytes = size * count;
+    if (self->handlers.onPiece && !self->handlers.onPiece(std::string_view(data, bytes))) {
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    return bytes;
+}
+
+Error CurlExchange::errorOf(CURLcode code) const
+{
+    const std::string detail = this->request.url + ": " + curl_easy_strerror(code);
+    if (this->sendRefused) {
+        return Error{ErrorCode::ClaimExpired, this->request.url + ": too late to send"};
+    }
+    if (!this->sendingStarted) {
+        return Error{ErrorCode::ConnectFailed, detail};
+    }
+    switch (code) {
+    case CURLE_OPERATION_TIMEDOUT:
+        return Error{ErrorCode::Timeout, detail};
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+        return Error{ErrorCode::BadResponse, detail};
+    default:
+        return Error{ErrorCode::ConnectionBroken, detail};
+    }
+}
+
+void CurlExchange::end(CURLcode code)
+{
+    if (code != CURLE_OK) {
+        this->endWith(this->errorOf(code));
+        return;
+    }
+    this->announceHead();
+    if (this->handlers.onDone) {
+        this->handlers.onDone(BOOST_OUTCOME_V2_NAMESPACE::success());
+    }
+}
+
+void CurlExchange::endWith(const Error &error)
+{
+    if (this->handlers.onDone) {
+        this->handlers.onDone(error);
+    }
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/http/curl_exchange.h
@@ -0,0 +1,55 @@
+#ifndef BALSAMPORT_HTTP_CURL_EXCHANGE_H
+#define BALSAMPORT_HTTP_CURL_EXCHANGE_H
+
+#include <balsamport/http/http_client.h>
+
+#include <curl/curl.h>
+
+namespace balsamport {
+
+/// @brief Initializes libcurl once for the process. May be called again, from any thread.
+void startCurl();
+
+/// @brief One exchange on a curl easy handle. Lives on the client's thread.
+class CurlExchange
+{
+public:
+    CurlExchange(OutgoingRequest request, ExchangeHandlers handlers);
+    ~CurlExchange();
+    CurlExchange(const CurlExchange &) = delete;
+    CurlExchange &operator=(const CurlExchange &) = delete;
+
+    [[nodiscard]] CURL *handle() const noexcept { return this->easy; }
+
+    /// @brief Ends the exchange with the result that curl gave.
+    void end(CURLcode code);
+
+    /// @brief Ends the exchange with a failure of our own.
+    void endWith(const Error &error);
+
+private:
+    static int onPrerequest(void *user, char *remoteIp, char *localIp, int remotePort,
+                            int localPort);
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user);
+    static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *user);
+
+    void setOptions();
+    void setBody();
+    bool maySend();
+    void takeHeaderLine(std::string_view line);
+    void announceHead();
+    [[nodiscard]] Error errorOf(CURLcode code) const;
+
+    OutgoingRequest request;
+    ExchangeHandlers handlers;
+    CURL *easy = nullptr;
+    curl_slist *headerList = nullptr;
+    ResponseHead head;
+    bool headAnnounced = false;
+    bool sendingStarted = false;
+    bool sendRefused = false;
+};
+
+} // namespace balsamport
+
+#endif
