--- a/include/balsamport/policy/circuit_breaker.h
+++ b/include/balsamport/policy/circuit_breaker.h
@@ -19,7 +19,6 @@
 
     std::uint32_t failures = 0; ///< In a row.
     Millis openUntil; ///< Monotonic.
-    bool probing = false; ///< The one probe is under way.
 
     bool operator==(const CircuitBreaker &) const = default;
 };
--- a/src/policy/circuit_breaker.cpp
+++ b/src/policy/circuit_breaker.cpp
@@ -25,7 +25,6 @@
 CircuitBreaker afterPass(CircuitBreaker breaker, Millis now) noexcept
 {
     if (isOpen(breaker)) {
-        breaker.probing = true;
         breaker.openUntil = now + CircuitBreaker::longestPause;
     }
     return breaker;
@@ -42,7 +41,6 @@
     constexpr std::uint32_t maxDoublings = 8;
     breaker.failures
             = std::min(breaker.failures + 1, CircuitBreaker::failuresToOpen + maxDoublings);
-    breaker.probing = false;
     if (isOpen(breaker)) {
         const std::uint32_t doublings = breaker.failures - CircuitBreaker::failuresToOpen;
         const Millis pause = CircuitBreaker::firstPause * (std::int64_t{1} << doublings);
