Add the witness controller and the claim client

Keys are claimed at one witness in each of three seats; two must grant. Tried by unit-claims over real sockets, with one and with two data centres gone.

--- a/include/balsamport/policy/suspects.h
+++ b/include/balsamport/policy/suspects.h
@@ -57,6 +57,10 @@
     /// @return true where the report changed anything
     bool noteCrash(const CrashReport &report, const SuspectLimits &limits);
 
+    /// @brief Notes a suspicion that a peer holds; one that is known already stays as it is.
+    /// @return true where it was not known
+    bool noteSuspicion(const CrashReport &report, const SuspectLimits &limits);
+
     /// @brief Notes that a request ran to its end.
     /// @return true where a suspicion was cleared; a quarantine is not cleared
     bool noteFinish(Fingerprint fingerprint);
--- /dev/null
+++ b/src/controllers/claim_client.cpp
@@ -0,0 +1,327 @@
+#include <balsamport/controllers/claim_client.h>
+
+#include <balsamport/core/log.h>
+#include <balsamport/policy/seats.h>
+#include <balsamport/wire/convert.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+/// Longest wait for one reply of a witness; the request is sent once more after it.
+constexpr Millis replyTimeout{150};
+constexpr int triesPerSeat = 3;
+
+struct SeatAddress
+{
+    std::string seat;
+    std::string endpoint; ///< Empty where no VM holds the seat.
+    std::optional<ErrorCode> refusal; ///< Decided without asking.
+};
+
+ClaimVerdict verdictFrom(const Result<wire::Envelope> &reply)
+{
+    const ClaimVerdict unanswered{std::nullopt, ErrorCode::WitnessUnavailable};
+    if (!reply) {
+        return unanswered;
+    }
+    const wire::Envelope &message = reply.value();
+    if (message.has_claim_reply()) {
+        const wire::ClaimReply &body = message.claim_reply();
+        if (body.error_code() != 0) {
+            return ClaimVerdict{std::nullopt, errorCodeFromNumber(body.error_code())};
+        }
+        return ClaimVerdict{ClaimHolder{AttemptId(body.winner_attempt()),
+                                        fromWire(body.winner_gateway()),
+                                        Fingerprint(body.winner_fingerprint())},
+                            std::nullopt};
+    }
+    if (message.has_close_reply()) {
+        const wire::CloseReply &body = message.close_reply();
+        if (body.error_code() != 0) {
+            return ClaimVerdict{std::nullopt, errorCodeFromNumber(body.error_code())};
+        }
+        return ClaimVerdict{ClaimHolder{AttemptId(body.winner_attempt()),
+                                        fromWire(body.winner_gateway()),
+                                        Fingerprint(body.winner_fingerprint())},
+                            std::nullopt};
+    }
+    return unanswered;
+}
+
+SeatAddress ticketAddress(const Ticket &ticket, const FleetView &fleet)
+{
+    for (const Member &member : fleet.members) {
+        if (member.instance == ticket.witness) {
+            return {"ticket", member.controllerEndpoint, std::nullopt};
+        }
+        if (member.instance.vm == ticket.witness.vm
+            && member.instance.incarnation > ticket.witness.incarnation) {
+            return {"ticket", "", ErrorCode::TicketUnknown};
+        }
+    }
+    return {"ticket", "", std::nullopt};
+}
+
+std::vector<SeatAddress> addressesOf(const RequestKey &key, const std::optional<Ticket> &ticket,
+                                     const Snapshot &snapshot, const FleetView &fleet)
+{
+    if (ticket) {
+        return {ticketAddress(*ticket, fleet)};
+    }
+    std::vector<SeatAddress> addresses;
+    for (const Seat &seat : seatsForKey(key, dataCentresOf(snapshot))) {
+        const std::optional<Member> holder = seatHolder(seat, fleet);
+        addresses.push_back(
+                {seat.str(), holder ? holder->controllerEndpoint : std::string(), std::nullopt});
+    }
+    return addresses;
+}
+
+} // namespace
+
+AttemptId newAttemptId()
+{
+    thread_local std::mt19937_64 generator{[] {
+        std::random_device device;
+        return (std::uint64_t{device()} << 32U) ^ device();
+    }()};
+    std::uniform_int_distribution<std::uint64_t> anyButZero(1);
+    return AttemptId(anyButZero(generator));
+}
+
+/// One claim under way: asks the seats, collects votes, and closes the key where none wins.
+struct ClaimClient::Round : std::enable_shared_from_this<Round>
+{
+    Round(MessageClient &messages, const ClaimQuery &query, ClaimCallback callback)
+        : messages(messages)
+        , query(query)
+        , callback(std::move(callback))
+    { }
+
+    void start(bool closeOnly)
+    {
+        {
+            const std::scoped_lock lock(this->mutex);
+            this->closing = closeOnly;
+        }
+        this->askAll(closeOnly);
+    }
+
+    void askAll(bool close)
+    {
+        for (std::size_t seat = 0; seat < this->addresses.size(); ++seat) {
+            this->ask(seat, close, triesPerSeat);
+        }
+        if (this->addresses.empty()) {
+            this->finish();
+        }
+    }
+
+    void ask(std::size_t seat, bool close, int triesLeft)
+    {
+        const SeatAddress &address = this->addresses[seat];
+        if (address.endpoint.empty()) {
+            this->take(seat, close,
+                       {std::nullopt, address.refusal.value_or(ErrorCode::WitnessUnavailable)});
+            return;
+        }
+        const auto self = this->shared_from_this();
+        this->messages.request(address.endpoint, this->messageFor(address, close), replyTimeout,
+                               [self, seat, close, triesLeft](const Result<wire::Envelope> &reply) {
+                                   self->onReply(seat, close, triesLeft, reply);
+                                   return false;
+                               });
+    }
+
+    void onReply(std::size_t seat, bool close, int triesLeft, const Result<wire::Envelope> &reply)
+    {
+        const bool timedOut = !reply && reply.error().code == ErrorCode::Timeout;
+        if (timedOut && triesLeft > 1 && this->wantsMore(close)) {
+            this->ask(seat, close, triesLeft - 1);
+            return;
+        }
+        this->take(seat, close, verdictFrom(reply));
+    }
+
+    bool wantsMore(bool close)
+    {
+        const std::scoped_lock lock(this->mutex);
+        return !this->done && this->closing == close;
+    }
+
+    wire::Envelope messageFor(const SeatAddress &address, bool close) const
+    {
+        wire::Envelope message;
+        const std::int64_t firstSent = this->query.firstSentWall.value_or(Millis(0)).count();
+        if (close) {
+            wire::CloseRequest &request = *message.mutable_close_request();
+            request.set_key(this->wireKey.str());
+            request.set_attempt(this->query.attempt.number());
+            request.set_seat(address.seat);
+            request.set_first_sent_wall_ms(firstSent);
+            request.set_seat_set(this->seatSet);
+            return message;
+        }
+        wire::ClaimRequest &request = *message.mutable_claim_request();
+        request.set_key(this->wireKey.str());
+        request.set_body_fingerprint(this->query.body.number());
+        request.set_attempt(this->query.attempt.number());
+        request.set_seat(address.seat);
+        request.set_first_sent_wall_ms(firstSent);
+        request.set_seat_set(this->seatSet);
+        return message;
+    }
+
+    void take(std::size_t seat, bool close, const ClaimVerdict &verdict)
+    {
+        bool mustClose = false;
+        bool mustFinish = false;
+        {
+            const std::scoped_lock lock(this->mutex);
+            // A vote is a fact whichever question it answers, also after the decision to close.
+            takeVote(this->votes, seat, verdict);
+            if (this->done) {
+                return;
+            }
+            if (close) {
+                ++this->closeReplies;
+            } else {
+                ++this->claimReplies;
+            }
+            if (this->closing) {
+                mustFinish = close
+                        && (this->closeReplies == this->addresses.size()
+                            || isProvenNotRun(this->votes));
+            } else {
+                const ClaimStanding standing = standingOf(this->votes);
+                mustClose = standing == ClaimStanding::Undecided
+                        && this->claimReplies == this->addresses.size();
+                mustFinish = standing == ClaimStanding::Won || standing == ClaimStanding::Lost
+                        || (mustClose && isProvenNotRun(this->votes));
+                mustClose = mustClose && !mustFinish;
+                this->closing = mustClose;
+            }
+            this->done = mustFinish;
+        }
+        if (mustClose) {
+            this->askAll(true);
+        } else if (mustFinish) {
+            this->finish();
+        }
+    }
+
+    void finish()
+    {
+        ClaimOutcome outcome;
+        {
+            const std::scoped_lock lock(this->mutex);
+            this->done = true;
+            outcome = this->outcomeNow();
+        }
+        LOG(INFO) << logprefix::claim << "Claim ended. key=" << this->wireKey
+                  << " attempt=" << this->query.attempt
+                  << " won=" << (outcome.standing == ClaimStanding::Won)
+                  << " proven-not-run=" << outcome.provenNotRun
+                  << " failure=" << (outcome.failure ? errorName(*outcome.failure) : "none");
+        this->callback(outcome);
+    }
+
+    ClaimOutcome outcomeNow() const
+    {
+        ClaimOutcome outcome;
+        outcome.standing = standingOf(this->votes);
+        if (this->closing && outcome.standing == ClaimStanding::Won) {
+            outcome.standing = ClaimStanding::Undecided; // Given up before the last vote came.
+        }
+        outcome.provenNotRun = isProvenNotRun(this->votes);
+        outcome.dispatchDeadline
+                = std::min(this->query.deadline, this->query.arrivedAt + dispatchWindow);
+        if (outcome.standing != ClaimStanding::Won) {
+            outcome.failure = failureOf(this->votes);
+        }
+        if (const auto winner = otherWinner(this->votes)) {
+            outcome.winnerGateway = winner->gateway;
+        }
+        return outcome;
+    }
+
+    MessageClient &messages;
+    const ClaimQuery query;
+    const ClaimCallback callback;
+    RequestKey wireKey;
+    std::uint64_t seatSet = 0;
+    std::vector<SeatAddress> addresses;
+
+    std::mutex mutex; ///< Guards the rest.
+    ClaimVotes votes;
+    std::size_t claimReplies = 0;
+    std::size_t closeReplies = 0;
+    bool closing = false;
+    bool done = false;
+};
+
+ClaimClient::ClaimClient(MessageClient &messages, std::string ownController)
+    : messages(messages)
+    , ownController(std::move(ownController))
+{ }
+
+void ClaimClient::update(SnapshotPtr snapshot, std::shared_ptr<const FleetView> fleet)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->current = View{std::move(snapshot), std::move(fleet)};
+}
+
+ClaimClient::View ClaimClient::view() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->current;
+}
+
+std::shared_ptr<ClaimClient::Round> ClaimClient::prepare(const ClaimQuery &query,
+                                                         ClaimCallback callback)
+{
+    auto round = std::make_shared<Round>(this->messages, query, std::move(callback));
+    const std::optional<Ticket> ticket = parseTicket(query.key.str());
+    round->wireKey = ticket ? query.key : scopedKey(query.caller, query.key);
+    const View seen = this->view();
+    if (seen.snapshot && seen.fleet) {
+        round->seatSet = seatSetDigest(dataCentresOf(*seen.snapshot));
+        round->addresses = addressesOf(round->wireKey, ticket, *seen.snapshot, *seen.fleet);
+    }
+    round->votes = startVotes(query.attempt, query.body, round->addresses.size());
+    return round;
+}
+
+void ClaimClient::claim(const ClaimQuery &query, ClaimCallback callback)
+{
+    this->prepare(query, std::move(callback))->start(false);
+}
+
+void ClaimClient::close(const ClaimQuery &query, ClaimCallback callback)
+{
+    this->prepare(query, std::move(callback))->start(true);
+}
+
+void ClaimClient::ticket(std::function<void(const Result<RequestKey> &key)> callback)
+{
+    wire::Envelope message;
+    message.mutable_ticket_request();
+    this->messages.request(this->ownController, message, replyTimeout * triesPerSeat,
+                           [callback = std::move(callback)](const Result<wire::Envelope> &reply) {
+                               if (!reply) {
+                                   callback(reply.error());
+                               } else if (!reply.value().has_ticket_reply()) {
+                                   callback(Error{ErrorCode::MessageInvalid, "not a ticket reply"});
+                               } else {
+                                   callback(RequestKey(reply.value().ticket_reply().key()));
+                               }
+                               return false;
+                           });
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/controllers/witness_controller.cpp
@@ -0,0 +1,210 @@
+#include <balsamport/controllers/witness_controller.h>
+
+#include <balsamport/core/log.h>
+#include <balsamport/policy/seats.h>
+#include <balsamport/wire/convert.h>
+
+#include <algorithm>
+
+namespace balsamport {
+
+namespace {
+
+ClaimLimits limitsOf(const Snapshot &snapshot)
+{
+    ClaimLimits limits;
+    limits.capacity = snapshot.limits.claimTableSize;
+    limits.clockSkew = snapshot.limits.clockSkew;
+    limits.retryHorizon = snapshot.limits.retryHorizon;
+    limits.handoverWait = snapshot.limits.handoverWait;
+    return limits;
+}
+
+std::optional<Millis> firstSentFromWire(std::int64_t firstSentWallMs)
+{
+    if (firstSentWallMs == 0) {
+        return std::nullopt;
+    }
+    return Millis(firstSentWallMs);
+}
+
+std::uint32_t refusalNumber(const ClaimVerdict &verdict)
+{
+    return verdict.refusal ? errorNumber(*verdict.refusal) : 0;
+}
+
+void logVerdict(const char *what, const RequestKey &key, const std::string &seat,
+                const ClaimVerdict &verdict, AttemptId claimant)
+{
+    if (verdict.refusal) {
+        LOG(INFO) << logprefix::claim << "Refused to " << what << ". key=" << key
+                  << " seat=" << seat << " reason=" << errorName(*verdict.refusal);
+    } else if (verdict.holder->attempt == claimant) {
+        LOG(INFO) << logprefix::claim << "Did " << what << ". key=" << key << " seat=" << seat
+                  << " attempt=" << claimant;
+    } else {
+        LOG(INFO) << logprefix::claim << "Key is held. key=" << key << " seat=" << seat
+                  << " holder=" << verdict.holder->attempt << " claimant=" << claimant;
+    }
+}
+
+} // namespace
+
+WitnessController::WitnessController(VmInstance self, ControllerClocks clocks)
+    : self(self)
+    , clocks(clocks)
+    , tickets(std::move(self))
+{ }
+
+void WitnessController::update(const SnapshotPtr &snapshot, const std::vector<SeatView> &seats)
+{
+    const std::unique_lock lock(this->mutex);
+    if (snapshot) {
+        this->limits = limitsOf(*snapshot);
+        const std::uint64_t digest = seatSetDigest(dataCentresOf(*snapshot));
+        if (digest != this->seatSet) {
+            this->seatSet = digest;
+            this->seatSetSince = this->clocks.monotonic();
+            this->seatSetSinceWall = this->clocks.wall();
+        }
+    }
+    for (auto &[name, shard] : this->shards) {
+        const std::scoped_lock shardLock(shard->mutex);
+        shard->state.held = false;
+    }
+    for (const SeatView &seat : seats) {
+        std::unique_ptr<SeatShard> &shard = this->shards[seat.dataCentre.str()];
+        if (!shard) {
+            shard = std::make_unique<SeatShard>();
+        }
+        const std::scoped_lock shardLock(shard->mutex);
+        shard->state.held = seat.held;
+        shard->state.heldSince = std::max(seat.heldSince, this->seatSetSince);
+        shard->state.heldSinceWall = std::max(seat.heldSinceWall, this->seatSetSinceWall);
+        shard->state.confirmedUntil = seat.confirmedUntil;
+    }
+}
+
+ClaimVerdict WitnessController::decide(const std::string &seat, std::uint64_t seatSet,
+                                       const ClaimAsk &ask)
+{
+    const std::shared_lock lock(this->mutex);
+    const auto found = this->shards.find(seat);
+    if (found == this->shards.end() || seatSet != this->seatSet) {
+        return ClaimVerdict{std::nullopt, ErrorCode::WitnessUnavailable};
+    }
+    SeatShard &shard = *found->second;
+    const std::scoped_lock shardLock(shard.mutex);
+    WitnessState state = shard.state;
+    state.now = this->clocks.monotonic();
+    state.nowWall = this->clocks.wall();
+    return shard.table.decide(ask, state, this->limits);
+}
+
+ClaimVerdict WitnessController::decideTicket(const Ticket &ticket, const ClaimHolder &claimant)
+{
+    std::size_t capacity = 0;
+    {
+        const std::shared_lock lock(this->mutex);
+        capacity = this->limits.capacity;
+    }
+    const std::scoped_lock lock(this->ticketMutex);
+    return this->tickets.decide(ticket, claimant, capacity);
+}
+
+void WitnessController::answerClaim(const wire::Envelope &message, const Replier &reply)
+{
+    const wire::ClaimRequest &request = message.claim_request();
+    const RequestKey key(request.key());
+    const ClaimHolder claimant{AttemptId(request.attempt()), fromWire(message.sender()),
+                               Fingerprint(request.body_fingerprint())};
+    ClaimVerdict verdict{std::nullopt, ErrorCode::MessageInvalid};
+    if (!claimant.isClosed()) {
+        const auto ticket = parseTicket(request.key());
+        verdict = ticket
+                ? this->decideTicket(*ticket, claimant)
+                : this->decide(request.seat(), request.seat_set(),
+                               {key, claimant, firstSentFromWire(request.first_sent_wall_ms())});
+    }
+    logVerdict("grant", key, request.seat(), verdict, claimant.attempt);
+
+    wire::Envelope answer;
+    wire::ClaimReply &body = *answer.mutable_claim_reply();
+    body.set_error_code(refusalNumber(verdict));
+    *body.mutable_witness() = toWire(this->self);
+    if (verdict.holder) {
+        body.set_granted(verdict.holder->attempt == claimant.attempt);
+        body.set_closed(verdict.holder->isClosed());
+        body.set_winner_attempt(verdict.holder->attempt.number());
+        body.set_winner_fingerprint(verdict.holder->body.number());
+        *body.mutable_winner_gateway() = toWire(verdict.holder->gateway);
+    }
+    reply(std::move(answer));
+}
+
+void WitnessController::answerClose(const wire::Envelope &message, const Replier &reply)
+{
+    const wire::CloseRequest &request = message.close_request();
+    const RequestKey key(request.key());
+    const ClaimHolder nobody;
+    const auto ticket = parseTicket(request.key());
+    const ClaimVerdict verdict = ticket
+            ? this->decideTicket(*ticket, nobody)
+            : this->decide(request.seat(), request.seat_set(),
+                           {key, nobody, firstSentFromWire(request.first_sent_wall_ms())});
+    logVerdict("close", key, request.seat(), verdict, nobody.attempt);
+
+    wire::Envelope answer;
+    wire::CloseReply &body = *answer.mutable_close_reply();
+    body.set_error_code(refusalNumber(verdict));
+    if (verdict.holder) {
+        body.set_closed(verdict.holder->isClosed());
+        body.set_winner_attempt(verdict.holder->attempt.number());
+        body.set_winner_fingerprint(verdict.holder->body.number());
+        *body.mutable_winner_gateway() = toWire(verdict.holder->gateway);
+    }
+    reply(std::move(answer));
+}
+
+void WitnessController::answerTicket(const Replier &reply)
+{
+    Ticket ticket;
+    {
+        const std::scoped_lock lock(this->ticketMutex);
+        ticket = this->tickets.issue();
+    }
+    const RequestKey key = formatTicket(ticket);
+    LOG(INFO) << logprefix::claim << "Issued a ticket. key=" << key;
+    wire::Envelope answer;
+    answer.mutable_ticket_reply()->set_key(key.str());
+    reply(std::move(answer));
+}
+
+void WitnessController::handle(const wire::Envelope &message, const Replier &reply)
+{
+    if (message.has_claim_request()) {
+        this->answerClaim(message, reply);
+    } else if (message.has_close_request()) {
+        this->answerClose(message, reply);
+    } else if (message.has_ticket_request()) {
+        this->answerTicket(reply);
+    }
+}
+
+void WitnessController::tick(Millis /*now*/) { }
+
+void WitnessController::fillStatus(wire::StatusReply &status)
+{
+    std::size_t held = 0;
+    {
+        const std::shared_lock lock(this->mutex);
+        for (const auto &[name, shard] : this->shards) {
+            const std::scoped_lock shardLock(shard->mutex);
+            held += shard->table.size();
+        }
+    }
+    const std::scoped_lock lock(this->ticketMutex);
+    status.set_claims_held(held + this->tickets.size());
+}
+
+} // namespace balsamport
--- a/src/policy/claim_table.cpp
+++ b/src/policy/claim_table.cpp
@@ -43,11 +43,11 @@
 {
     if (!ask.firstSentWall) {
         if (state.now < unknownAgeFloor(state, limits)) {
-            return ErrorCode::KeyTooOld;
+            return ErrorCode::HandoverWait;
         }
         const Millis horizon = limits.retryHorizon + dispatchWindow;
         if (this->forgottenGrantedAt && state.now < *this->forgottenGrantedAt + horizon) {
-            return ErrorCode::KeyTooOld;
+            return ErrorCode::WitnessUnavailable;
         }
         return std::nullopt;
     }
--- a/src/policy/suspects.cpp
+++ b/src/policy/suspects.cpp
@@ -42,6 +42,14 @@
     return true;
 }
 
+bool SuspectTable::noteSuspicion(const CrashReport &report, const SuspectLimits &limits)
+{
+    if (this->entries.contains(report.fingerprint)) {
+        return false;
+    }
+    return this->noteCrash(report, limits);
+}
+
 bool SuspectTable::noteFinish(Fingerprint fingerprint)
 {
     const auto found = this->entries.find(fingerprint);
--- /dev/null
+++ b/tests/src/unit-claims.cpp
@@ -0,0 +1,470 @@
+#include <balsamport/controllers/claim_client.h>
+#include <balsamport/controllers/witness_controller.h>
+#include <balsamport/policy/seats.h>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+
+using namespace balsamport;
+
+namespace {
+
+constexpr Millis startWall{1'000'000};
+constexpr Millis startTime{500'000};
+constexpr Millis farFuture{1'000'000'000};
+constexpr Millis settled{100'000}; ///< Past every wait of a new seat.
+
+WitnessState stateAt(Millis sinceStart)
+{
+    return WitnessState{
+            true, startWall, startTime, farFuture, startTime + sinceStart, startWall + sinceStart};
+}
+
+ClaimAsk askFor(const std::string &key, std::uint64_t attempt,
+                std::optional<Millis> firstSent = startWall + settled)
+{
+    return ClaimAsk{RequestKey(key),
+                    {AttemptId(attempt), {VmId("vm1"), Incarnation(1)}, Fingerprint(7)},
+                    firstSent};
+}
+
+bool granted(const ClaimVerdict &verdict, std::uint64_t attempt)
+{
+    return verdict.holder && verdict.holder->attempt == AttemptId(attempt);
+}
+
+} // namespace
+
+TEST_CASE("keys of callers")
+{
+    SECTION("a UUID of version 7 carries its time")
+    {
+        const auto time = uuid7Time("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"); // RFC 9562, A.6
+        REQUIRE(time == Millis(1'645'557'742'000));
+        REQUIRE_FALSE(uuid7Time("017f22e2-79b0-4cc3-98c4-dc0c0c07398f").has_value());
+        REQUIRE_FALSE(uuid7Time("lot-17").has_value());
+    }
+
+    SECTION("a date in the header gives the time of other keys")
+    {
+        const auto time = parseFirstSent("Sun, 06 Nov 1994 08:49:37 GMT"); // RFC 9110, 5.6.7
+        REQUIRE(time.has_value());
+        REQUIRE(time.value() == Millis(784'111'777'000));
+        REQUIRE(parseFirstSent("1994-11-06").error().code == ErrorCode::InvalidHeader);
+        REQUIRE(firstSentOf("lot-17", time.value()) == time.value());
+    }
+
+    SECTION("a ticket names its witness, also where the VM's name has dots")
+    {
+        const Ticket ticket{{VmId("vm.north.1"), Incarnation(0xfeed'beef'0000'0001U)}, 12};
+        REQUIRE(parseTicket(formatTicket(ticket).str()) == ticket);
+        REQUIRE_FALSE(parseTicket("ticket.vm1").has_value());
+        REQUIRE_FALSE(parseTicket("ticket..1.2").has_value());
+        REQUIRE_FALSE(parseTicket("ticket.").has_value());
+    }
+
+    SECTION("keys that are empty, too long or not visible are refused")
+    {
+        REQUIRE(checkKey("").error().code == ErrorCode::KeyMissing);
+        REQUIRE(checkKey(std::string(256, 'x')).error().code == ErrorCode::KeyInvalid);
+        REQUIRE(checkKey("a b").error().code == ErrorCode::KeyInvalid);
+        REQUIRE(checkKey("lot-17").has_value());
+    }
+
+    SECTION("two callers may use one text")
+    {
+        const RequestKey key("k");
+        REQUIRE(scopedKey(CallerId("a"), key) != scopedKey(CallerId("b"), key));
+        REQUIRE(scopedKey(CallerId("a"), RequestKey("b/k"))
+                != scopedKey(CallerId("a/b"), RequestKey("k")));
+    }
+}
+
+TEST_CASE("a witness gives a key to one attempt")
+{
+    const ClaimLimits limits;
+    ClaimTable table;
+    const WitnessState now = stateAt(settled);
+    REQUIRE(granted(table.decide(askFor("k", 1), now, limits), 1));
+
+    SECTION("and to no other, however often it is asked")
+    {
+        REQUIRE(granted(table.decide(askFor("k", 2), now, limits), 1));
+        REQUIRE(granted(table.decide(askFor("k", 1), now, limits), 1));
+        REQUIRE(table.size() == 1);
+    }
+
+    SECTION("a closed key is given to nobody")
+    {
+        ClaimAsk close = askFor("c", 0);
+        close.claimant = {};
+        REQUIRE(table.decide(close, now, limits).holder->isClosed());
+        REQUIRE(table.decide(askFor("c", 3), now, limits).holder->isClosed());
+    }
+
+    SECTION("nothing new without the seat, during the handover or with a stale view")
+    {
+        WitnessState state = now;
+        state.held = false;
+        REQUIRE(table.decide(askFor("n", 1), state, limits).refusal
+                == ErrorCode::WitnessUnavailable);
+        state = now;
+        state.heldSince = now.now - limits.handoverWait + Millis(1);
+        REQUIRE(table.decide(askFor("n", 1), state, limits).refusal == ErrorCode::HandoverWait);
+        state = now;
+        state.confirmedUntil = now.now;
+        REQUIRE(table.decide(askFor("n", 1), state, limits).refusal == ErrorCode::ViewUnconfirmed);
+
+        SECTION("but what was given before stays a fact")
+        {
+            state.held = false;
+            REQUIRE(granted(table.decide(askFor("k", 2), state, limits), 1));
+        }
+    }
+}
+
+TEST_CASE("a witness that may have forgotten refuses")
+{
+    const ClaimLimits limits;
+    ClaimTable table;
+
+    SECTION("keys first sent before its memory starts")
+    {
+        const Millis floor = knownAgeFloor(stateAt(settled), limits);
+        const auto before = askFor("k", 1, floor - Millis(1));
+        REQUIRE(table.decide(before, stateAt(settled), limits).refusal == ErrorCode::KeyTooOld);
+        const auto after = askFor("k", 1, floor);
+        REQUIRE(granted(table.decide(after, stateAt(settled), limits), 1));
+    }
+
+    SECTION("keys from the future")
+    {
+        const auto ahead = askFor("k", 1, startWall + settled + limits.clockSkew + Millis(1));
+        REQUIRE(table.decide(ahead, stateAt(settled), limits).refusal == ErrorCode::KeyFromFuture);
+    }
+
+    SECTION("keys of unknown age until no repeat can come")
+    {
+        const Millis wait = unknownAgeFloor(stateAt(settled), limits) - startTime;
+        const auto ask = askFor("k", 1, std::nullopt);
+        REQUIRE(table.decide(ask, stateAt(wait - Millis(1)), limits).refusal
+                == ErrorCode::HandoverWait);
+        REQUIRE(granted(table.decide(ask, stateAt(wait), limits), 1));
+    }
+
+    SECTION("keys as old as those that a full table let go")
+    {
+        ClaimLimits small = limits;
+        small.capacity = 2;
+        const Millis base = startWall + settled;
+        table.decide(askFor("a", 1, base), stateAt(settled), small);
+        table.decide(askFor("b", 2, base + Millis(1)), stateAt(settled), small);
+        table.decide(askFor("c", 3, base + Millis(2)), stateAt(settled), small);
+        REQUIRE(table.size() == 2);
+        REQUIRE(table.decide(askFor("a", 9, base), stateAt(settled), small).refusal
+                == ErrorCode::KeyTooOld);
+        REQUIRE(granted(table.decide(askFor("b", 9), stateAt(settled), small), 2));
+
+        SECTION("also where the repeat does not say its age")
+        {
+            REQUIRE(table.decide(askFor("a", 9, std::nullopt), stateAt(settled), small).refusal
+                    == ErrorCode::WitnessUnavailable);
+        }
+    }
+}
+
+TEST_CASE("tickets")
+{
+    const VmInstance self{VmId("vm1"), Incarnation(5)};
+    const ClaimHolder first{AttemptId(1), self, Fingerprint(1)};
+    const ClaimHolder second{AttemptId(2), self, Fingerprint(1)};
+    TicketTable table(self);
+    const Ticket ticket = table.issue();
+
+    SECTION("run once")
+    {
+        REQUIRE(granted(table.decide(ticket, first, 10), 1));
+        REQUIRE(granted(table.decide(ticket, second, 10), 1));
+    }
+
+    SECTION("are worth nothing after a restart, and cannot be made up")
+    {
+        TicketTable restarted({VmId("vm1"), Incarnation(6)});
+        REQUIRE(restarted.decide(ticket, first, 10).refusal == ErrorCode::TicketUnknown);
+        REQUIRE(table.decide({self, 99}, first, 10).refusal == ErrorCode::TicketUnknown);
+    }
+
+    SECTION("are refused once a full table may have let them go")
+    {
+        const Ticket later = table.issue();
+        table.decide(ticket, first, 1);
+        table.decide(later, second, 1);
+        REQUIRE(table.decide(ticket, second, 1).refusal == ErrorCode::KeyTooOld);
+    }
+}
+
+TEST_CASE("votes of three seats")
+{
+    ClaimVotes votes = startVotes(AttemptId(1), Fingerprint(7), 3);
+    const auto vote = [](std::uint64_t attempt, std::uint64_t body = 7) {
+        return ClaimVerdict{ClaimHolder{AttemptId(attempt), {}, Fingerprint(body)}, std::nullopt};
+    };
+    const ClaimVerdict refusal{std::nullopt, ErrorCode::WitnessUnavailable};
+
+    SECTION("two of three win")
+    {
+        takeVote(votes, 0, vote(1));
+        REQUIRE(standingOf(votes) == ClaimStanding::Open);
+        takeVote(votes, 2, vote(1));
+        REQUIRE(standingOf(votes) == ClaimStanding::Won);
+        REQUIRE(isProvenNotRun(votes)); // Holds only once the attempt is abandoned.
+    }
+
+    SECTION("another attempt with two has won")
+    {
+        takeVote(votes, 0, vote(2));
+        takeVote(votes, 1, vote(2));
+        REQUIRE(standingOf(votes) == ClaimStanding::Lost);
+        REQUIRE_FALSE(isProvenNotRun(votes));
+        REQUIRE(failureOf(votes) == ErrorCode::KeyInProgress);
+    }
+
+    SECTION("another body is told so")
+    {
+        takeVote(votes, 0, vote(2, 8));
+        takeVote(votes, 1, vote(2, 8));
+        REQUIRE(failureOf(votes) == ErrorCode::KeyBodyMismatch);
+    }
+
+    SECTION("a three-way split ran nowhere and never will")
+    {
+        takeVote(votes, 0, vote(1));
+        takeVote(votes, 1, vote(2));
+        REQUIRE_FALSE(isProvenNotRun(votes));
+        takeVote(votes, 2, vote(3));
+        REQUIRE(standingOf(votes) == ClaimStanding::Undecided);
+        REQUIRE(isProvenNotRun(votes));
+    }
+
+    SECTION("a seat that refused may have voted before: nothing is proven")
+    {
+        takeVote(votes, 0, vote(1));
+        takeVote(votes, 1, refusal);
+        takeVote(votes, 2, refusal);
+        REQUIRE(standingOf(votes) == ClaimStanding::Undecided);
+        REQUIRE_FALSE(isProvenNotRun(votes));
+
+        SECTION("until it closes the key")
+        {
+            takeVote(votes, 1, vote(0));
+            REQUIRE(isProvenNotRun(votes));
+        }
+    }
+
+    SECTION("a vote is never replaced")
+    {
+        takeVote(votes, 0, vote(2));
+        takeVote(votes, 0, vote(1));
+        REQUIRE(votes.seats[0]->holder->attempt == AttemptId(2));
+    }
+}
+
+TEST_CASE("seats")
+{
+    const std::vector<DataCentreId> three{DataCentreId("a"), DataCentreId("b"), DataCentreId("c")};
+
+    SECTION("stand one in each of three data centres")
+    {
+        const auto seats = seatsForKey(RequestKey("k"), three);
+        REQUIRE(seats.size() == 3);
+        REQUIRE(seats[0].str() == "a");
+        REQUIRE(seatSetDigest(three) == seatSetDigest({three[2], three[0], three[1]}));
+    }
+
+    SECTION("are distinct VMs where data centres are fewer")
+    {
+        const auto two = allSeats({three[1], three[0]});
+        REQUIRE(two[2].str() == "a#1");
+        const auto one = allSeats({three[0]});
+        REQUIRE(one[2].str() == "a#2");
+        REQUIRE(allSeats({}).empty());
+    }
+
+    SECTION("are held by the first VM of the list that stays")
+    {
+        FleetView fleet;
+        for (const char *vm : {"vm1", "vm2", "vm3"}) {
+            fleet.members.push_back(
+                    {{VmId(vm), Incarnation(1)}, MemberState::Alive, three[0], vm, "", 0});
+        }
+        fleet.listedVms = {VmId("vm3"), VmId("vm2"), VmId("vm1")};
+        REQUIRE(seatHolder({three[0], 0}, fleet)->instance.vm == VmId("vm3"));
+        fleet.members[2].state = MemberState::Leaving;
+        REQUIRE(seatHolder({three[0], 0}, fleet)->instance.vm == VmId("vm2"));
+        REQUIRE(seatHolder({three[0], 1}, fleet)->instance.vm == VmId("vm1"));
+        REQUIRE_FALSE(seatHolder({three[0], 2}, fleet).has_value());
+        REQUIRE_FALSE(seatHolder({three[1], 0}, fleet).has_value());
+    }
+}
+
+namespace {
+
+/// Added to the clocks of the witnesses, so that no test waits for a new seat to settle.
+std::atomic<std::int64_t> clockOffset{0};
+
+Millis shiftedMonotonic() noexcept
+{
+    return monotonicNow() + Millis(clockOffset.load());
+}
+
+Millis shiftedWall() noexcept
+{
+    return wallNow() + Millis(clockOffset.load());
+}
+
+/// Three controllers with one seat each, behind real sockets, and one gateway's client.
+struct WitnessFleet
+{
+    WitnessFleet()
+        : client({"gateway", 1}, {})
+        , claims(client, endpointOf(0))
+    {
+        clockOffset = 0;
+        auto configuration = std::make_shared<Snapshot>();
+        auto seen = std::make_shared<FleetView>();
+        const Millis longTime{1'000'000};
+        for (int i = 0; i < 3; ++i) {
+            const DataCentreId dataCentre("dc" + std::to_string(i));
+            configuration->dataCentres[dataCentre] = {dataCentre, RegionId("r"), false};
+            const VmInstance instance{VmId("vm" + std::to_string(i)), Incarnation(1)};
+            seen->members.push_back(
+                    {instance, MemberState::Alive, dataCentre, endpointOf(i), "", 0});
+            seen->listedVms.push_back(instance.vm);
+        }
+        for (int i = 0; i < 3; ++i) {
+            auto witness = std::make_unique<WitnessController>(
+                    seen->members[i].instance, ControllerClocks{shiftedMonotonic, shiftedWall});
+            const SeatView seat{seen->members[i].dataCentre, true, wallNow(), monotonicNow(),
+                                monotonicNow() + longTime};
+            witness->update(configuration, {seat});
+            this->witnesses.push_back(std::move(witness));
+            this->startServer(i);
+        }
+        clockOffset = settled.count();
+        this->snapshot = configuration;
+        this->claims.update(this->snapshot, seen);
+    }
+
+    static std::string endpointOf(int vm)
+    {
+        return "tcp://127.0.0.1:" + std::to_string(23100 + vm);
+    }
+
+    void startServer(int vm)
+    {
+        WitnessController &witness = *this->witnesses[vm];
+        auto server = MessageServer::start(
+                endpointOf(vm), {"vm" + std::to_string(vm), 1}, {},
+                [&witness](const wire::Envelope &message, const Replier &reply) {
+                    witness.handle(message, reply);
+                });
+        this->servers.push_back(std::move(server).value());
+    }
+
+    ClaimOutcome run(const ClaimQuery &query, bool close = false)
+    {
+        std::promise<ClaimOutcome> done;
+        const auto callback = [&done](const ClaimOutcome &outcome) { done.set_value(outcome); };
+        if (close) {
+            this->claims.close(query, callback);
+        } else {
+            this->claims.claim(query, callback);
+        }
+        return done.get_future().get();
+    }
+
+    std::vector<std::unique_ptr<WitnessController>> witnesses;
+    std::vector<std::unique_ptr<MessageServer>> servers;
+    SnapshotPtr snapshot;
+    MessageClient client;
+    ClaimClient claims;
+};
+
+ClaimQuery queryFor(const std::string &key, std::uint64_t body = 7)
+{
+    ClaimQuery query;
+    query.key = RequestKey(key);
+    query.caller = CallerId("counter-1");
+    query.body = Fingerprint(body);
+    query.attempt = newAttemptId();
+    query.firstSentWall = shiftedWall();
+    query.arrivedAt = monotonicNow();
+    query.deadline = monotonicNow() + Millis(60'000);
+    return query;
+}
+
+} // namespace
+
+TEST_CASE("claims over sockets")
+{
+    WitnessFleet fleet;
+    const ClaimQuery query = queryFor("lot-17");
+    const ClaimOutcome won = fleet.run(query);
+    REQUIRE(won.standing == ClaimStanding::Won);
+    REQUIRE(won.dispatchDeadline == query.arrivedAt + dispatchWindow);
+
+    SECTION("a second attempt loses and learns who won")
+    {
+        const ClaimOutcome lost = fleet.run(queryFor("lot-17"));
+        REQUIRE(lost.standing == ClaimStanding::Lost);
+        REQUIRE_FALSE(lost.provenNotRun);
+        REQUIRE(lost.failure == ErrorCode::KeyInProgress);
+        REQUIRE(lost.winnerGateway->vm == VmId("gateway"));
+        REQUIRE(fleet.run(queryFor("lot-17", 8)).failure == ErrorCode::KeyBodyMismatch);
+    }
+
+    SECTION("a closed key is won by nobody")
+    {
+        const ClaimOutcome closed = fleet.run(queryFor("lot-18"), true);
+        REQUIRE(closed.provenNotRun);
+        REQUIRE(fleet.run(queryFor("lot-18")).failure == ErrorCode::KeyClosed);
+    }
+
+    SECTION("one data centre may be gone")
+    {
+        fleet.servers[1].reset();
+        REQUIRE(fleet.run(queryFor("lot-19")).standing == ClaimStanding::Won);
+
+        SECTION("but not two, and then nothing is said for certain")
+        {
+            fleet.servers[2].reset();
+            const ClaimOutcome outcome = fleet.run(queryFor("lot-20"));
+            REQUIRE(outcome.standing == ClaimStanding::Undecided);
+            REQUIRE_FALSE(outcome.provenNotRun);
+            REQUIRE(outcome.failure == ErrorCode::WitnessUnavailable);
+        }
+
+        SECTION("and a ticket of the VM goes on booking")
+        {
+            fleet.servers[2].reset();
+            std::promise<RequestKey> issued;
+            fleet.claims.ticket(
+                    [&issued](const Result<RequestKey> &key) { issued.set_value(key.value()); });
+            const std::string ticket = issued.get_future().get().str();
+            REQUIRE(fleet.run(queryFor(ticket)).standing == ClaimStanding::Won);
+            REQUIRE(fleet.run(queryFor(ticket)).standing == ClaimStanding::Lost);
+        }
+    }
+
+    SECTION("claims made under another set of data centres are refused")
+    {
+        auto other = std::make_shared<Snapshot>(*fleet.snapshot);
+        other->dataCentres[DataCentreId("dc9")] = {DataCentreId("dc9"), RegionId("r"), false};
+        for (auto &witness : fleet.witnesses) {
+            witness->update(other, {});
+        }
+        REQUIRE(fleet.run(queryFor("lot-21")).failure == ErrorCode::WitnessUnavailable);
+    }
+}
