--- a/tests/src/unit-suspects.cpp
+++ b/tests/src/unit-suspects.cpp
@@ -1,7 +1,13 @@
+#include <balsamport/controllers/suspect_client.h>
+#include <balsamport/controllers/suspect_controller.h>
 #include <balsamport/policy/suspects.h>
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <future>
+#include <thread>
+
 using namespace balsamport;
 
 namespace {
@@ -103,3 +109,142 @@
         REQUIRE(fingerprintOf(adapter, "x") != fingerprintOf(adapter, "y"));
     }
 }
+
+namespace {
+
+/// Two controllers and a gateway beside each, over real sockets.
+struct SuspectFleet
+{
+    SuspectFleet()
+    {
+        auto seen = std::make_shared<FleetView>();
+        for (int i = 0; i < 2; ++i) {
+            const std::string vm = "vm" + std::to_string(i);
+            seen->members.push_back({{VmId(vm), Incarnation(1)},
+                                     MemberState::Alive,
+                                     DataCentreId("dc"),
+                                     endpointOf(i),
+                                     "",
+                                     0});
+        }
+        for (int i = 0; i < 2; ++i) {
+            SuspectController &controller = *this->controllers[i];
+            controller.update(nullptr, seen->members);
+            this->servers.push_back(
+                    std::move(MessageServer::start(endpointOf(i), {"vm" + std::to_string(i), 1}, {},
+                                                   [&controller](const wire::Envelope &message,
+                                                                 const Replier &reply) {
+                                                       controller.handle(message, reply);
+                                                   }))
+                            .value());
+        }
+        for (auto &client : this->clients) {
+            client->update(seen);
+            client->start();
+        }
+    }
+
+    static std::string endpointOf(int vm)
+    {
+        return "tcp://127.0.0.1:" + std::to_string(23120 + vm);
+    }
+
+    void crash(int gateway, std::uint64_t fingerprint, const char *request, const char *server)
+    {
+        std::promise<void> done;
+        this->clients[gateway]->crashed({{Fingerprint(fingerprint), RequestId(request)}},
+                                        BackendServerId(server), [&done] { done.set_value(); });
+        done.get_future().get();
+    }
+
+    SuspectVerdict ask(int gateway, std::uint64_t fingerprint, const char *request)
+    {
+        std::promise<SuspectVerdict> done;
+        this->clients[gateway]->ask(Fingerprint(fingerprint), RequestId(request),
+                                    [&done](SuspectVerdict verdict) { done.set_value(verdict); });
+        return done.get_future().get();
+    }
+
+    /// Waits until the feed has brought a verdict to a gateway.
+    bool seesSoon(int gateway, std::uint64_t fingerprint, SuspectVerdict verdict)
+    {
+        constexpr int rounds = 500;
+        for (int i = 0; i < rounds; ++i) {
+            if (this->clients[gateway]->look(Fingerprint(fingerprint)) == verdict) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return false;
+    }
+
+    MessageClient messages{{"gateway", 1}, {}};
+    MessageClient otherMessages{{"other", 1}, {}};
+    std::vector<std::unique_ptr<SuspectController>> controllers = [this] {
+        std::vector<std::unique_ptr<SuspectController>> made;
+        for (int i = 0; i < 2; ++i) {
+            made.push_back(std::make_unique<SuspectController>(
+                    this->messages, VmInstance{VmId("vm" + std::to_string(i)), Incarnation(1)}));
+        }
+        return made;
+    }();
+    std::vector<std::unique_ptr<MessageServer>> servers;
+    std::vector<std::unique_ptr<SuspectClient>> clients = [this] {
+        std::vector<std::unique_ptr<SuspectClient>> made;
+        made.push_back(std::make_unique<SuspectClient>(this->messages, endpointOf(0)));
+        made.push_back(std::make_unique<SuspectClient>(this->otherMessages, endpointOf(1)));
+        return made;
+    }();
+};
+
+} // namespace
+
+TEST_CASE("suspects are known at every gateway")
+{
+    SuspectFleet fleet;
+    REQUIRE(fleet.ask(0, 1, "r1") == SuspectVerdict::Clear);
+    fleet.crash(0, 1, "r1", "s1");
+    fleet.crash(0, 2, "r2", "s1");
+    REQUIRE(fleet.seesSoon(1, 1, SuspectVerdict::RunAlone));
+    REQUIRE(fleet.seesSoon(1, 2, SuspectVerdict::RunAlone));
+
+    SECTION("only one of two gateways may run a suspect")
+    {
+        REQUIRE(fleet.ask(0, 1, "r1") == SuspectVerdict::RunAlone);
+        REQUIRE(fleet.ask(1, 1, "r3") == SuspectVerdict::Wait);
+
+        SECTION("and its second crash quarantines it everywhere")
+        {
+            fleet.crash(0, 1, "r1", "s2");
+            REQUIRE(fleet.seesSoon(0, 1, SuspectVerdict::Quarantine));
+            REQUIRE(fleet.seesSoon(1, 1, SuspectVerdict::Quarantine));
+            REQUIRE(fleet.ask(1, 1, "r4") == SuspectVerdict::Quarantine);
+        }
+        SECTION("and its end frees the way")
+        {
+            fleet.clients[0]->runEnded(Fingerprint(1), RequestId("r1"));
+            SuspectVerdict verdict = SuspectVerdict::Wait;
+            for (int i = 0; i < 100 && verdict == SuspectVerdict::Wait; ++i) {
+                verdict = fleet.ask(1, 1, "r3");
+            }
+            REQUIRE(verdict == SuspectVerdict::RunAlone);
+        }
+    }
+
+    SECTION("an innocent that ends well is cleared everywhere")
+    {
+        REQUIRE(fleet.ask(1, 2, "r2") == SuspectVerdict::RunAlone);
+        fleet.clients[1]->finished(Fingerprint(2), RequestId("r2"));
+        REQUIRE(fleet.seesSoon(0, 2, SuspectVerdict::Clear));
+        REQUIRE(fleet.controllers[0]->look(Fingerprint(2)) == SuspectVerdict::Clear);
+    }
+
+    SECTION("a gateway that starts later is told")
+    {
+        MessageClient messages({"late", 1}, {});
+        fleet.clients[1] = std::make_unique<SuspectClient>(messages, SuspectFleet::endpointOf(1));
+        fleet.clients[1]->start();
+        REQUIRE(fleet.seesSoon(1, 1, SuspectVerdict::RunAlone));
+        fleet.clients.pop_back();
+    }
+}
