--- a/include/balsamport/policy/stream_order.h
+++ b/include/balsamport/policy/stream_order.h
@@ -38,7 +38,7 @@
     /// @return the chunks to pass on now, in order; AnswerIncomplete where the chunk contradicts an
     /// earlier one, where it follows the last, or where too many wait
     /// @complexity O(log n) for n waiting chunks, and linear in the chunks passed on
-    [[nodiscard]] Result<std::vector<StreamChunk>> take(StreamChunk chunk);
+    [[nodiscard]] Result<std::vector<StreamChunk>> take(const StreamChunk &chunk);
 
     /// @return the number of the next chunk to pass on; a resumed stream starts there
     [[nodiscard]] std::uint64_t next() const noexcept { return this->passedHashes.size(); }
--- a/src/controllers/claim_client.cpp
+++ b/src/controllers/claim_client.cpp
@@ -25,7 +25,7 @@
 
 ClaimVerdict verdictFrom(const Result<wire::Envelope> &reply)
 {
-    const ClaimVerdict unanswered{std::nullopt, ErrorCode::WitnessUnavailable};
+    ClaimVerdict unanswered{std::nullopt, ErrorCode::WitnessUnavailable};
     if (!reply) {
         return unanswered;
     }
--- a/src/policy/stream_order.cpp
+++ b/src/policy/stream_order.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-Result<std::vector<StreamChunk>> StreamOrder::take(StreamChunk chunk)
+Result<std::vector<StreamChunk>> StreamOrder::take(const StreamChunk &chunk)
 {
     std::vector<StreamChunk> ready;
     if (chunk.number < this->next()) {
@@ -28,7 +28,7 @@
         return contradiction(chunk.number);
     }
     const std::uint64_t number = chunk.number;
-    const auto [place, isNew] = this->waiting.try_emplace(number, std::move(chunk));
+    const auto [place, isNew] = this->waiting.try_emplace(number, chunk);
     if (!isNew) {
         return ready;
     }
