--- a/include/balsamport/controllers/claim_client.h
+++ b/include/balsamport/controllers/claim_client.h
@@ -2,8 +2,9 @@
 #define BALSAMPORT_CONTROLLERS_CLAIM_CLIENT_H
 
 #include <balsamport/config/snapshot.h>
+#include <balsamport/core/pause_watch.h>
 #include <balsamport/policy/claim_key.h>
-#include <balsamport/policy/claim_votes.h>
+#include <balsamport/policy/claim_round.h>
 #include <balsamport/policy/members.h>
 #include <balsamport/wire/message_client.h>
 
@@ -29,20 +30,6 @@
     bool operator==(const ClaimQuery &) const = default;
 };
 
-/// @brief What came of a claim.
-struct ClaimOutcome
-{
-    ClaimStanding standing = ClaimStanding::Undecided;
-    /// Where Won: the first byte must be sent before it, else the attempt is abandoned. Monotonic.
-    Millis dispatchDeadline;
-    /// No attempt with this key ran or will run, given that the gateway abandons its own.
-    bool provenNotRun = false;
-    std::optional<ErrorCode> failure; ///< Where not Won.
-    std::optional<VmInstance> winnerGateway; ///< Where Lost: it may still hold the answer.
-
-    bool operator==(const ClaimOutcome &) const = default;
-};
-
 using ClaimCallback = std::function<void(const ClaimOutcome &outcome)>;
 
 /// @return a random number other than 0
@@ -54,6 +41,9 @@
 /// key is closed at the witnesses that answer, so that the caller can often be told that nothing
 /// ran. Callbacks run on the message client's thread, or on the caller's own where no witness is
 /// known. All functions may be called from any thread.
+///
+/// A gateway that was paused may read requests that waited for it, so that their age cannot be
+/// told: for 2 s after it woke, keys without a first-sent time are refused.
 class ClaimClient
 {
 public:
@@ -82,11 +72,12 @@
         std::shared_ptr<const FleetView> fleet;
     };
 
-    std::shared_ptr<Round> prepare(const ClaimQuery &query, ClaimCallback callback);
+    std::shared_ptr<Round> prepare(const ClaimQuery &query, ClaimCallback callback, bool closeOnly);
     View view() const;
 
     MessageClient &messages;
     std::string ownController;
+    PauseWatch pauses;
     mutable std::mutex mutex;
     View current;
 };
--- a/src/controllers/claim_client.cpp
+++ b/src/controllers/claim_client.cpp
@@ -15,6 +15,8 @@
 /// Longest wait for one reply of a witness; the request is sent once more after it.
 constexpr Millis replyTimeout{150};
 constexpr int triesPerSeat = 3;
+/// Requests that waited for a paused gateway are read within this time after it woke.
+constexpr Millis afterPause{2'000};
 
 struct SeatAddress
 {
@@ -103,15 +105,6 @@
         , callback(std::move(callback))
     { }
 
-    void start(bool closeOnly)
-    {
-        {
-            const std::scoped_lock lock(this->mutex);
-            this->closing = closeOnly;
-        }
-        this->askAll(closeOnly);
-    }
-
     void askAll(bool close)
     {
         for (std::size_t seat = 0; seat < this->addresses.size(); ++seat) {
@@ -151,7 +144,7 @@
     bool wantsMore(bool close)
     {
         const std::scoped_lock lock(this->mutex);
-        return !this->done && this->closing == close;
+        return !this->round.done && this->round.closing == close;
     }
 
     wire::Envelope messageFor(const SeatAddress &address, bool close) const
@@ -179,38 +172,14 @@
 
     void take(std::size_t seat, bool close, const ClaimVerdict &verdict)
     {
-        bool mustClose = false;
-        bool mustFinish = false;
+        ClaimStep step = ClaimStep::Wait;
         {
             const std::scoped_lock lock(this->mutex);
-            // A vote is a fact whichever question it answers, also after the decision to close.
-            takeVote(this->votes, seat, verdict);
-            if (this->done) {
-                return;
-            }
-            if (close) {
-                ++this->closeReplies;
-            } else {
-                ++this->claimReplies;
-            }
-            if (this->closing) {
-                mustFinish = close
-                        && (this->closeReplies == this->addresses.size()
-                            || isProvenNotRun(this->votes));
-            } else {
-                const ClaimStanding standing = standingOf(this->votes);
-                mustClose = standing == ClaimStanding::Undecided
-                        && this->claimReplies == this->addresses.size();
-                mustFinish = standing == ClaimStanding::Won || standing == ClaimStanding::Lost
-                        || (mustClose && isProvenNotRun(this->votes));
-                mustClose = mustClose && !mustFinish;
-                this->closing = mustClose;
-            }
-            this->done = mustFinish;
+            step = takeReply(this->round, seat, close, verdict);
         }
-        if (mustClose) {
+        if (step == ClaimStep::CloseAll) {
             this->askAll(true);
-        } else if (mustFinish) {
+        } else if (step == ClaimStep::Finish) {
             this->finish();
         }
     }
@@ -220,8 +189,7 @@
         ClaimOutcome outcome;
         {
             const std::scoped_lock lock(this->mutex);
-            this->done = true;
-            outcome = this->outcomeNow();
+            outcome = roundOutcome(this->round, this->query.arrivedAt, this->query.deadline);
         }
         LOG(INFO) << logprefix::claim << "Claim ended. key=" << this->wireKey
                   << " attempt=" << this->query.attempt
@@ -231,25 +199,6 @@
         this->callback(outcome);
     }
 
-    ClaimOutcome outcomeNow() const
-    {
-        ClaimOutcome outcome;
-        outcome.standing = standingOf(this->votes);
-        if (this->closing && outcome.standing == ClaimStanding::Won) {
-            outcome.standing = ClaimStanding::Undecided; // Given up before the last vote came.
-        }
-        outcome.provenNotRun = isProvenNotRun(this->votes);
-        outcome.dispatchDeadline
-                = std::min(this->query.deadline, this->query.arrivedAt + dispatchWindow);
-        if (outcome.standing != ClaimStanding::Won) {
-            outcome.failure = failureOf(this->votes);
-        }
-        if (const auto winner = otherWinner(this->votes)) {
-            outcome.winnerGateway = winner->gateway;
-        }
-        return outcome;
-    }
-
     MessageClient &messages;
     const ClaimQuery query;
     const ClaimCallback callback;
@@ -257,12 +206,8 @@
     std::uint64_t seatSet = 0;
     std::vector<SeatAddress> addresses;
 
-    std::mutex mutex; ///< Guards the rest.
-    ClaimVotes votes;
-    std::size_t claimReplies = 0;
-    std::size_t closeReplies = 0;
-    bool closing = false;
-    bool done = false;
+    std::mutex mutex; ///< Guards `round`.
+    ClaimRound round;
 };
 
 ClaimClient::ClaimClient(MessageClient &messages, std::string ownController)
@@ -283,7 +228,7 @@
 }
 
 std::shared_ptr<ClaimClient::Round> ClaimClient::prepare(const ClaimQuery &query,
-                                                         ClaimCallback callback)
+                                                         ClaimCallback callback, bool closeOnly)
 {
     auto round = std::make_shared<Round>(this->messages, query, std::move(callback));
     const std::optional<Ticket> ticket = parseTicket(query.key.str());
@@ -293,18 +238,23 @@
         round->seatSet = seatSetDigest(dataCentresOf(*seen.snapshot));
         round->addresses = addressesOf(round->wireKey, ticket, *seen.snapshot, *seen.fleet);
     }
-    round->votes = startVotes(query.attempt, query.body, round->addresses.size());
+    const bool ageUnknown = !ticket && !query.firstSentWall;
+    if (ageUnknown && this->pauses.wasPausedWithin(afterPause)) {
+        LOG(WARNING) << logprefix::claim << "Refused after a pause. key=" << round->wireKey;
+        round->addresses.clear();
+    }
+    round->round = startRound(query.attempt, query.body, round->addresses.size(), closeOnly);
     return round;
 }
 
 void ClaimClient::claim(const ClaimQuery &query, ClaimCallback callback)
 {
-    this->prepare(query, std::move(callback))->start(false);
+    this->prepare(query, std::move(callback), false)->askAll(false);
 }
 
 void ClaimClient::close(const ClaimQuery &query, ClaimCallback callback)
 {
-    this->prepare(query, std::move(callback))->start(true);
+    this->prepare(query, std::move(callback), true)->askAll(true);
 }
 
 void ClaimClient::ticket(std::function<void(const Result<RequestKey> &key)> callback)
--- /dev/null
+++ b/src/policy/claim_round.cpp
@@ -0,0 +1,81 @@
+#include <balsamport/policy/claim_round.h>
+
+#include <algorithm>
+
+namespace balsamport {
+
+namespace {
+
+ClaimStep stepWhileClaiming(ClaimRound &round)
+{
+    const ClaimStanding standing = standingOf(round.votes);
+    if (standing == ClaimStanding::Won || standing == ClaimStanding::Lost) {
+        round.done = true;
+        return ClaimStep::Finish;
+    }
+    if (round.claimReplies < round.votes.seats.size()) {
+        return ClaimStep::Wait;
+    }
+    // From here on the attempt is abandoned, so that its own votes count as closed.
+    round.closing = true;
+    if (isProvenNotRun(round.votes)) {
+        round.done = true;
+        return ClaimStep::Finish;
+    }
+    return ClaimStep::CloseAll;
+}
+
+ClaimStep stepWhileClosing(ClaimRound &round)
+{
+    if (round.closeReplies < round.votes.seats.size() && !isProvenNotRun(round.votes)) {
+        return ClaimStep::Wait;
+    }
+    round.done = true;
+    return ClaimStep::Finish;
+}
+
+} // namespace
+
+ClaimRound startRound(AttemptId attempt, Fingerprint body, std::size_t seatCount, bool closeOnly)
+{
+    ClaimRound round;
+    round.votes = startVotes(attempt, body, seatCount);
+    round.closing = closeOnly;
+    round.done = seatCount == 0;
+    return round;
+}
+
+ClaimStep takeReply(ClaimRound &round, std::size_t seat, bool close, const ClaimVerdict &verdict)
+{
+    if (round.done) {
+        return ClaimStep::Wait;
+    }
+    // A vote is a fact whichever question it answers.
+    takeVote(round.votes, seat, verdict);
+    if (close) {
+        ++round.closeReplies;
+    } else {
+        ++round.claimReplies;
+    }
+    return round.closing ? stepWhileClosing(round) : stepWhileClaiming(round);
+}
+
+ClaimOutcome roundOutcome(const ClaimRound &round, Millis arrivedAt, Millis deadline)
+{
+    ClaimOutcome outcome;
+    outcome.standing = standingOf(round.votes);
+    if (round.closing && outcome.standing == ClaimStanding::Won) {
+        outcome.standing = ClaimStanding::Undecided;
+    }
+    outcome.dispatchDeadline = std::min(deadline, arrivedAt + dispatchWindow);
+    outcome.provenNotRun = isProvenNotRun(round.votes);
+    if (outcome.standing != ClaimStanding::Won) {
+        outcome.failure = failureOf(round.votes);
+    }
+    if (const auto winner = otherWinner(round.votes)) {
+        outcome.winnerGateway = winner->gateway;
+    }
+    return outcome;
+}
+
+} // namespace balsamport
