Treat a seat whose view lapsed as newly taken

A holder that was paused past its view may have been replaced meanwhile and be confirmed again by peers with an old list; its memory then has a gap.

--- a/include/balsamport/controllers/witness_controller.h
+++ b/include/balsamport/controllers/witness_controller.h
@@ -41,7 +41,8 @@
     /// @brief Takes the configuration and the seats that this VM holds.
     ///
     /// `SeatView::dataCentre` holds Seat::str(), which is the data centre's own name unless fewer
-    /// than three are configured. A seat that is not in the list is not held.
+    /// than three are configured. A seat that is not in the list is not held. Call it several times
+    /// within the lifetime of a view: a seat whose confirmation lapsed counts as newly taken.
     void update(const SnapshotPtr &snapshot, const std::vector<SeatView> &seats);
 
     /// @brief Answers a message of the kinds above; others are left alone.
@@ -61,6 +62,8 @@
         WitnessState state; ///< `now` and `nowWall` are filled in for each decision.
     };
 
+    /// A change of the set of data centres makes every seat count as newly taken.
+    void takeSeatSet(std::uint64_t digest);
     ClaimVerdict decide(const std::string &seat, std::uint64_t seatSet, const ClaimAsk &ask);
     ClaimVerdict decideTicket(const Ticket &ticket, const ClaimHolder &claimant);
     void answerClaim(const wire::Envelope &message, const Replier &reply);
@@ -70,13 +73,10 @@
     VmInstance self;
     ControllerClocks clocks;
 
-    std::shared_mutex mutex; ///< Guards the four below; taken before a shard's lock.
+    std::shared_mutex mutex; ///< Guards the three below; taken before a shard's lock.
     std::map<std::string, std::unique_ptr<SeatShard>> shards;
     ClaimLimits limits;
     std::uint64_t seatSet = 0;
-    /// When the set of seats changed: from then on every seat counts as newly taken.
-    Millis seatSetSince;
-    Millis seatSetSinceWall;
 
     std::mutex ticketMutex;
     TicketTable tickets;
--- a/include/balsamport/policy/claim_table.h
+++ b/include/balsamport/policy/claim_table.h
@@ -4,6 +4,7 @@
 #include <balsamport/core/clock.h>
 #include <balsamport/core/error.h>
 #include <balsamport/core/ids.h>
+#include <balsamport/policy/ownership_view.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -132,6 +133,14 @@
     std::optional<Millis> forgottenGrantedAt; ///< Latest grant that was forgotten; monotonic.
 };
 
+/// @brief Takes news of a seat. Where the seat was not held, or its view was not confirmed in
+/// between, another VM may have been the witness: the seat then counts as newly taken.
+/// @param before what was known; a fresh WitnessState for a new seat
+/// @param now monotonic
+/// @return the state, without the times of a decision
+[[nodiscard]] WitnessState afterSeatNews(WitnessState before, const SeatView &seat, Millis now,
+                                         Millis nowWall) noexcept;
+
 /// @brief Gives the first-sent time below which a witness may have forgotten, or never seen, keys.
 /// @return wall clock time; keys first sent before it are refused
 [[nodiscard]] Millis knownAgeFloor(const WitnessState &state, const ClaimLimits &limits) noexcept;
--- a/src/controllers/witness_controller.cpp
+++ b/src/controllers/witness_controller.cpp
@@ -4,8 +4,6 @@
 #include <balsamport/policy/seats.h>
 #include <balsamport/wire/convert.h>
 
-#include <algorithm>
-
 namespace balsamport {
 
 namespace {
@@ -59,29 +57,32 @@
 void WitnessController::update(const SnapshotPtr &snapshot, const std::vector<SeatView> &seats)
 {
     const std::unique_lock lock(this->mutex);
+    const Millis now = this->clocks.monotonic();
+    const Millis nowWall = this->clocks.wall();
     if (snapshot) {
         this->limits = limitsOf(*snapshot);
-        const std::uint64_t digest = seatSetDigest(dataCentresOf(*snapshot));
-        if (digest != this->seatSet) {
-            this->seatSet = digest;
-            this->seatSetSince = this->clocks.monotonic();
-            this->seatSetSinceWall = this->clocks.wall();
-        }
+        this->takeSeatSet(seatSetDigest(dataCentresOf(*snapshot)));
+    }
+    std::map<std::string, SeatView> news;
+    for (const SeatView &seat : seats) {
+        this->shards.try_emplace(seat.dataCentre.str(), std::make_unique<SeatShard>());
+        news[seat.dataCentre.str()] = seat;
     }
     for (auto &[name, shard] : this->shards) {
         const std::scoped_lock shardLock(shard->mutex);
-        shard->state.held = false;
+        shard->state = afterSeatNews(shard->state, news[name], now, nowWall);
     }
-    for (const SeatView &seat : seats) {
-        std::unique_ptr<SeatShard> &shard = this->shards[seat.dataCentre.str()];
-        if (!shard) {
-            shard = std::make_unique<SeatShard>();
-        }
+}
+
+void WitnessController::takeSeatSet(std::uint64_t digest)
+{
+    if (digest == this->seatSet) {
+        return;
+    }
+    this->seatSet = digest;
+    for (auto &[name, shard] : this->shards) {
         const std::scoped_lock shardLock(shard->mutex);
-        shard->state.held = seat.held;
-        shard->state.heldSince = std::max(seat.heldSince, this->seatSetSince);
-        shard->state.heldSinceWall = std::max(seat.heldSinceWall, this->seatSetSinceWall);
-        shard->state.confirmedUntil = seat.confirmedUntil;
+        shard->state.held = false;
     }
 }
 
--- a/src/policy/claim_table.cpp
+++ b/src/policy/claim_table.cpp
@@ -21,6 +21,19 @@
 
 } // namespace
 
+WitnessState afterSeatNews(WitnessState before, const SeatView &seat, Millis now,
+                           Millis nowWall) noexcept
+{
+    const bool lapsed = now >= before.confirmedUntil;
+    if (seat.held && (!before.held || lapsed)) {
+        before.heldSince = now;
+        before.heldSinceWall = nowWall;
+    }
+    before.held = seat.held;
+    before.confirmedUntil = seat.confirmedUntil;
+    return before;
+}
+
 Millis knownAgeFloor(const WitnessState &state, const ClaimLimits &limits) noexcept
 {
     // The holder before granted until handoverWait after heldSince at the latest, and keys up to
--- /dev/null
+++ b/tests/include/history_oracle.h
@@ -0,0 +1,324 @@
+#ifndef BALSAMPORT_TESTS_HISTORY_ORACLE_H
+#define BALSAMPORT_TESTS_HISTORY_ORACLE_H
+
+#include <balsamport/core/clock.h>
+#include <balsamport/core/ids.h>
+#include <balsamport/policy/outcome.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsamport::testing {
+
+/// @brief What happened. The comment names the fields of Event that count.
+enum class EventKind : std::uint8_t {
+    Offered, ///< A caller sent a request: request, key, adapter, repeatable, chunks.
+    Claimed, ///< An attempt won a key: key, attempt.
+    Dispatched, ///< The first byte of a request may have left: request, key, attempt, server.
+    Started, ///< A backend server started to run a request: request, key, server, adapter.
+    Ended, ///< A backend server stopped to run it, in whatever way: request, server, adapter.
+    Evicted, ///< A backend server unloaded an adapter: server, adapter.
+    Crashed, ///< A request killed the backend server that ran it: request, body, server.
+    Told, ///< A caller was told an outcome: request, key, outcome.
+    Chunk, ///< A caller got a part: request, number, source (whose answer it is), adapter.
+    Done, ///< A caller got the proper end of its answer: request.
+    Failed, ///< A caller got a typed failure: request.
+    PlannedStop, ///< A VM or backend server was asked to stop: server.
+    Cut, ///< A request was broken by the stop of a process: request, server.
+    Leaving, ///< A backend server was marked as leaving: server.
+    ConfigAccepted, ///< A revision was published and is right: number.
+    ConfigInForce, ///< A VM goes by a revision from now on: server, number.
+};
+
+/// @brief One event of a history. Fields that a kind does not use stay empty.
+struct Event
+{
+    EventKind kind = EventKind::Offered;
+    Millis at;
+    std::string request;
+    std::string key;
+    std::uint64_t attempt = 0;
+    std::string server; ///< Backend server or VM.
+    std::string adapter;
+    std::uint64_t number = 0;
+    std::uint64_t body = 0;
+    std::string source;
+    Outcome outcome = Outcome::Unknown;
+    bool repeatable = true;
+
+    bool operator==(const Event &) const = default;
+};
+
+/// @brief The promises of the product; the last one is of crashers.
+enum class Promise : std::uint8_t {
+    RightAdapter,
+    NoEvictionWhileServing,
+    WholeAnswer,
+    HonestNotRun,
+    AtMostOnce,
+    NoWorkForLeaving,
+    GracefulStop,
+    ConfigNeverReverts,
+    CrasherCost,
+};
+
+constexpr std::string_view promiseName(Promise promise)
+{
+    constexpr std::string_view names[] = {
+            "right-adapter", "no-eviction-while-serving", "whole-answer",  "honest-not-run",
+            "at-most-once",  "no-work-for-leaving",       "graceful-stop", "config-never-reverts",
+            "crasher-cost"};
+    return names[static_cast<std::size_t>(promise)];
+}
+
+/// @brief A promise that a history breaks.
+struct Violation
+{
+    Promise promise = Promise::RightAdapter;
+    std::size_t event = 0; ///< Index of the event that broke it, or the number of events.
+    std::string subject;
+
+    bool operator==(const Violation &) const = default;
+};
+
+/// @brief The times that the promises allow.
+struct OracleLimits
+{
+    Millis leavingGrace{5'000}; ///< "After a few seconds".
+    Millis configGrace{7'000}; ///< In force everywhere within this time.
+    std::uint32_t crashesAllowed = 2;
+};
+
+/// @brief Checks a history of events against the promises. Knows nothing of how they are kept.
+///
+/// Example: `HistoryOracle oracle; oracle.add(event); REQUIRE(oracle.finish().empty());`
+class HistoryOracle
+{
+public:
+    explicit HistoryOracle(OracleLimits limits = {})
+        : limits(limits)
+    { }
+
+    /// @brief Takes the next event of the history, in the order of time.
+    void add(const Event &event)
+    {
+        this->check(event);
+        ++this->events;
+    }
+
+    /// @return what was broken so far
+    [[nodiscard]] const std::vector<Violation> &violations() const { return this->broken; }
+
+    /// @brief Ends the history: an answer that began must have ended by now.
+    std::vector<Violation> finish()
+    {
+        for (const auto &[name, request] : this->requests) {
+            if (request.nextChunk > 0 && !request.ended) {
+                this->report(Promise::WholeAnswer, name);
+            }
+        }
+        return this->broken;
+    }
+
+    [[nodiscard]] std::size_t size() const { return this->events; }
+
+private:
+    struct Request
+    {
+        std::string key;
+        std::string adapter;
+        std::uint64_t chunks = 0; ///< Of its whole answer; 0 where not known.
+        std::uint64_t nextChunk = 0;
+        bool repeatable = true;
+        bool ended = false;
+    };
+    struct Key
+    {
+        std::uint32_t runs = 0;
+        std::uint32_t dispatches = 0;
+        std::set<std::uint64_t> winners;
+        bool toldNotRun = false;
+    };
+
+    void report(Promise promise, const std::string &subject)
+    {
+        this->broken.push_back({promise, this->events, subject});
+    }
+
+    void check(const Event &event)
+    {
+        switch (event.kind) {
+        case EventKind::Offered:
+            this->requests[event.request]
+                    = {event.key, event.adapter, event.number, 0, event.repeatable, false};
+            break;
+        case EventKind::Claimed:
+        case EventKind::Dispatched:
+        case EventKind::Started:
+        case EventKind::Told:
+            this->checkRun(event);
+            break;
+        case EventKind::Ended:
+        case EventKind::Evicted:
+            this->checkEviction(event);
+            break;
+        case EventKind::Crashed:
+            if (++this->crashes[event.body] > this->limits.crashesAllowed) {
+                this->report(Promise::CrasherCost, std::to_string(event.body));
+            }
+            break;
+        case EventKind::Chunk:
+        case EventKind::Done:
+        case EventKind::Failed:
+            this->checkAnswer(event);
+            break;
+        case EventKind::PlannedStop:
+            this->stopping.insert(event.server);
+            break;
+        case EventKind::Cut:
+            if (this->stopping.contains(event.server)) {
+                this->report(Promise::GracefulStop, event.request);
+            }
+            break;
+        case EventKind::Leaving:
+            this->leavingSince.try_emplace(event.server, event.at);
+            break;
+        case EventKind::ConfigAccepted:
+        case EventKind::ConfigInForce:
+            this->checkConfig(event);
+            break;
+        }
+    }
+
+    void checkRun(const Event &event)
+    {
+        if (event.kind == EventKind::Dispatched) {
+            this->checkLeaving(event);
+        }
+        if (event.kind == EventKind::Started) {
+            this->checkStart(event);
+        }
+        const auto found = this->requests.find(event.request);
+        const bool repeatable = found == this->requests.end() || found->second.repeatable;
+        if (repeatable || event.key.empty()) {
+            return;
+        }
+        Key &key = this->keys[event.key];
+        if (event.kind == EventKind::Claimed) {
+            key.winners.insert(event.attempt);
+        } else if (event.kind == EventKind::Dispatched) {
+            ++key.dispatches;
+        } else if (event.kind == EventKind::Started) {
+            ++key.runs;
+        } else if (event.outcome == Outcome::NotRun) {
+            key.toldNotRun = true;
+        }
+        this->checkKey(key, event.key);
+    }
+
+    void checkKey(const Key &key, const std::string &name)
+    {
+        if (key.runs > 1 || key.dispatches > 1 || key.winners.size() > 1) {
+            this->report(Promise::AtMostOnce, name);
+        }
+        // A dispatch may still run: told not-run, it must not have left either.
+        if (key.toldNotRun && key.runs + key.dispatches > 0) {
+            this->report(Promise::HonestNotRun, name);
+        }
+    }
+
+    void checkStart(const Event &event)
+    {
+        const auto found = this->requests.find(event.request);
+        if (found != this->requests.end() && found->second.adapter != event.adapter) {
+            this->report(Promise::RightAdapter, event.request);
+        }
+        ++this->running[{event.server, event.adapter}];
+    }
+
+    void checkEviction(const Event &event)
+    {
+        std::uint32_t &count = this->running[{event.server, event.adapter}];
+        if (event.kind == EventKind::Evicted) {
+            if (count > 0) {
+                this->report(Promise::NoEvictionWhileServing, event.server + "/" + event.adapter);
+            }
+        } else if (count > 0) {
+            --count;
+        }
+    }
+
+    void checkAnswer(const Event &event)
+    {
+        Request &request = this->requests[event.request];
+        if (event.kind == EventKind::Failed) {
+            request.ended = true;
+            return;
+        }
+        if (event.kind == EventKind::Done) {
+            const bool whole = request.chunks == 0 || request.nextChunk == request.chunks;
+            if (!whole || request.ended) {
+                this->report(Promise::WholeAnswer, event.request);
+            }
+            request.ended = true;
+            return;
+        }
+        if (event.number != request.nextChunk || event.source != event.request || request.ended) {
+            this->report(Promise::WholeAnswer, event.request);
+        }
+        if (event.adapter != request.adapter) {
+            this->report(Promise::RightAdapter, event.request);
+        }
+        ++request.nextChunk;
+    }
+
+    void checkLeaving(const Event &event)
+    {
+        const auto found = this->leavingSince.find(event.server);
+        if (found != this->leavingSince.end()
+            && event.at > found->second + this->limits.leavingGrace) {
+            this->report(Promise::NoWorkForLeaving, event.server);
+        }
+    }
+
+    void checkConfig(const Event &event)
+    {
+        if (event.kind == EventKind::ConfigAccepted) {
+            this->accepted[event.number] = event.at;
+            return;
+        }
+        const auto before = this->inForce.find(event.server);
+        if (before != this->inForce.end() && event.number < before->second) {
+            this->report(Promise::ConfigNeverReverts, event.server);
+        }
+        // Every revision that was due by now must be this one or an earlier one.
+        for (const auto &[revision, at] : this->accepted) {
+            if (revision > event.number && event.at > at + this->limits.configGrace) {
+                this->report(Promise::ConfigNeverReverts, event.server);
+                break;
+            }
+        }
+        this->inForce[event.server] = event.number;
+    }
+
+    OracleLimits limits;
+    std::size_t events = 0;
+    std::vector<Violation> broken;
+    std::map<std::string, Request> requests;
+    std::map<std::string, Key> keys;
+    std::map<std::pair<std::string, std::string>, std::uint32_t> running;
+    std::map<std::uint64_t, std::uint32_t> crashes;
+    std::set<std::string> stopping;
+    std::map<std::string, Millis> leavingSince;
+    std::map<std::uint64_t, Millis> accepted;
+    std::map<std::string, std::uint64_t> inForce;
+};
+
+} // namespace balsamport::testing
+
+#endif
--- a/tests/src/unit-claims.cpp
+++ b/tests/src/unit-claims.cpp
@@ -125,6 +125,32 @@
     }
 }
 
+TEST_CASE("a seat counts as newly taken")
+{
+    const Millis later = startTime + settled;
+    const Millis laterWall = startWall + settled;
+    const SeatView news{DataCentreId("a"), true, Millis(0), Millis(0), later + Millis(2'000)};
+    WitnessState before = stateAt(settled);
+
+    SECTION("not while it is held and confirmed")
+    {
+        REQUIRE(afterSeatNews(before, news, later, laterWall).heldSince == startTime);
+    }
+    SECTION("when it was not held before")
+    {
+        before.held = false;
+        const WitnessState after = afterSeatNews(before, news, later, laterWall);
+        REQUIRE(after.heldSince == later);
+        REQUIRE(after.heldSinceWall == laterWall);
+        REQUIRE(after.confirmedUntil == news.confirmedUntil);
+    }
+    SECTION("when the view was not confirmed in between")
+    {
+        before.confirmedUntil = later;
+        REQUIRE(afterSeatNews(before, news, later, laterWall).heldSince == later);
+    }
+}
+
 TEST_CASE("a witness that may have forgotten refuses")
 {
     const ClaimLimits limits;
