Add places, loads and candidates with their controllers

The owner of a backend server grants places, pins adapters, chooses victims and orders loads within its tokens of the weight store; the gateway's client chooses candidates, asks owners and announces what it holds.

--- /dev/null
+++ b/include/balsamport/policy/demand.h
@@ -0,0 +1,39 @@
+#ifndef BALSAMPORT_POLICY_DEMAND_H
+#define BALSAMPORT_POLICY_DEMAND_H
+
+#include <balsamport/core/clock.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+namespace balsamport {
+
+/// @brief A count of requests that halves with every half-life.
+struct DecayedCount
+{
+    double value = 0;
+    Millis at;
+
+    bool operator==(const DecayedCount &) const = default;
+};
+
+/// @brief Decayed demand by adapter hash. Bounded: the weakest entries are dropped.
+struct DemandTable
+{
+    Millis halfLife{60'000};
+    std::size_t capacity = 4'096;
+    std::unordered_map<std::uint64_t, DecayedCount> counts;
+};
+
+/// @brief Counts one request.
+/// @complexity constant, but for a linear clean-up once in capacity / 2 new adapters
+void addDemand(DemandTable &table, std::uint64_t adapterHash, Millis now);
+
+/// @return the decayed count of an adapter; 0 where it is not known
+[[nodiscard]] double demandOf(const DemandTable &table, std::uint64_t adapterHash,
+                              Millis now) noexcept;
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/policy/routing.h
@@ -0,0 +1,176 @@
+#ifndef BALSAMPORT_POLICY_ROUTING_H
+#define BALSAMPORT_POLICY_ROUTING_H
+
+#include <balsamport/config/snapshot.h>
+#include <balsamport/core/clock.h>
+#include <balsamport/core/ids.h>
+#include <balsamport/policy/demand.h>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief How far a backend server is from a gateway.
+enum class Distance : std::uint8_t {
+    DataCentre,
+    Region,
+    AcrossLink,
+};
+
+/// @brief A backend server as routing sees it.
+struct RouteNode
+{
+    BackendServerId id;
+    std::string address; ///< IP:PORT
+    std::uint64_t hash = 0; ///< hash64 of the id
+    Distance distance = Distance::DataCentre;
+    bool nearStore = false; ///< A load does not cross the link.
+    std::uint32_t batchWidth = 16;
+
+    bool operator==(const RouteNode &) const = default;
+};
+
+/// @brief The backend servers of one base model or one plain service, ordered by id.
+struct RouteGroup
+{
+    std::vector<RouteNode> nodes;
+    std::size_t storeNodes = 0; ///< How many are near the weight store.
+    std::size_t ownNodes = 0; ///< How many are in the gateway's region.
+
+    bool operator==(const RouteGroup &) const = default;
+};
+
+/// @brief All that can be routed to, as seen from one data centre. Immutable once built.
+struct RoutingTable
+{
+    DataCentreId dataCentre;
+    std::unordered_map<BaseModelId, RouteGroup> engines;
+    std::unordered_map<ServiceId, RouteGroup> services;
+
+    bool operator==(const RoutingTable &) const = default;
+};
+
+/// @brief What a gateway knows of a backend server's load; its own view, not shared.
+struct NodeLoad
+{
+    std::uint32_t inFlight = 0; ///< This gateway's own requests.
+    Millis expectedWait; ///< As the owner last said.
+    Millis waitLearntAt;
+    Millis avoidUntil; ///< Its owner did not answer, or it failed.
+
+    bool operator==(const NodeLoad &) const = default;
+};
+
+/// Most replicas of one adapter that a gateway remembers.
+constexpr std::size_t maxReplicas = 8;
+/// Most candidates that one decision gives.
+constexpr std::size_t maxCandidates = 4;
+
+/// @brief Where an adapter was last granted, and how many replicas it is spread over.
+struct AdapterPlaces
+{
+    std::array<std::uint32_t, maxReplicas> nodes{}; ///< Indices into RouteGroup::nodes.
+    std::uint8_t count = 0; ///< Entries of `nodes` in use.
+    std::uint8_t replicas = 1; ///< Wanted.
+    Millis usedAt;
+    Millis calmSince; ///< Waits have been short since then.
+    DecayedCount demand;
+
+    bool operator==(const AdapterPlaces &) const = default;
+};
+
+/// @brief What one gateway has learnt about one group. Bounded: places that are idle are dropped.
+struct RouteMemory
+{
+    std::vector<NodeLoad> loads; ///< Same order as RouteGroup::nodes.
+    std::unordered_map<std::uint64_t, AdapterPlaces> places; ///< By adapter hash.
+    std::size_t capacity = 65'536;
+    Millis sweptAt;
+};
+
+/// @brief What routing weighs.
+struct RouteCosts
+{
+    Millis dataCentreTrip{1}; ///< Round trip between data centres of a region.
+    Millis linkTrip{60}; ///< Round trip between regions.
+    Millis loadTime{250};
+    Millis placeLifetime{120'000}; ///< How long a place is remembered unused.
+    Millis growWait{100}; ///< A longer wait for a resident adapter asks for one replica more.
+    Millis shrinkAfter{30'000}; ///< Calm time after which a replica is given up.
+    double copyDemand = 3; ///< Decayed requests that pay for a copy across the link.
+    Millis demandHalfLife{60'000};
+
+    bool operator==(const RouteCosts &) const = default;
+};
+
+/// @brief One place to ask, in order of preference.
+struct Candidate
+{
+    std::uint32_t node = 0; ///< Index into RouteGroup::nodes.
+    Distance distance = Distance::DataCentre;
+    bool believedResident = false;
+
+    bool operator==(const Candidate &) const = default;
+};
+
+/// @brief The candidates of one request.
+struct Candidates
+{
+    std::array<Candidate, maxCandidates> list{};
+    std::size_t count = 0;
+
+    bool operator==(const Candidates &) const = default;
+};
+
+/// @brief Builds the routing table of a data centre.
+/// @complexity O(n log n) for n backend servers
+[[nodiscard]] RoutingTable buildRoutingTable(const Snapshot &snapshot,
+                                             const DataCentreId &dataCentre);
+
+/// @brief Chooses where to ask for a place on an adapter.
+///
+/// Replicas that are believed resident go first, the cheapest first: distance, then load. Then the
+/// adapter's homes by rendezvous with bounded load. A cold adapter's homes are near the weight
+/// store, since a load elsewhere carries a whole adapter over the link; once its demand pays for
+/// the copy, homes in the gateway's own region go first.
+/// @param adapterHash hashOf the adapter version
+/// @complexity O(n) for n nodes of the group
+[[nodiscard]] Candidates chooseCandidates(const RouteGroup &group, const RouteMemory &memory,
+                                          const RouteCosts &costs, std::uint64_t adapterHash,
+                                          Millis now) noexcept;
+
+/// @brief Chooses a replica of a plain service: near ones first, the least loaded first.
+/// @complexity O(n) for n nodes of the group
+[[nodiscard]] Candidates chooseServiceNodes(const RouteGroup &group, const RouteMemory &memory,
+                                            Millis now) noexcept;
+
+/// @brief Counts a request for an adapter, before its candidates are chosen.
+void noteRequest(RouteMemory &memory, const RouteCosts &costs, std::uint64_t adapterHash,
+                 Millis now);
+
+/// @brief Records that a place was given, and after what wait.
+/// @param queueWait wait for a place in the batch, without loads
+void noteGranted(RouteMemory &memory, const RouteCosts &costs, std::uint64_t adapterHash,
+                 std::uint32_t node, Millis queueWait, Millis now);
+
+/// @brief Records that a backend server does not hold an adapter.
+void noteNotResident(RouteMemory &memory, std::uint64_t adapterHash, std::uint32_t node) noexcept;
+
+/// @brief Records what the owner said a wait would be.
+void noteWait(RouteMemory &memory, std::uint32_t node, Millis wait, Millis now) noexcept;
+
+/// @brief Carries what is known over to a new list of nodes.
+/// @complexity O(n log n + p) for n nodes and p places
+[[nodiscard]] RouteMemory remapMemory(const RouteGroup &before, const RouteMemory &memory,
+                                      const RouteGroup &after);
+
+/// @brief Drops what is known of idle adapters; cheap to call often.
+void sweepPlaces(RouteMemory &memory, const RouteCosts &costs, Millis now);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/controllers/grant_controller.cpp
@@ -0,0 +1,541 @@
+#include <balsamport/controllers/grant_controller.h>
+
+#include "grant_shard.h"
+
+#include <balsamport/core/log.h>
+#include <balsamport/wire/convert.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <unordered_map>
+
+namespace balsamport {
+
+namespace {
+
+constexpr Millis reportInterval{200};
+constexpr Millis keepAliveInterval{500}; ///< Between two QUEUED replies to one waiter.
+constexpr Millis shareTimeout{500};
+constexpr Millis shareRetry{50};
+constexpr Millis shareRetryLongest{1'000};
+constexpr Millis announceGrace{5'000}; ///< A younger grant may be missing in an announcement.
+
+std::string gatewayName(const wire::VmInstance &sender)
+{
+    return sender.vm() + "#" + std::to_string(sender.incarnation());
+}
+
+wire::Envelope failure(ErrorCode code, const std::string &detail)
+{
+    wire::Envelope message;
+    *message.mutable_error() = toWire(Error{code, detail});
+    return message;
+}
+
+ServerLimits limitsOf(const BackendServerConfig &config)
+{
+    return {config.slots, std::max(config.batchWidth, 1U), config.mixesAdapters,
+            config.kind == BackendServerKind::Service};
+}
+
+/// A peer that holds a share of the weight store.
+struct ShareHolder
+{
+    Millis askAfter;
+    bool asked = false;
+};
+
+} // namespace
+
+struct GrantController::Core : std::enable_shared_from_this<GrantController::Core>
+{
+    VmId self;
+    EngineOrders orders;
+    PeerMessages peers;
+    std::atomic<bool> stopped{false};
+    std::atomic<std::uint64_t> loadsStarted{0};
+
+    mutable std::mutex mapLock; ///< Guards the three below; taken before no other lock.
+    std::map<BackendServerId, std::shared_ptr<GrantShard>> shards;
+    SnapshotPtr snapshot;
+    std::map<std::string, std::uint64_t> gatewayRuns; ///< Newest incarnation by VM.
+
+    std::mutex budgetLock; ///< Guards the three below; taken after a shard's lock.
+    LoadBudget budget;
+    Millis budgetConfirmedUntil;
+    std::map<std::string, ShareHolder> holders; ///< By endpoint.
+
+    [[nodiscard]] std::vector<std::shared_ptr<GrantShard>> allShards() const
+    {
+        const std::lock_guard guard(this->mapLock);
+        std::vector<std::shared_ptr<GrantShard>> list;
+        list.reserve(this->shards.size());
+        for (const auto &[id, shard] : this->shards) {
+            list.push_back(shard);
+        }
+        return list;
+    }
+
+    [[nodiscard]] std::shared_ptr<GrantShard> findShard(const std::string &server) const
+    {
+        const std::lock_guard guard(this->mapLock);
+        const auto found = this->shards.find(BackendServerId(server));
+        return found == this->shards.end() ? nullptr : found->second;
+    }
+
+    void updateShards(const SnapshotPtr &next, const std::vector<ServerOwnership> &servers);
+    void updateBudget(const Snapshot &next, const std::vector<ServerOwnership> &servers,
+                      const FleetView *fleet);
+    void noteGateway(const wire::VmInstance &sender);
+    void request(const wire::Envelope &message, const Replier &reply);
+    void release(const wire::Envelope &message);
+    void announce(const wire::Envelope &message);
+    void lend(const wire::ShareBorrow &borrow, const Replier &reply);
+    void run(const std::shared_ptr<GrantShard> &shard, Millis now);
+    void perform(const std::shared_ptr<GrantShard> &shard, const std::vector<Action> &actions);
+    void sendLoad(const std::shared_ptr<GrantShard> &shard, const OrderLoad &order);
+    void readReport(const std::shared_ptr<GrantShard> &shard, Millis now);
+    void borrow(Millis now);
+    void borrowFrom(const std::string &endpoint, Millis now);
+};
+
+PeerMessages peerMessagesOver(MessageClient &client)
+{
+    PeerMessages peers;
+    peers.request = [&client](const std::string &endpoint, wire::Envelope message, Millis timeout,
+                              ReplyHandler handler) {
+        client.request(endpoint, std::move(message), timeout, std::move(handler));
+    };
+    peers.notify = [&client](const std::string &endpoint, wire::Envelope message) {
+        client.notify(endpoint, std::move(message));
+    };
+    return peers;
+}
+
+GrantController::GrantController(VmId self, EngineOrders orders, PeerMessages peers)
+    : core(std::make_shared<Core>())
+{
+    this->core->self = std::move(self);
+    this->core->orders = std::move(orders);
+    this->core->peers = std::move(peers);
+}
+
+GrantController::~GrantController()
+{
+    this->core->stopped = true;
+}
+
+bool GrantController::handles(const wire::Envelope &message) noexcept
+{
+    return message.has_grant_request() || message.has_grant_release()
+            || message.has_grant_announce() || message.has_share_borrow();
+}
+
+void GrantController::update(SnapshotPtr snapshot, const std::vector<ServerOwnership> &servers,
+                             std::shared_ptr<const FleetView> fleet)
+{
+    if (snapshot == nullptr) {
+        return;
+    }
+    this->core->updateShards(snapshot, servers);
+    this->core->updateBudget(*snapshot, servers, fleet.get());
+}
+
+void GrantController::handle(const wire::Envelope &message, const Replier &reply)
+{
+    if (message.has_share_borrow()) {
+        this->core->lend(message.share_borrow(), reply);
+        return;
+    }
+    this->core->noteGateway(message.sender());
+    if (message.has_grant_request()) {
+        this->core->request(message, reply);
+    } else if (message.has_grant_release()) {
+        this->core->release(message);
+    } else if (message.has_grant_announce()) {
+        this->core->announce(message);
+    }
+}
+
+void GrantController::tick(Millis now)
+{
+    for (const auto &shard : this->core->allShards()) {
+        this->core->readReport(shard, now);
+        this->core->run(shard, now);
+    }
+    this->core->borrow(now);
+}
+
+void GrantController::fillStatus(wire::StatusReply &status) const
+{
+    status.set_loads_started(this->core->loadsStarted.load());
+    for (const auto &shard : this->core->allShards()) {
+        const std::lock_guard guard(shard->lock);
+        if (shard->ownership.right == OwnerRight::None) {
+            continue;
+        }
+        wire::ServerStatus &server = *status.add_servers();
+        server.set_owner_vm(this->core->self.str());
+        describeShard(*shard, server);
+    }
+}
+
+void GrantController::Core::updateShards(const SnapshotPtr &next,
+                                         const std::vector<ServerOwnership> &servers)
+{
+    std::map<BackendServerId, ServerOwnership> owned;
+    for (const ServerOwnership &ownership : servers) {
+        owned.emplace(ownership.backendServer, ownership);
+    }
+    std::vector<std::shared_ptr<GrantShard>> list;
+    {
+        const std::lock_guard guard(this->mapLock);
+        this->snapshot = next;
+        for (const auto &[id, config] : next->backendServers) {
+            std::shared_ptr<GrantShard> &shard = this->shards[id];
+            if (shard == nullptr) {
+                shard = std::make_shared<GrantShard>();
+                shard->config = config;
+                shard->state = makeServerState(limitsOf(config), GrantId(1));
+            }
+        }
+        std::erase_if(this->shards, [&next](const auto &entry) {
+            return !next->backendServers.contains(entry.first);
+        });
+        for (const auto &[id, shard] : this->shards) {
+            list.push_back(shard);
+        }
+    }
+    for (const auto &shard : list) {
+        const std::lock_guard guard(shard->lock);
+        const BackendServerConfig &config = next->backendServers.at(shard->config.id);
+        applyConfig(*shard, config, next->limits, next->callerClasses);
+        const auto found = owned.find(config.id);
+        const ServerOwnership none{config.id, OwnerRight::None, {}, {}, {}};
+        applyOwnership(*shard, found == owned.end() ? none : found->second, this->self);
+    }
+}
+
+void GrantController::Core::updateBudget(const Snapshot &next,
+                                         const std::vector<ServerOwnership> &servers,
+                                         const FleetView *fleet)
+{
+    std::vector<BackendServerId> engines;
+    for (const auto &[id, config] : next.backendServers) {
+        if (config.kind == BackendServerKind::Engine) {
+            engines.push_back(id);
+        }
+    }
+    const std::lock_guard guard(this->budgetLock);
+    std::vector<HeldToken> held;
+    std::set<std::string> endpoints;
+    Millis confirmed = Millis(std::numeric_limits<std::int64_t>::max());
+    for (std::uint32_t token = 0; token < next.limits.storeInFlight; ++token) {
+        const auto server = tokenServer(token, engines);
+        if (!server) {
+            continue;
+        }
+        const auto own = std::find_if(servers.begin(), servers.end(), [&server](const auto &o) {
+            return o.backendServer == *server && o.right != OwnerRight::None;
+        });
+        if (own != servers.end()) {
+            held.push_back({token, own->ownerSince});
+            const bool full = own->right == OwnerRight::Full;
+            confirmed = std::min(confirmed, full ? own->confirmedUntil : Millis(0));
+        } else if (fleet != nullptr) {
+            for (const Owner &owner : fleet->owners) {
+                if (owner.backendServer == *server && owner.vm != this->self) {
+                    endpoints.insert(owner.controllerEndpoint);
+                }
+            }
+        }
+    }
+    setTokens(this->budget, held, tokenInterval(next.limits));
+    this->budgetConfirmedUntil = confirmed;
+    std::erase_if(this->holders,
+                  [&endpoints](const auto &entry) { return !endpoints.contains(entry.first); });
+    for (const std::string &endpoint : endpoints) {
+        this->holders.try_emplace(endpoint);
+    }
+}
+
+void GrantController::Core::noteGateway(const wire::VmInstance &sender)
+{
+    std::string gone;
+    {
+        const std::lock_guard guard(this->mapLock);
+        std::uint64_t &newest = this->gatewayRuns[sender.vm()];
+        if (sender.incarnation() <= newest) {
+            return;
+        }
+        gone = newest == 0 ? "" : sender.vm() + "#" + std::to_string(newest);
+        newest = sender.incarnation();
+    }
+    if (gone.empty()) {
+        return;
+    }
+    for (const auto &shard : this->allShards()) {
+        const std::lock_guard guard(shard->lock);
+        const std::size_t dropped = dropGatewayGrants(shard->state, gone);
+        if (dropped > 0) {
+            LOG(INFO) << logprefix::grant
+                      << "Gateway has restarted, its grants end. gateway=" << gone
+                      << " server=" << shard->config.id << " grants=" << dropped;
+        }
+    }
+}
+
+void GrantController::Core::request(const wire::Envelope &message, const Replier &reply)
+{
+    const wire::GrantRequest &request = message.grant_request();
+    const auto shard = this->findShard(request.backend_server());
+    if (shard == nullptr) {
+        reply(failure(ErrorCode::NotOwner, "unknown backend server"));
+        return;
+    }
+    const Millis now = monotonicNow();
+    {
+        const std::lock_guard guard(shard->lock);
+        if (shard->ownership.right == OwnerRight::None) {
+            reply(failure(ErrorCode::NotOwner, "another VM owns this backend server"));
+            return;
+        }
+        if (request.deadline_ms() == 0) {
+            wantPreload(shard->state, fromWire(request.adapter()), now);
+            return;
+        }
+        const std::lock_guard budgetGuard(this->budgetLock);
+        const auto answer = admitToShard(*shard, this->budget, request,
+                                         gatewayName(message.sender()), reply, now);
+        if (answer) {
+            reply(*answer);
+            return;
+        }
+    }
+    this->run(shard, now);
+    // Only a request that goes on waiting is told so; the others have their final answer.
+    const std::lock_guard guard(shard->lock);
+    tellQueued(*shard, now, keepAliveInterval);
+}
+
+void GrantController::Core::release(const wire::Envelope &message)
+{
+    const wire::GrantRelease &released = message.grant_release();
+    const auto shard = this->findShard(released.backend_server());
+    if (shard == nullptr) {
+        return;
+    }
+    const Millis now = monotonicNow();
+    {
+        const std::lock_guard guard(shard->lock);
+        releaseFromShard(*shard, released, gatewayName(message.sender()), now);
+    }
+    this->run(shard, now);
+}
+
+void GrantController::Core::announce(const wire::Envelope &message)
+{
+    const std::string gateway = gatewayName(message.sender());
+    const Millis now = monotonicNow();
+    std::map<std::string, std::vector<wire::HeldGrant>> byServer;
+    for (const wire::HeldGrant &held : message.grant_announce().held()) {
+        byServer[held.backend_server()].push_back(held);
+    }
+    for (const auto &shard : this->allShards()) {
+        const std::lock_guard guard(shard->lock);
+        announceToShard(*shard, byServer[shard->config.id.str()], gateway, now, announceGrace);
+    }
+}
+
+void GrantController::Core::lend(const wire::ShareBorrow &borrow, const Replier &reply)
+{
+    const Millis now = monotonicNow();
+    const Millis lease(std::min<std::int64_t>(borrow.lease_ms(), loadOrderTime.count()));
+    wire::Envelope message;
+    wire::ShareReply &answer = *message.mutable_share_reply();
+    const std::lock_guard guard(this->budgetLock);
+    if (now + lease < this->budgetConfirmedUntil + loadOrderTime && now < this->budgetConfirmedUntil
+        && lendToken(this->budget, now, lease)) {
+        answer.set_in_flight(1);
+        answer.set_lease_ms(static_cast<std::uint32_t>(lease.count()));
+    } else {
+        const auto ready = nextTokenReady(this->budget, now);
+        const Millis wait = ready ? *ready - now : shareRetryLongest;
+        answer.set_lease_ms(static_cast<std::uint32_t>(wait.count()));
+    }
+    reply(std::move(message));
+}
+
+void GrantController::Core::run(const std::shared_ptr<GrantShard> &shard, Millis now)
+{
+    std::vector<Action> actions;
+    {
+        const std::lock_guard guard(shard->lock);
+        SchedulerContext context = contextOf(*shard, now);
+        const std::lock_guard budgetGuard(this->budgetLock);
+        if (now >= this->budgetConfirmedUntil && context.right == OwnerRight::Full) {
+            LoadBudget borrowedOnly;
+            borrowedOnly.interval = this->budget.interval;
+            borrowedOnly.borrowed.swap(this->budget.borrowed);
+            actions = schedule(shard->state, borrowedOnly, context, now);
+            this->budget.borrowed.swap(borrowedOnly.borrowed);
+        } else {
+            actions = schedule(shard->state, this->budget, context, now);
+        }
+        answerWaiters(*shard, actions, now);
+        tellQueued(*shard, now, keepAliveInterval);
+    }
+    this->perform(shard, actions);
+}
+
+void GrantController::Core::perform(const std::shared_ptr<GrantShard> &shard,
+                                    const std::vector<Action> &actions)
+{
+    for (const Action &action : actions) {
+        if (const auto *order = std::get_if<OrderLoad>(&action)) {
+            this->sendLoad(shard, *order);
+        }
+    }
+}
+
+void GrantController::Core::sendLoad(const std::shared_ptr<GrantShard> &shard,
+                                     const OrderLoad &order)
+{
+    ++this->loadsStarted;
+    EngineOrder engineOrder;
+    {
+        const std::lock_guard guard(shard->lock);
+        engineOrder = {shard->config.id,
+                       shard->config.address,
+                       order.adapter,
+                       order.victim,
+                       shard->fencing,
+                       order.deadline,
+                       shard->ownership.confirmedUntil};
+    }
+    LOG(INFO) << logprefix::load << "Ordered. adapter=" << order.adapter
+              << " server=" << engineOrder.backendServer
+              << " victim=" << (order.victim ? order.victim->str() : "none");
+    this->orders.load(
+            engineOrder,
+            [weak = this->weak_from_this(), shard, adapter = order.adapter](LoadOutcome outcome) {
+                const auto core = weak.lock();
+                if (core == nullptr || core->stopped) {
+                    return;
+                }
+                const Millis now = monotonicNow();
+                LOG(INFO) << logprefix::load << "Ended. adapter=" << adapter
+                          << " server=" << shard->config.id
+                          << " loaded=" << (outcome == LoadOutcome::Loaded ? 1 : 0);
+                {
+                    const std::lock_guard guard(shard->lock);
+                    const std::lock_guard budgetGuard(core->budgetLock);
+                    finishLoadOrder(shard->state, core->budget, adapter, outcome, now);
+                }
+                core->run(shard, now);
+            });
+}
+
+void GrantController::Core::readReport(const std::shared_ptr<GrantShard> &shard, Millis now)
+{
+    std::string address;
+    {
+        const std::lock_guard guard(shard->lock);
+        const bool due = now - shard->reportAskedAt >= reportInterval && !shard->reportPending;
+        const bool engine = shard->config.kind == BackendServerKind::Engine;
+        if (shard->ownership.right == OwnerRight::None || !due || !engine) {
+            return;
+        }
+        shard->reportPending = true;
+        shard->reportAskedAt = now;
+        address = shard->config.address;
+    }
+    this->orders.report(address,
+                        [weak = this->weak_from_this(), shard](const Result<LoadReport> &report) {
+                            const auto core = weak.lock();
+                            if (core == nullptr || core->stopped) {
+                                return;
+                            }
+                            const Millis answered = monotonicNow();
+                            {
+                                const std::lock_guard guard(shard->lock);
+                                const std::lock_guard budgetGuard(core->budgetLock);
+                                takeReport(*shard, core->budget, report, answered);
+                            }
+                            core->run(shard, answered);
+                        });
+}
+
+void GrantController::Core::borrow(Millis now)
+{
+    bool needed = false;
+    for (const auto &shard : this->allShards()) {
+        const std::lock_guard guard(shard->lock);
+        needed = needed || needsToken(shard->state, contextOf(*shard, now), now);
+    }
+    if (!needed) {
+        return;
+    }
+    std::vector<std::string> endpoints;
+    {
+        const std::lock_guard guard(this->budgetLock);
+        const auto ready = nextTokenReady(this->budget, now);
+        if (ready && *ready <= now && now < this->budgetConfirmedUntil) {
+            return;
+        }
+        for (auto &[endpoint, holder] : this->holders) {
+            if (!holder.asked && now >= holder.askAfter) {
+                holder.asked = true;
+                endpoints.push_back(endpoint);
+                break;
+            }
+        }
+    }
+    for (const std::string &endpoint : endpoints) {
+        this->borrowFrom(endpoint, now);
+    }
+}
+
+void GrantController::Core::borrowFrom(const std::string &endpoint, Millis now)
+{
+    wire::Envelope message;
+    message.mutable_share_borrow()->set_in_flight(1);
+    message.mutable_share_borrow()->set_lease_ms(static_cast<std::uint32_t>(loadOrderTime.count()));
+    this->peers.request(endpoint, std::move(message), shareTimeout,
+                        [weak = this->weak_from_this(), endpoint,
+                         asked = now](const Result<wire::Envelope> &reply) {
+                            const auto core = weak.lock();
+                            if (core == nullptr || core->stopped) {
+                                return false;
+                            }
+                            {
+                                const std::lock_guard guard(core->budgetLock);
+                                ShareHolder &holder = core->holders[endpoint];
+                                holder.asked = false;
+                                const Millis answered = monotonicNow();
+                                holder.askAfter = answered + shareRetryLongest;
+                                if (!reply.has_value() || !reply.value().has_share_reply()) {
+                                    return false;
+                                }
+                                const wire::ShareReply &share = reply.value().share_reply();
+                                const Millis time(share.lease_ms());
+                                if (share.in_flight() == 0) {
+                                    holder.askAfter = answered
+                                            + std::clamp(time, shareRetry, shareRetryLongest);
+                                    return false;
+                                }
+                                holder.askAfter = answered;
+                                addBorrowed(core->budget, asked, time);
+                            }
+                            const Millis answered = monotonicNow();
+                            for (const auto &shard : core->allShards()) {
+                                core->run(shard, answered);
+                            }
+                            return false;
+                        });
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/policy/routing.cpp
@@ -0,0 +1,304 @@
+#include <balsamport/policy/routing.h>
+
+#include <balsamport/core/hash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamport {
+
+namespace {
+
+constexpr Millis sweepInterval{5'000};
+constexpr Millis waitLifetime{1'000}; ///< What an owner said is forgotten after this time.
+constexpr double boundedLoadFactor = 1.25;
+
+double decayed(const DecayedCount &count, Millis halfLife, Millis now) noexcept
+{
+    const auto age = static_cast<double>((now - count.at).count());
+    return count.value * std::exp2(-age / static_cast<double>(halfLife.count()));
+}
+
+Millis knownWait(const NodeLoad &load, Millis now) noexcept
+{
+    return now - load.waitLearntAt < waitLifetime ? load.expectedWait : Millis(0);
+}
+
+std::int64_t tripCost(Distance distance, const RouteCosts &costs) noexcept
+{
+    switch (distance) {
+    case Distance::DataCentre:
+        return 0;
+    case Distance::Region:
+        return costs.dataCentreTrip.count();
+    case Distance::AcrossLink:
+        return costs.linkTrip.count();
+    }
+    return 0;
+}
+
+/// A list of the best few nodes by a key, smallest key first.
+struct BestNodes
+{
+    std::array<double, maxCandidates> keys{};
+    std::array<std::uint32_t, maxCandidates> nodes{};
+    std::size_t count = 0;
+
+    void offer(double key, std::uint32_t node) noexcept
+    {
+        if (this->count == maxCandidates && key >= this->keys[maxCandidates - 1]) {
+            return;
+        }
+        std::size_t at = this->count < maxCandidates ? this->count++ : maxCandidates - 1;
+        while (at > 0 && this->keys[at - 1] > key) {
+            this->keys[at] = this->keys[at - 1];
+            this->nodes[at] = this->nodes[at - 1];
+            --at;
+        }
+        this->keys[at] = key;
+        this->nodes[at] = node;
+    }
+};
+
+bool contains(const Candidates &candidates, std::uint32_t node) noexcept
+{
+    const auto *end = candidates.list.begin() + candidates.count;
+    return std::any_of(candidates.list.begin(), end,
+                       [node](const Candidate &c) { return c.node == node; });
+}
+
+void append(Candidates &candidates, const RouteGroup &group, const BestNodes &best, bool resident)
+{
+    for (std::size_t i = 0; i < best.count && candidates.count < maxCandidates; ++i) {
+        if (!contains(candidates, best.nodes[i])) {
+            const Distance distance = group.nodes[best.nodes[i]].distance;
+            candidates.list[candidates.count++] = {best.nodes[i], distance, resident};
+        }
+    }
+}
+
+double residentCost(const RouteNode &node, const NodeLoad &load, const RouteCosts &costs,
+                    Millis now) noexcept
+{
+    const double queue = static_cast<double>(load.inFlight) / node.batchWidth;
+    return static_cast<double>(tripCost(node.distance, costs) + knownWait(load, now).count())
+            + queue;
+}
+
+/// Average of this gateway's own requests for each node, as the bound of the loads.
+double loadBound(const RouteMemory &memory) noexcept
+{
+    std::uint64_t sum = 0;
+    for (const NodeLoad &load : memory.loads) {
+        sum += load.inFlight;
+    }
+    const auto nodes = static_cast<double>(std::max<std::size_t>(memory.loads.size(), 1));
+    return std::ceil(boundedLoadFactor * (static_cast<double>(sum) + 1) / nodes);
+}
+
+/// Rendezvous over one part of the nodes; a node above its bound goes after the others.
+template<typename Filter>
+void appendHomes(Candidates &candidates, const RouteGroup &group, const RouteMemory &memory,
+                 std::uint64_t adapterHash, Millis now, Filter filter) noexcept
+{
+    const double bound = loadBound(memory);
+    BestNodes best;
+    for (std::uint32_t i = 0; i < group.nodes.size(); ++i) {
+        const RouteNode &node = group.nodes[i];
+        const NodeLoad &load = memory.loads[i];
+        if (!filter(node) || now < load.avoidUntil) {
+            continue;
+        }
+        const double score = static_cast<double>(rendezvousScore(adapterHash, node.hash)) * 0x1p-64;
+        const bool full = load.inFlight > bound && load.inFlight >= node.batchWidth;
+        best.offer((full ? 2.0 : 1.0) - score, i);
+    }
+    append(candidates, group, best, false);
+}
+
+} // namespace
+
+RoutingTable buildRoutingTable(const Snapshot &snapshot, const DataCentreId &dataCentre)
+{
+    RoutingTable table;
+    table.dataCentre = dataCentre;
+    const RegionId ownRegion = snapshot.regionOf(dataCentre);
+    std::vector<RegionId> storeRegions;
+    for (const auto &[id, config] : snapshot.dataCentres) {
+        if (config.hasWeightStore) {
+            storeRegions.push_back(config.region);
+        }
+    }
+    for (const auto &[id, server] : snapshot.backendServers) {
+        if (server.leaving) {
+            continue;
+        }
+        const bool engine = server.kind == BackendServerKind::Engine;
+        RouteGroup &group = engine ? table.engines[server.base] : table.services[server.service];
+        const RegionId region = snapshot.regionOf(server.dataCentre);
+        Distance distance = Distance::AcrossLink;
+        if (server.dataCentre == dataCentre) {
+            distance = Distance::DataCentre;
+        } else if (region == ownRegion) {
+            distance = Distance::Region;
+        }
+        const bool nearStore = storeRegions.empty()
+                || std::find(storeRegions.begin(), storeRegions.end(), region)
+                        != storeRegions.end();
+        group.storeNodes += nearStore ? 1 : 0;
+        group.ownNodes += distance == Distance::AcrossLink ? 0 : 1;
+        group.nodes.push_back({id, server.address, hash64(id.str()), distance, nearStore,
+                               std::max(server.batchWidth, 1U)});
+    }
+    return table;
+}
+
+Candidates chooseCandidates(const RouteGroup &group, const RouteMemory &memory,
+                            const RouteCosts &costs, std::uint64_t adapterHash, Millis now) noexcept
+{
+    Candidates candidates;
+    bool wantsCopy = false;
+    bool wantsReplica = false;
+    const auto found = memory.places.find(adapterHash);
+    if (found != memory.places.end()) {
+        const AdapterPlaces &places = found->second;
+        wantsCopy = decayed(places.demand, costs.demandHalfLife, now) >= costs.copyDemand;
+        wantsReplica = places.count < places.replicas;
+        BestNodes best;
+        for (std::size_t i = 0; i < places.count; ++i) {
+            const std::uint32_t node = places.nodes[i];
+            if (now >= memory.loads[node].avoidUntil) {
+                best.offer(residentCost(group.nodes[node], memory.loads[node], costs, now), node);
+            }
+        }
+        const bool near
+                = best.count > 0 && group.nodes[best.nodes[0]].distance != Distance::AcrossLink;
+        if (!wantsReplica && (near || !wantsCopy || group.ownNodes == 0)) {
+            append(candidates, group, best, true);
+        }
+    }
+    const auto isOwn = [](const RouteNode &node) { return node.distance != Distance::AcrossLink; };
+    const auto isNearStore = [](const RouteNode &node) { return node.nearStore; };
+    if (wantsCopy) {
+        appendHomes(candidates, group, memory, adapterHash, now, isOwn);
+    }
+    appendHomes(candidates, group, memory, adapterHash, now, isNearStore);
+    const auto any = [](const RouteNode &) { return true; };
+    appendHomes(candidates, group, memory, adapterHash, now, any);
+    return candidates;
+}
+
+Candidates chooseServiceNodes(const RouteGroup &group, const RouteMemory &memory,
+                              Millis now) noexcept
+{
+    BestNodes best;
+    constexpr double distanceCost = 1e6;
+    constexpr double avoidCost = 1e9;
+    for (std::uint32_t i = 0; i < group.nodes.size(); ++i) {
+        const NodeLoad &load = memory.loads[i];
+        const bool across = group.nodes[i].distance == Distance::AcrossLink;
+        const bool region = group.nodes[i].distance == Distance::Region;
+        const double key = (across ? distanceCost : 0) + (region ? 0.5 : 0) + load.inFlight
+                + (now < load.avoidUntil ? avoidCost : 0);
+        best.offer(key, i);
+    }
+    Candidates candidates;
+    append(candidates, group, best, false);
+    return candidates;
+}
+
+void noteRequest(RouteMemory &memory, const RouteCosts &costs, std::uint64_t adapterHash,
+                 Millis now)
+{
+    AdapterPlaces &places = memory.places[adapterHash];
+    places.demand = {decayed(places.demand, costs.demandHalfLife, now) + 1, now};
+    places.usedAt = now;
+}
+
+void noteGranted(RouteMemory &memory, const RouteCosts &costs, std::uint64_t adapterHash,
+                 std::uint32_t node, Millis queueWait, Millis now)
+{
+    AdapterPlaces &places = memory.places[adapterHash];
+    places.usedAt = now;
+    const auto *end = places.nodes.begin() + places.count;
+    if (std::find(places.nodes.cbegin(), end, node) == end && places.count < maxReplicas) {
+        places.nodes[places.count++] = node;
+    }
+    if (queueWait > costs.growWait) {
+        if (places.replicas == places.count && places.replicas < maxReplicas) {
+            ++places.replicas;
+        }
+        places.calmSince = now;
+    } else if (places.replicas > 1 && now - places.calmSince > costs.shrinkAfter) {
+        --places.replicas;
+        places.count = std::min(places.count, places.replicas);
+        places.calmSince = now;
+    }
+}
+
+void noteNotResident(RouteMemory &memory, std::uint64_t adapterHash, std::uint32_t node) noexcept
+{
+    const auto found = memory.places.find(adapterHash);
+    if (found == memory.places.end()) {
+        return;
+    }
+    AdapterPlaces &places = found->second;
+    auto *end = places.nodes.begin() + places.count;
+    auto *at = std::find(places.nodes.begin(), end, node);
+    if (at != end) {
+        std::copy(at + 1, end, at);
+        --places.count;
+    }
+}
+
+void noteWait(RouteMemory &memory, std::uint32_t node, Millis wait, Millis now) noexcept
+{
+    memory.loads[node].expectedWait = wait;
+    memory.loads[node].waitLearntAt = now;
+}
+
+RouteMemory remapMemory(const RouteGroup &before, const RouteMemory &memory,
+                        const RouteGroup &after)
+{
+    RouteMemory next;
+    next.capacity = memory.capacity;
+    next.sweptAt = memory.sweptAt;
+    next.loads.resize(after.nodes.size());
+    constexpr auto gone = static_cast<std::uint32_t>(-1);
+    std::vector<std::uint32_t> moved(before.nodes.size(), gone);
+    for (std::uint32_t i = 0; i < before.nodes.size(); ++i) {
+        const auto found = std::lower_bound(
+                after.nodes.begin(), after.nodes.end(), before.nodes[i].id,
+                [](const RouteNode &node, const BackendServerId &id) { return node.id < id; });
+        if (found != after.nodes.end() && found->id == before.nodes[i].id) {
+            moved[i] = static_cast<std::uint32_t>(found - after.nodes.begin());
+            next.loads[moved[i]] = memory.loads[i];
+        }
+    }
+    for (const auto &[hash, places] : memory.places) {
+        AdapterPlaces kept = places;
+        kept.count = 0;
+        for (std::size_t i = 0; i < places.count; ++i) {
+            if (moved[places.nodes[i]] != gone) {
+                kept.nodes[kept.count++] = moved[places.nodes[i]];
+            }
+        }
+        next.places.emplace(hash, kept);
+    }
+    return next;
+}
+
+void sweepPlaces(RouteMemory &memory, const RouteCosts &costs, Millis now)
+{
+    const bool full = memory.places.size() > memory.capacity;
+    if (!full && now - memory.sweptAt < sweepInterval) {
+        return;
+    }
+    memory.sweptAt = now;
+    const Millis lifetime = full ? costs.placeLifetime / 4 : costs.placeLifetime;
+    std::erase_if(memory.places, [now, lifetime](const auto &entry) {
+        return now - entry.second.usedAt > lifetime;
+    });
+}
+
+} // namespace balsamport
