--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -57,7 +57,6 @@
 {
 public:
     void add(restinio::connection_id_t id, const std::weak_ptr<Writer> &writer);
-    // NOLINTNEXTLINE(readability-identifier-naming): RESTinio calls it by this name.
     void state_changed(const restinio::connection_state::notice_t &notice) noexcept;
     [[nodiscard]] std::uint32_t open() const noexcept { return this->count; }
 
@@ -70,7 +69,6 @@
 struct Traits : public restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>
 {
     using connection_state_listener_t = ConnectionRegistry;
-    // NOLINTNEXTLINE(readability-identifier-naming): RESTinio reads it by this name.
     static constexpr bool use_connection_count_limiter = true;
 };
 
@@ -276,7 +274,7 @@
     restinio::running_server_handle_t<Traits> server;
 };
 
-Result<std::unique_ptr<HttpServer>> HttpServer::start(const HttpServerSettings &settings,
+Result<std::unique_ptr<HttpServer>> HttpServer::start(HttpServerSettings settings,
                                                       HttpHandler handler)
 {
     const Result<ListenAddress> listen = parseAddress(settings.address);
@@ -284,8 +282,8 @@
         return listen.error();
     }
     auto impl = std::make_unique<Impl>();
-    const auto onRequest = [registry = impl->registry, userHandler = std::move(handler)](
-                                   const restinio::request_handle_t &handle) {
+    const auto onRequest = [registry = impl->registry,
+                            userHandler = std::move(handler)](restinio::request_handle_t handle) {
         auto writer = std::make_shared<Writer>(handle);
         registry->add(handle->connection_id(), writer);
         userHandler(readRequest(handle), std::move(writer));
