--- /dev/null
+++ b/include/balsamport/filters/authentication.h
@@ -0,0 +1,14 @@
+#ifndef BALSAMPORT_FILTERS_AUTHENTICATION_H
+#define BALSAMPORT_FILTERS_AUTHENTICATION_H
+
+#include <balsamport/filters/filter.h>
+
+namespace balsamport {
+
+/// @brief Knows callers by the SHA-256 of their bearer key; lets all in where none is configured.
+/// Fails with Unauthorized.
+[[nodiscard]] Filter makeAuthenticationFilter();
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/filters/dispatch.h
@@ -0,0 +1,29 @@
+#ifndef BALSAMPORT_FILTERS_DISPATCH_H
+#define BALSAMPORT_FILTERS_DISPATCH_H
+
+#include <balsamport/filters/answer_store.h>
+#include <balsamport/filters/filter.h>
+
+namespace balsamport {
+
+/// @brief What dispatch works with.
+struct DispatchSources
+{
+    BackendClient backend;
+    GrantSource grants;
+    RetrySource retries;
+    SuspectSource suspects;
+    TimerSource timer;
+    std::shared_ptr<AnswerStore> answers;
+};
+
+/// @brief Sends the request to its backend server and the answer straight back to the caller.
+///
+/// Whole answers are collected before the first byte goes out; streams go through the relay. The
+/// last filter: it never calls `next`.
+/// @param grant asked again for another place before a retry
+[[nodiscard]] Filter makeDispatchFilter(DispatchSources sources, Filter grant);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/filters/gateway.h
@@ -0,0 +1,62 @@
+#ifndef BALSAMPORT_FILTERS_GATEWAY_H
+#define BALSAMPORT_FILTERS_GATEWAY_H
+
+#include <balsamport/filters/admission.h>
+#include <balsamport/filters/answer_store.h>
+#include <balsamport/filters/dispatch.h>
+#include <balsamport/filters/filter.h>
+#include <balsamport/filters/sources.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace balsamport {
+
+/// @brief What a gateway is built from.
+struct GatewaySources
+{
+    SnapshotSource snapshot;
+    GrantSource grants;
+    ClaimSource claims;
+    BackendClient backend;
+    RetrySource retries;
+    SuspectSource suspects;
+    TimerSource timer;
+    std::function<std::string()> metrics; ///< Prometheus text.
+    std::function<void(ErrorCode code)> countFailure;
+};
+
+/// @brief Answers callers: picks the chain or the small answer by path.
+class Gateway
+{
+public:
+    explicit Gateway(GatewaySources sources, std::uint32_t maxInProgress = 4'096);
+
+    /// @brief Handles one request; never blocks.
+    void handle(const std::shared_ptr<const IncomingRequest> &request,
+                const std::shared_ptr<ResponseWriter> &writer);
+
+    /// @brief Refuses new work from now on; /health answers 503.
+    void startLeaving() noexcept;
+    [[nodiscard]] bool isLeaving() const noexcept;
+
+    /// @return requests that are not finished yet
+    [[nodiscard]] std::uint32_t inProgress() const;
+
+private:
+    void handleRequest(const std::shared_ptr<const IncomingRequest> &request,
+                       const std::shared_ptr<ResponseWriter> &writer, Endpoint endpoint);
+    void handleTicket(const std::shared_ptr<const IncomingRequest> &request,
+                      const std::shared_ptr<ResponseWriter> &writer);
+
+    const GatewaySources sources;
+    const std::shared_ptr<InProgress> progress;
+    const std::shared_ptr<AnswerStore> answers;
+    std::atomic<bool> leaving{false};
+    FilterChain chain;
+};
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/filters/grant.h
@@ -0,0 +1,17 @@
+#ifndef BALSAMPORT_FILTERS_GRANT_H
+#define BALSAMPORT_FILTERS_GRANT_H
+
+#include <balsamport/filters/filter.h>
+
+namespace balsamport {
+
+/// @brief Builds what a request asks of the grant source.
+[[nodiscard]] PlacementQuery placementQueryOf(const RequestContext &context);
+
+/// @brief Gets a place on a backend server.
+/// Fails with what the grant source gave, for example Overloaded or NoBackendServer.
+[[nodiscard]] Filter makeGrantFilter(GrantSource grants);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/filters/request_id.h
@@ -0,0 +1,14 @@
+#ifndef BALSAMPORT_FILTERS_REQUEST_ID_H
+#define BALSAMPORT_FILTERS_REQUEST_ID_H
+
+#include <balsamport/filters/filter.h>
+
+namespace balsamport {
+
+/// @brief Gives each request an id; a well-formed one from the caller is kept.
+/// Fails with InvalidHeader where the caller's id is malformed.
+[[nodiscard]] Filter makeRequestIdFilter();
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/filters/sources.h
@@ -0,0 +1,156 @@
+#ifndef BALSAMPORT_FILTERS_SOURCES_H
+#define BALSAMPORT_FILTERS_SOURCES_H
+
+#include <balsamport/config/snapshot.h>
+#include <balsamport/core/clock.h>
+#include <balsamport/core/error.h>
+#include <balsamport/core/ids.h>
+#include <balsamport/http/http_client.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// @file
+/// What the filters need from the rest of the gateway, as plain structs of functions, so that the
+/// chain is tested with fakes. Callbacks may come on any thread and must not block.
+
+namespace balsamport {
+
+/// @brief What a place on a backend server is asked for.
+struct PlacementQuery
+{
+    RequestId request;
+    std::optional<AdapterRef> adapter; ///< Nothing for plain services.
+    ServiceId service; ///< Plain services only.
+    std::int32_t priority = 0;
+    CallerClassId callerClass;
+    Millis deadline; ///< Monotonic.
+    std::uint32_t promptBytes = 0;
+    std::uint32_t maxTokens = 0;
+    std::vector<std::uint64_t> prefixHashes;
+    Fingerprint fingerprint;
+    bool repeatable = true;
+    std::vector<BackendServerId> triedServers;
+
+    bool operator==(const PlacementQuery &) const = default;
+};
+
+/// @brief A granted place on a backend server.
+struct Placement
+{
+    BackendServerId backendServer;
+    std::string address; ///< IP:PORT
+    GrantId grant;
+    FencingNumber fencing;
+    bool suspect = false; ///< The request runs alone.
+
+    bool operator==(const Placement &) const = default;
+};
+
+/// @brief How the use of a place ended.
+enum class PlacementEnd : std::uint8_t {
+    Finished,
+    Returned, ///< Not run there.
+    Broken, ///< The connection broke while the request ran.
+    Cancelled,
+    ServerCrashed,
+};
+
+/// @brief What is reported when a place is given back.
+struct PlacementReport
+{
+    PlacementEnd end = PlacementEnd::Finished;
+    Millis firstToken; ///< After the request was sent.
+    std::uint32_t tokens = 0;
+
+    bool operator==(const PlacementReport &) const = default;
+};
+
+/// @brief Grants and gives back places. Each acquire() calls back once.
+struct GrantSource
+{
+    std::function<void(PlacementQuery, std::function<void(Result<Placement>)>)> acquire;
+    std::function<void(const PlacementQuery &, const Placement &, const PlacementReport &)> release;
+};
+
+/// @brief What a claim on a key is asked with.
+struct KeyClaimQuery
+{
+    RequestId request;
+    RequestKey key;
+    Fingerprint body;
+    Millis firstSentWall; ///< 0: unknown.
+    Millis deadline; ///< Monotonic.
+
+    bool operator==(const KeyClaimQuery &) const = default;
+};
+
+/// @brief A won claim. Nothing may be sent at or after `dispatchBefore`.
+struct KeyClaim
+{
+    AttemptId attempt;
+    Millis dispatchBefore; ///< Monotonic.
+
+    bool operator==(const KeyClaim &) const = default;
+};
+
+/// @brief A claim that was not won.
+struct KeyRefusal
+{
+    Error error;
+    bool neverRuns = false; ///< No attempt with this key has run or can run.
+
+    bool operator==(const KeyRefusal &) const = default;
+};
+
+/// @brief The answer to a claim: exactly one of both.
+struct KeyClaimAnswer
+{
+    std::optional<KeyClaim> won;
+    KeyRefusal refusal;
+
+    bool operator==(const KeyClaimAnswer &) const = default;
+};
+
+/// @brief Claims keys of non-repeatable requests and gives tickets. Each calls back once.
+struct ClaimSource
+{
+    std::function<void(KeyClaimQuery, std::function<void(KeyClaimAnswer)>)> claim;
+    std::function<void(std::function<void(Result<RequestKey>)>)> ticket;
+};
+
+/// @brief Sends requests to backend servers.
+struct BackendClient
+{
+    std::function<std::uint64_t(OutgoingRequest, ExchangeHandlers)> start;
+    std::function<void(std::uint64_t)> resume;
+    std::function<void(std::uint64_t)> cancel;
+};
+
+/// @brief Decides on retries; fed with how backend servers fare.
+struct RetrySource
+{
+    std::function<void(const BackendServerId &, bool succeeded)> record;
+    /// Takes one retry from the budget.
+    /// @return how long to wait before it; nothing where there must be none
+    std::function<std::optional<Millis>(std::uint32_t attempts, Millis deadline)> next;
+};
+
+/// @brief Is told about requests whose backend server died and about those that ended.
+struct SuspectSource
+{
+    std::function<void(Fingerprint, const BackendServerId &)> crashed;
+    std::function<void(Fingerprint)> finished;
+};
+
+/// @brief Runs a function later, on a thread that must not be blocked.
+using TimerSource = std::function<void(Millis delay, std::function<void()>)>;
+
+/// @return the configuration in force; null before the first one
+using SnapshotSource = std::function<SnapshotPtr()>;
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/filters/model_name.cpp
@@ -0,0 +1,47 @@
+#include <balsamport/filters/model_name.h>
+
+#include <charconv>
+
+namespace balsamport {
+
+namespace {
+
+/// Reads a whole decimal number without sign or leading zero.
+std::optional<std::uint64_t> parseNumber(std::string_view text) noexcept
+{
+    std::uint64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+    if (!whole || (text.size() > 1 && text.front() == '0')) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+} // namespace
+
+std::optional<ModelName> parseModelName(std::string_view text)
+{
+    const std::size_t at = text.rfind('@');
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto version = parseNumber(text.substr(at + 1));
+    std::string_view name = text.substr(0, at);
+    BaseModelId base;
+    const std::size_t slash = name.find('/');
+    if (slash != std::string_view::npos) {
+        base = BaseModelId(name.substr(0, slash));
+        name.remove_prefix(slash + 1);
+        if (base.empty()) {
+            return std::nullopt;
+        }
+    }
+    if (!version || name.empty()) {
+        return std::nullopt;
+    }
+    return ModelName{base, AdapterId(name), AdapterVersion(*version)};
+}
+
+} // namespace balsamport
