Answer callers through the filter chain

Cause: the path from a caller to a backend server needs routing by path, streams, retries, claims. Ruled out: a chain that waits on threads; every wait is a callback.

--- a/include/balsamport/filters/gateway.h
+++ b/include/balsamport/filters/gateway.h
@@ -8,6 +8,7 @@
 #include <balsamport/filters/sources.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -24,7 +25,6 @@
     SuspectSource suspects;
     TimerSource timer;
     std::function<std::string()> metrics; ///< Prometheus text.
-    std::function<void(ErrorCode code)> countFailure;
 };
 
 /// @brief Answers callers: picks the chain or the small answer by path.
@@ -47,14 +47,15 @@
 private:
     void handleRequest(const std::shared_ptr<const IncomingRequest> &request,
                        const std::shared_ptr<ResponseWriter> &writer, Endpoint endpoint);
-    void handleTicket(const std::shared_ptr<const IncomingRequest> &request,
-                      const std::shared_ptr<ResponseWriter> &writer);
+    [[nodiscard]] bool answerProbe(const IncomingRequest &request, ResponseWriter &writer) const;
 
     const GatewaySources sources;
     const std::shared_ptr<InProgress> progress;
     const std::shared_ptr<AnswerStore> answers;
     std::atomic<bool> leaving{false};
-    FilterChain chain;
+    const FilterChain requests; ///< Model requests and plain services.
+    const FilterChain models;
+    const FilterChain tickets;
 };
 
 } // namespace balsamport
--- a/include/balsamport/filters/idempotency.h
+++ b/include/balsamport/filters/idempotency.h
@@ -8,7 +8,8 @@
 
 /// @brief Finds out whether a request may be repeated, and claims the key of one that may not.
 /// Fails with KeyMissing, KeyInvalid, KeyInProgress, KeyBodyMismatch or what the claim gave.
-[[nodiscard]] Filter makeIdempotencyFilter(ClaimSource claims, std::shared_ptr<AnswerStore> answers);
+[[nodiscard]] Filter makeIdempotencyFilter(ClaimSource claims,
+                                           std::shared_ptr<AnswerStore> answers);
 
 } // namespace balsamport
 
--- a/include/balsamport/filters/request_context.h
+++ b/include/balsamport/filters/request_context.h
@@ -21,6 +21,8 @@
     ChatCompletions,
     Completions,
     Service,
+    Models,
+    Tickets,
 };
 
 /// @brief What is known about whether the request ran on a backend server.
@@ -64,7 +66,7 @@
     bool repeatable = true; ///< May be sent again after it may have run.
     RequestKey key; ///< Empty where the caller gave none.
     std::optional<KeyClaim> claim; ///< Of a non-repeatable request, once it is won.
-    bool keyMayHaveRun = false; ///< Another attempt with this key may have run.
+    bool keyNeverRan = false; ///< No attempt with the caller's key has run or can run.
 
     std::optional<Placement> placement; ///< Held now.
     std::vector<BackendServerId> triedServers;
--- a/include/balsamport/filters/sources.h
+++ b/include/balsamport/filters/sources.h
@@ -14,7 +14,8 @@
 
 /// @file
 /// What the filters need from the rest of the gateway, as plain structs of functions, so that the
-/// chain is tested with fakes. Callbacks may come on any thread and must not block.
+/// chain is tested with fakes. Callbacks may come on any thread and must not block. A BackendClient
+/// never calls back from inside start().
 
 namespace balsamport {
 
--- a/include/balsamport/filters/stream_relay.h
+++ b/include/balsamport/filters/stream_relay.h
@@ -29,6 +29,9 @@
     /// @brief Sends text to the caller.
     void write(std::string text);
 
+    /// @brief Calls back once nothing waits for the caller any more; at once where nothing does.
+    void whenDrained(std::function<void()> callback);
+
     /// @return bytes that wait for the caller
     [[nodiscard]] std::size_t waitingBytes() const;
 
@@ -41,6 +44,7 @@
     mutable std::mutex mutex;
     std::size_t waiting = 0;
     bool paused = false;
+    std::function<void()> onDrained;
 };
 
 } // namespace balsamport
--- a/src/filters/alias_resolution.cpp
+++ b/src/filters/alias_resolution.cpp
@@ -63,11 +63,10 @@
     }
     const bool chat = context.endpoint == Endpoint::ChatCompletions;
     context.backendPath = chat ? "/v1/chat/completions" : "/v1/completions";
-    context.fingerprint = Fingerprint(
-            mixHash(hashOf(*context.adapter), hash64(context.request->body)));
+    context.fingerprint
+            = Fingerprint(mixHash(hashOf(*context.adapter), hash64(context.request->body)));
     LOG(INFO) << logprefix::route << "Alias resolved. request=" << context.id
-              << " adapter=" << *context.adapter
-              << " revision=" << context.snapshot->revision;
+              << " adapter=" << *context.adapter << " revision=" << context.snapshot->revision;
     return std::nullopt;
 }
 
@@ -86,10 +85,9 @@
     if (!context.request->query.empty()) {
         context.backendPath += "?" + context.request->query;
     }
-    const std::string target = context.request->method + " " + context.service.str() + " "
-            + context.backendPath;
-    context.fingerprint
-            = Fingerprint(mixHash(hash64(target), hash64(context.request->body)));
+    const std::string target
+            = context.request->method + " " + context.service.str() + " " + context.backendPath;
+    context.fingerprint = Fingerprint(mixHash(hash64(target), hash64(context.request->body)));
     return std::nullopt;
 }
 
--- a/src/filters/answer.cpp
+++ b/src/filters/answer.cpp
@@ -151,8 +151,7 @@
                       errorBody(error)};
     if (const auto after = retryAfterOf(error.code)) {
         const std::int64_t seconds = (after->count() + millisPerSecond - 1) / millisPerSecond;
-        answer.headers.push_back(
-                {std::string(headername::retryAfter), std::to_string(seconds)});
+        answer.headers.push_back({std::string(headername::retryAfter), std::to_string(seconds)});
     }
     return answer;
 }
--- a/src/filters/backend_request.cpp
+++ b/src/filters/backend_request.cpp
@@ -18,11 +18,19 @@
 constexpr Millis cancelTimeout{2'000};
 
 /// Headers that belong to one connection or that the client library writes itself.
-constexpr std::array<std::string_view, 13> hopHeaders{
-        "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization",
-        "te",         "trailer",           "transfer-encoding",  "upgrade",
-        "host",       "content-length",    "expect",             "proxy-connection",
-        "date"};
+constexpr std::array<std::string_view, 13> hopHeaders{"connection",
+                                                      "keep-alive",
+                                                      "proxy-authenticate",
+                                                      "proxy-authorization",
+                                                      "te",
+                                                      "trailer",
+                                                      "transfer-encoding",
+                                                      "upgrade",
+                                                      "host",
+                                                      "content-length",
+                                                      "expect",
+                                                      "proxy-connection",
+                                                      "date"};
 
 std::string lowerCase(std::string_view text)
 {
--- a/src/filters/body_check.cpp
+++ b/src/filters/body_check.cpp
@@ -16,8 +16,7 @@
             return;
         }
         const bool chat = context->endpoint == Endpoint::ChatCompletions;
-        const auto parsed
-                = parseModelRequest(context->request->body, chat ? "messages" : "prompt");
+        const auto parsed = parseModelRequest(context->request->body, chat ? "messages" : "prompt");
         if (!parsed) {
             failRequest(context, parsed.error());
             return;
--- a/src/filters/dispatch.cpp
+++ b/src/filters/dispatch.cpp
@@ -87,6 +87,7 @@
     ExchangeHandlers handlers();
     void cancelForGone();
     void breakOff(const Error &error);
+    std::uint64_t currentExchange();
 
     bool mayStillSend();
     void takeHead(const ResponseHead &head);
@@ -96,6 +97,7 @@
     void takeWholeAnswer();
     void startStreamOnce();
     void finishStream();
+    void endStream();
 
     void handleFailure(const Error &error);
     bool resumeStream(const Error &error);
@@ -134,8 +136,7 @@
         const std::scoped_lock lock(this->mutex);
         if (!this->gone) {
             // The number is stored before any callback can take the lock.
-            this->exchange
-                    = this->sources->backend.start(std::move(request), this->handlers());
+            this->exchange = this->sources->backend.start(std::move(request), this->handlers());
             return;
         }
     }
@@ -169,12 +170,18 @@
 void BackendCall::breakOff(const Error &error)
 {
     this->incoming.fault = error;
-    const std::scoped_lock lock(this->mutex);
-    if (this->exchange != 0) {
-        this->sources->backend.cancel(this->exchange);
+    const std::uint64_t number = this->currentExchange();
+    if (number != 0) {
+        this->sources->backend.cancel(number);
     }
 }
 
+std::uint64_t BackendCall::currentExchange()
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->exchange;
+}
+
 bool BackendCall::mayStillSend()
 {
     const Millis now = monotonicNow();
@@ -253,12 +260,9 @@
     this->relay = std::make_shared<StreamRelay>(
             this->context->writer, this->context->snapshot->limits.streamBufferBytes, [weak] {
                 const auto self = weak.lock();
-                if (!self) {
-                    return;
-                }
-                const std::scoped_lock lock(self->mutex);
-                if (self->exchange != 0) {
-                    self->sources->backend.resume(self->exchange);
+                const std::uint64_t number = self ? self->currentExchange() : 0;
+                if (number != 0) {
+                    self->sources->backend.resume(number);
                 }
             });
     if (this->context->claimAnswer()) {
@@ -284,8 +288,9 @@
         this->finishStream();
     } else if (!result) {
         this->handleFailure(result.error());
-    } else if (this->incoming.streaming || (this->streamStarted && this->resumes != 0)) {
-        this->handleFailure({ErrorCode::AnswerIncomplete, "the stream ended before its last event"});
+    } else if (this->incoming.streaming || this->streamStarted) {
+        this->handleFailure(
+                {ErrorCode::AnswerIncomplete, "the stream ended before its last event"});
     } else {
         this->takeWholeAnswer();
     }
@@ -321,8 +326,16 @@
 void BackendCall::finishStream()
 {
     this->release(PlacementEnd::Finished);
-    this->context->writer->finish();
-    this->context->end();
+    this->endStream();
+}
+
+void BackendCall::endStream()
+{
+    // The request counts as in progress until the caller has all of it.
+    this->relay->whenDrained([finished = this->context] {
+        finished->writer->finish();
+        finished->end();
+    });
 }
 
 void BackendCall::handleFailure(const Error &error)
@@ -380,9 +393,8 @@
 void BackendCall::retryElsewhere(Millis delay)
 {
     const auto self = this->shared_from_this();
-    this->sources->timer(delay, [self] {
-        self->grant(self->context, [self] { self->attempt(); });
-    });
+    this->sources->timer(delay,
+                         [self] { self->grant(self->context, [self] { self->attempt(); }); });
 }
 
 void BackendCall::giveUp(const Error &error)
@@ -399,8 +411,7 @@
     }
     // The caller sees a typed error instead of the last event.
     this->relay->write("data: " + errorBody(error) + "\n\n");
-    this->context->writer->finish();
-    this->context->end();
+    this->endStream();
 }
 
 void BackendCall::releaseAfter(const Error &error)
--- a/src/filters/filter.cpp
+++ b/src/filters/filter.cpp
@@ -13,8 +13,7 @@
     if (index == filters->size()) {
         return;
     }
-    (*filters)[index](context,
-                      [filters, index, context] { runFrom(filters, index + 1, context); });
+    (*filters)[index](context, [filters, index, context] { runFrom(filters, index + 1, context); });
 }
 
 } // namespace
--- a/src/filters/grant.cpp
+++ b/src/filters/grant.cpp
@@ -28,23 +28,25 @@
 {
     return [grants = std::move(grants)](const ContextPtr &context, Next next) {
         const PlacementQuery query = placementQueryOf(*context);
-        grants.acquire(query, [grants, query, context,
-                               next = std::move(next)](const Result<Placement> &result) {
-            if (!result) {
-                failRequest(context, result.error());
-                return;
-            }
-            if (context->writer->isGone()) {
-                grants.release(query, result.value(), {PlacementEnd::Returned, Millis(0), 0});
-                failRequest(context, {ErrorCode::CallerGone, "the caller has left"});
-                return;
-            }
-            context->placement = result.value();
-            LOG(INFO) << logprefix::grant << "Placed. request=" << context->id
-                      << " server=" << result.value().backendServer
-                      << " grant=" << result.value().grant;
-            next();
-        });
+        grants.acquire(
+                query,
+                [grants, query, context, next = std::move(next)](const Result<Placement> &result) {
+                    if (!result) {
+                        failRequest(context, result.error());
+                        return;
+                    }
+                    if (context->writer->isGone()) {
+                        grants.release(query, result.value(),
+                                       {PlacementEnd::Returned, Millis(0), 0});
+                        failRequest(context, {ErrorCode::CallerGone, "the caller has left"});
+                        return;
+                    }
+                    context->placement = result.value();
+                    LOG(INFO) << logprefix::grant << "Placed. request=" << context->id
+                              << " server=" << result.value().backendServer
+                              << " grant=" << result.value().grant;
+                    next();
+                });
     };
 }
 
--- a/src/filters/idempotency.cpp
+++ b/src/filters/idempotency.cpp
@@ -28,6 +28,12 @@
         return Error{ErrorCode::InvalidHeader,
                      std::string(headername::repeatable) + " must be true or false"};
     }
+    const auto sameName = [](const HttpHeader &header) {
+        return findHeader({header}, headername::idempotencyKey).has_value();
+    };
+    if (std::count_if(headers.begin(), headers.end(), sameName) > 1) {
+        return Error{ErrorCode::InvalidHeader, "Idempotency-Key is given twice"};
+    }
     const auto service = context.snapshot->services.find(context.service);
     const bool byService = service != context.snapshot->services.end()
             && isNonRepeatable(service->second, context.request->method, context.backendPath);
@@ -37,8 +43,7 @@
     if (key) {
         if (key->empty() || key->size() > maxKeyLength
             || !std::all_of(key->begin(), key->end(), isKeyCharacter)) {
-            return Error{ErrorCode::KeyInvalid,
-                         "a key holds 1 to 256 visible ASCII characters"};
+            return Error{ErrorCode::KeyInvalid, "a key holds 1 to 256 visible ASCII characters"};
         }
         context.key = RequestKey(*key);
     } else if (!context.repeatable) {
@@ -80,13 +85,10 @@
     case KeyState::New:
         return false;
     case KeyState::InProgress:
-        context->keyMayHaveRun = true;
         failRequest(context, {ErrorCode::KeyInProgress, "a request with this key is running"});
         return true;
     case KeyState::OtherBody:
-        context->keyMayHaveRun = true;
-        failRequest(context,
-                    {ErrorCode::KeyBodyMismatch, "the key was used for another request"});
+        failRequest(context, {ErrorCode::KeyBodyMismatch, "the key was used for another request"});
         return true;
     case KeyState::Answered:
         break;
@@ -104,7 +106,7 @@
     claims.claim(query, [context, answers, next = std::move(next)](const KeyClaimAnswer &answer) {
         if (!answer.won) {
             answers->forget(context->key);
-            context->keyMayHaveRun = !answer.refusal.neverRuns;
+            context->keyNeverRan = answer.refusal.neverRuns;
             failRequest(context, answer.refusal.error);
             return;
         }
--- a/src/filters/outcome.cpp
+++ b/src/filters/outcome.cpp
@@ -4,15 +4,22 @@
 
 namespace balsamport {
 
-std::string_view outcomeOf(const RequestContext &context) noexcept
+std::string_view outcomeOf(const RequestContext &context)
 {
     if (context.run == RunState::Ran) {
         return "ran";
     }
-    if (context.run == RunState::Sent || context.keyMayHaveRun) {
+    if (context.run == RunState::Sent) {
         return "unknown";
     }
-    return "not-run";
+    // Another attempt with the key may have run, unless this one won the claim.
+    const bool excluded = context.claim.has_value() || context.keyNeverRan;
+    return excluded || !hasKey(*context.request) ? "not-run" : "unknown";
+}
+
+bool hasKey(const IncomingRequest &request)
+{
+    return findHeader(request.headers, headername::idempotencyKey).has_value();
 }
 
 void addOutcomeHeaders(const RequestContext &context, HttpHeaders &headers)
--- a/src/filters/request_id.cpp
+++ b/src/filters/request_id.cpp
@@ -46,8 +46,9 @@
         if (given && !isWellFormed(*given)) {
             context->id = newRequestId();
             failRequest(context,
-                        {ErrorCode::InvalidHeader, "the request id may hold up to 128 characters "
-                                                   "out of letters, digits, - _ . :"});
+                        {ErrorCode::InvalidHeader,
+                         "the request id may hold up to 128 characters "
+                         "out of letters, digits, - _ . :"});
             return;
         }
         // The caller's id is only a prefix: two requests never share an id.
--- a/src/filters/size_limits.cpp
+++ b/src/filters/size_limits.cpp
@@ -30,9 +30,9 @@
         }
     }
     if (headers.size() > maxHeaderCount || bytes > maxHeaderBytes) {
-        return Error{ErrorCode::HeadersTooLarge, "at most " + std::to_string(maxHeaderCount)
-                             + " headers of " + std::to_string(maxHeaderBytes)
-                             + " bytes in all are taken"};
+        return Error{ErrorCode::HeadersTooLarge,
+                     "at most " + std::to_string(maxHeaderCount) + " headers of "
+                             + std::to_string(maxHeaderBytes) + " bytes in all are taken"};
     }
     return std::nullopt;
 }
--- a/src/filters/stream_relay.cpp
+++ b/src/filters/stream_relay.cpp
@@ -29,6 +29,18 @@
                         [self = this->shared_from_this(), bytes] { self->written(bytes); });
 }
 
+void StreamRelay::whenDrained(std::function<void()> callback)
+{
+    {
+        const std::scoped_lock lock(this->mutex);
+        if (this->waiting != 0) {
+            this->onDrained = std::move(callback);
+            return;
+        }
+    }
+    callback();
+}
+
 std::size_t StreamRelay::waitingBytes() const
 {
     const std::scoped_lock lock(this->mutex);
@@ -38,6 +50,7 @@
 void StreamRelay::written(std::size_t bytes)
 {
     bool wake = false;
+    std::function<void()> drained;
     {
         const std::scoped_lock lock(this->mutex);
         this->waiting -= bytes;
@@ -45,6 +58,12 @@
         if (wake) {
             this->paused = false;
         }
+        if (this->waiting == 0) {
+            drained.swap(this->onDrained);
+        }
+    }
+    if (drained) {
+        drained();
     }
     if (wake) {
         this->onRoom();
--- /dev/null
+++ b/tests/include/fake_gateway.h
@@ -0,0 +1,254 @@
+#ifndef BALSAMPORT_TESTS_FAKE_GATEWAY_H
+#define BALSAMPORT_TESTS_FAKE_GATEWAY_H
+
+#include <balsamport/filters/gateway.h>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+/// @file
+/// Fakes at the gateway's interfaces. All run on the test's own thread, step by step.
+
+namespace balsamport::testing {
+
+/// @brief Keeps what a caller gets.
+class FakeWriter : public ResponseWriter
+{
+public:
+    void send(const HttpAnswer &whole) override
+    {
+        this->answer = whole;
+        this->answers += 1;
+    }
+    void startStream(int streamStatus, const HttpHeaders &streamHeaders) override
+    {
+        this->answer.status = streamStatus;
+        this->answer.headers = streamHeaders;
+        this->answers += 1;
+    }
+    void write(std::string piece, std::function<void()> onWritten) override
+    {
+        this->answer.body += piece;
+        if (this->slow) {
+            this->unwritten.push_back(std::move(onWritten));
+        } else {
+            onWritten();
+        }
+    }
+    void finish() override { this->finished = true; }
+    void abort() override { this->aborted = true; }
+    [[nodiscard]] bool isGone() const override { return this->gone; }
+    void onGone(std::function<void()> callback) override
+    {
+        this->goneCallback = std::move(callback);
+    }
+
+    /// The caller closes its connection.
+    void leave()
+    {
+        this->gone = true;
+        if (this->goneCallback) {
+            this->goneCallback();
+        }
+    }
+    /// The slow caller reads all that waits.
+    void readAll()
+    {
+        std::vector<std::function<void()>> callbacks;
+        callbacks.swap(this->unwritten);
+        for (const auto &callback : callbacks) {
+            callback();
+        }
+    }
+    [[nodiscard]] std::string header(std::string_view name) const
+    {
+        return findHeader(this->answer.headers, name).value_or("");
+    }
+
+    HttpAnswer answer;
+    int answers = 0;
+    bool slow = false;
+    bool finished = false;
+    bool aborted = false;
+    bool gone = false;
+    std::vector<std::function<void()>> unwritten;
+    std::function<void()> goneCallback;
+};
+
+/// @brief An exchange with a fake backend server, driven by the test.
+struct FakeExchange
+{
+    OutgoingRequest request;
+    ExchangeHandlers handlers;
+    bool ended = false;
+    int resumed = 0;
+
+    /// Lets the request go out; false where the gateway held it back.
+    bool connect()
+    {
+        const bool sent = !this->handlers.mayStillSend || this->handlers.mayStillSend();
+        if (!sent) {
+            this->end(Error{ErrorCode::ClaimExpired, "not sent"});
+        }
+        return sent;
+    }
+    void head(int status, HttpHeaders headers) const
+    {
+        this->handlers.onHead(ResponseHead{status, std::move(headers)});
+    }
+    [[nodiscard]] bool piece(std::string_view text) const { return this->handlers.onPiece(text); }
+    void end(const Result<void> &result)
+    {
+        if (!this->ended) {
+            this->ended = true;
+            const auto done = this->handlers.onDone;
+            this->handlers = ExchangeHandlers();
+            if (done) {
+                done(result);
+            }
+        }
+    }
+    void succeed() { this->end(BOOST_OUTCOME_V2_NAMESPACE::success()); }
+    void fail(ErrorCode code) { this->end(Error{code, "planted"}); }
+};
+
+/// @brief A gateway whose surroundings are fakes.
+class FakeGateway
+{
+public:
+    explicit FakeGateway(Snapshot config, std::uint32_t maxInProgress = 100)
+        : snapshot(std::make_shared<const Snapshot>(std::move(config)))
+        , gateway(this->sources(), maxInProgress)
+    { }
+
+    std::shared_ptr<FakeWriter> request(std::string method, std::string path, std::string body,
+                                        HttpHeaders headers = {})
+    {
+        auto writer = std::make_shared<FakeWriter>();
+        this->requestWith(writer, std::move(method), std::move(path), std::move(body),
+                          std::move(headers));
+        return writer;
+    }
+    void requestWith(const std::shared_ptr<FakeWriter> &writer, std::string method,
+                     std::string path, std::string body, HttpHeaders headers = {})
+    {
+        auto incoming = std::make_shared<IncomingRequest>();
+        incoming->method = std::move(method);
+        const std::size_t mark = path.find('?');
+        incoming->path = path.substr(0, mark);
+        incoming->query = mark == std::string::npos ? "" : path.substr(mark + 1);
+        incoming->body = std::move(body);
+        incoming->headers = std::move(headers);
+        this->gateway.handle(incoming, writer);
+    }
+
+    /// Runs what the gateway put off, in order.
+    void runTimers()
+    {
+        while (!this->timers.empty()) {
+            const auto task = std::move(this->timers.front());
+            this->timers.pop_front();
+            task();
+        }
+    }
+    [[nodiscard]] FakeExchange &exchange(std::size_t index) { return *this->exchanges.at(index); }
+
+    SnapshotPtr snapshot;
+    std::deque<std::shared_ptr<FakeExchange>> exchanges;
+    std::deque<std::function<void()>> timers;
+    std::vector<PlacementQuery> asked;
+    std::vector<PlacementEnd> released;
+    std::vector<KeyClaimQuery> claimed;
+    std::vector<BackendServerId> crashes;
+    std::optional<Error> refusePlaces;
+    std::optional<KeyRefusal> refuseClaims;
+    Millis claimLife{10'000};
+    std::uint32_t retriesAllowed = 2;
+
+private:
+    GatewaySources sources()
+    {
+        GatewaySources all;
+        all.snapshot = [this] { return this->snapshot; };
+        all.grants.acquire = [this](const PlacementQuery &query, const auto &callback) {
+            this->asked.push_back(query);
+            if (this->refusePlaces) {
+                callback(*this->refusePlaces);
+                return;
+            }
+            const std::string number = std::to_string(this->asked.size());
+            callback(Placement{BackendServerId("server-" + number), "10.0.0." + number + ":80",
+                               GrantId(this->asked.size()), FencingNumber(7), false});
+        };
+        all.grants.release = [this](const auto &, const auto &, const PlacementReport &report) {
+            this->released.push_back(report.end);
+        };
+        all.claims.claim = [this](const KeyClaimQuery &query, const auto &callback) {
+            this->claimed.push_back(query);
+            if (this->refuseClaims) {
+                callback(KeyClaimAnswer{std::nullopt, *this->refuseClaims});
+                return;
+            }
+            callback(KeyClaimAnswer{KeyClaim{AttemptId(1), monotonicNow() + this->claimLife}, {}});
+        };
+        all.claims.ticket = [](const auto &callback) { callback(RequestKey("ticket-1")); };
+        all.backend.start = [this](OutgoingRequest request, ExchangeHandlers handlers) {
+            this->exchanges.push_back(std::make_shared<FakeExchange>(
+                    FakeExchange{std::move(request), std::move(handlers)}));
+            return this->exchanges.size();
+        };
+        all.backend.resume = [this](std::uint64_t number) { this->exchange(number - 1).resumed++; };
+        all.backend.cancel = [this](std::uint64_t number) {
+            this->exchange(number - 1).fail(ErrorCode::CallerGone);
+        };
+        all.retries.record = [](const auto &, bool) {};
+        all.retries.next = [this](std::uint32_t attempts, Millis) -> std::optional<Millis> {
+            return attempts <= this->retriesAllowed ? std::optional<Millis>(Millis(1))
+                                                    : std::nullopt;
+        };
+        all.suspects.crashed = [this](Fingerprint, const BackendServerId &server) {
+            this->crashes.push_back(server);
+        };
+        all.suspects.finished = [](Fingerprint) {};
+        all.timer = [this](Millis, std::function<void()> task) {
+            this->timers.push_back(std::move(task));
+        };
+        all.metrics = [] { return std::string("up 1\n"); };
+        return all;
+    }
+
+public:
+    Gateway gateway;
+};
+
+/// @brief A configuration with one route, one range of adapters and one booking service.
+inline Snapshot smallSnapshot()
+{
+    Snapshot snapshot;
+    snapshot.revision = ConfigRevision(1);
+    AdapterConfig adapter{AdapterId("burn-plan"),
+                          BaseModelId("citrus-8b"),
+                          1'000,
+                          {AdapterVersion(3), AdapterVersion(4)}};
+    snapshot.adapters[adapter.id] = adapter;
+    snapshot.routes["burn-plan"] = RouteConfig{
+            "burn-plan", {{AdapterRef{adapter.base, adapter.id, AdapterVersion(3)}, 1}}, {}, 5};
+    ServiceConfig lots;
+    lots.id = ServiceId("lots");
+    lots.nonRepeatable = {"POST /bookings"};
+    snapshot.services[lots.id] = lots;
+    return snapshot;
+}
+
+constexpr const char *chatBody = R"({"model":"burn-plan","messages":[{"role":"user"}]})";
+constexpr const char *streamBody = R"({"model":"burn-plan","stream":true,"messages":[]})";
+inline const HttpHeaders eventStream{{"Content-Type", "text/event-stream"},
+                                     {"Balsamport-Model", "citrus-8b/burn-plan@3"}};
+inline const HttpHeaders jsonAnswer{{"Content-Type", "application/json"},
+                                    {"Balsamport-Model", "citrus-8b/burn-plan@3"}};
+
+} // namespace balsamport::testing
+
+#endif
