--- /dev/null
+++ b/src/programs/gateway/main.cpp
@@ -0,0 +1,50 @@
+/// @file
+/// The gateway daemon: serves callers on one VM.
+
+#include "gateway_daemon.h"
+#include "gateway_settings.h"
+
+#include <balsamport/core/log.h>
+
+#include <asio.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+/// Blocks until SIGTERM or SIGINT.
+void waitForStop()
+{
+    asio::io_context context{1};
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([](const asio::error_code & /*error*/, int /*number*/) {});
+    context.run();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    using namespace balsamport;
+    const auto options = gatewayOptions();
+    const auto command = readProgramSettings(argc, argv, options);
+    if (const auto code = finishUnlessRunning("balsamport-gateway",
+                                              "Serves callers: routes requests to backend servers.",
+                                              command, options)) {
+        return *code;
+    }
+    const auto settings = readGatewaySettings(command.value().values);
+    if (!settings) {
+        std::cerr << "balsamport-gateway: " << describe(settings.error()) << '\n';
+        return exitcode::usage;
+    }
+    startLogging("balsamport-gateway");
+    auto daemon = GatewayDaemon::start(settings.value());
+    if (!daemon) {
+        LOG(ERROR) << logprefix::daemon << describe(daemon.error());
+        return exitcode::failure;
+    }
+    waitForStop();
+    return daemon.value()->leave() ? exitcode::success : exitcode::failure;
+}
--- /dev/null
+++ b/tests/src/unit-gateway-parsers.cpp
@@ -0,0 +1,58 @@
+#include "gateway_properties.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+using namespace balsamport;
+using namespace balsamport::testing;
+
+TEST_CASE("the gateway's parsers")
+{
+    SECTION("hold their properties on generated input")
+    {
+        // RapidCheck reads its parameters once, before the first property.
+        setenv("RC_PARAMS", "seed=20261204 max_success=1000", 1);
+        REQUIRE(checkGatewayParsers());
+    }
+
+    SECTION("refuse a body that is nested too deeply")
+    {
+        const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+        const auto parsed
+                = parseModelRequest(R"({"model":"a","messages":)" + deep + "}", "messages");
+        REQUIRE(parsed.error().code == ErrorCode::InvalidRequest);
+    }
+
+    SECTION("refuse a model that is given twice, as others may read the other one")
+    {
+        REQUIRE_FALSE(parseModelRequest(R"({"model":"a","model":"b","messages":[]})", "messages"));
+    }
+
+    SECTION("refuse bytes that are not UTF-8")
+    {
+        const auto parsed
+                = parseModelRequest("{\"model\":\"\xc0\xaf\",\"messages\":[]}", "messages");
+        REQUIRE(parsed.error().code == ErrorCode::InvalidJson);
+    }
+
+    SECTION("refuse a truncated body")
+    {
+        const std::string body = R"({"model":"a","messages":[]})";
+        for (std::size_t length = 0; length < body.size(); ++length) {
+            REQUIRE_FALSE(parseModelRequest(body.substr(0, length), "messages"));
+        }
+    }
+
+    SECTION("hold a bounded part of an endless event")
+    {
+        SseParser parser;
+        const std::string piece(64 * 1024, 'x');
+        REQUIRE(parser.feed("data: "));
+        bool refused = false;
+        for (int i = 0; i < 5 && !refused; ++i) {
+            refused = parser.feed(piece).has_error();
+        }
+        REQUIRE(refused);
+    }
+}
