Merge, check and accept the configuration folder

A whole revision is accepted or refused by a pure function of its files; every fault is reported with file, line, key, value and what was expected. Each merged value keeps its origin. Property tests: order of arrival does not matter, any text has a typed end.

--- /dev/null
+++ b/include/balsamport/config/accept.h
@@ -0,0 +1,32 @@
+#ifndef BALSAMPORT_CONFIG_ACCEPT_H
+#define BALSAMPORT_CONFIG_ACCEPT_H
+
+#include <balsamport/config/files.h>
+#include <balsamport/config/merge.h>
+#include <balsamport/config/snapshot.h>
+
+#include <vector>
+
+namespace balsamport {
+
+/// @brief What became of a revision: a snapshot, or every fault that it has.
+struct Acceptance
+{
+    SnapshotPtr snapshot; ///< nullptr where the revision is refused.
+    std::vector<Error> errors; ///< Empty where it is accepted.
+
+    [[nodiscard]] bool accepted() const noexcept { return this->snapshot != nullptr; }
+};
+
+/// @brief Accepts or refuses a whole revision. Depends on nothing but its arguments, so that every
+/// VM decides alike.
+/// @param files the complete folder
+/// @return the snapshot, or all faults with file, line, key, value and what was expected
+/// @complexity O(n log n) for n lines
+/// Example: `const Acceptance result = acceptRevision(ConfigRevision(7), files);`
+[[nodiscard]] Acceptance acceptRevision(ConfigRevision revision,
+                                        const std::vector<SourceFile> &files);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/config/merge.cpp
@@ -0,0 +1,133 @@
+#include <balsamport/config/merge.h>
+
+#include <boost/property_tree/ini_parser.hpp>
+
+#include <algorithm>
+#include <sstream>
+#include <string_view>
+#include <unordered_map>
+
+namespace balsamport {
+
+namespace {
+
+namespace pt = boost::property_tree;
+
+/// Lines of all sections and keys of one file, found in one pass.
+class LineIndex
+{
+public:
+    explicit LineIndex(std::string_view text)
+    {
+        std::uint32_t number = 0;
+        while (!text.empty()) {
+            ++number;
+            const std::size_t end = text.find('\n');
+            this->addLine(trim(text.substr(0, end)), number);
+            text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+        }
+    }
+
+    std::uint32_t lineOf(const std::string &section, const std::string &key) const
+    {
+        const auto found = this->lines.find(section + "\n" + key);
+        return found == this->lines.end() ? 0 : found->second;
+    }
+
+private:
+    static std::string_view trim(std::string_view text)
+    {
+        constexpr std::string_view blanks = " \t\r";
+        const std::size_t first = text.find_first_not_of(blanks);
+        if (first == std::string_view::npos) {
+            return {};
+        }
+        return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+    }
+
+    void addLine(std::string_view line, std::uint32_t number)
+    {
+        if (line.size() >= 2 && line.front() == '[' && line.back() == ']') {
+            this->current = trim(line.substr(1, line.size() - 2));
+            this->lines.emplace(this->current + "\n", number);
+            return;
+        }
+        const std::size_t equals = line.find('=');
+        if (equals != std::string_view::npos) {
+            const std::string key(trim(line.substr(0, equals)));
+            this->lines.emplace(this->current + "\n" + key, number);
+        }
+    }
+
+    std::string current;
+    std::unordered_map<std::string, std::uint32_t> lines;
+};
+
+MergedSection newSection(const std::string &title, const Place &origin)
+{
+    const std::size_t blank = title.find(' ');
+    MergedSection section;
+    section.kind = title.substr(0, blank);
+    if (blank != std::string::npos) {
+        section.id = title.substr(title.find_first_not_of(' ', blank));
+    }
+    section.origin = origin;
+    return section;
+}
+
+void mergeTree(const std::string &file, const pt::ptree &tree, const LineIndex &lines,
+               MergedConfig &merged)
+{
+    for (const auto &[title, child] : tree) {
+        if (child.empty() && !child.data().empty()) {
+            merged.errors.push_back(Error{ErrorCode::ConfigSyntax,
+                                          "\"" + child.data() + "\" stands before any section",
+                                          Place{file, lines.lineOf("", title), title}});
+            continue;
+        }
+        const Place origin{file, lines.lineOf(title, ""), ""};
+        const auto section = merged.sections.emplace(title, newSection(title, origin)).first;
+        for (const auto &[key, value] : child) {
+            section->second.values[key] = MergedValue{
+                    value.data(), Place{file, lines.lineOf(title, key), "[" + title + "] " + key}};
+        }
+    }
+}
+
+void mergeFile(const SourceFile &file, MergedConfig &merged)
+{
+    if (file.content.size() > maxFileBytes) {
+        merged.errors.push_back(Error{ErrorCode::ConfigTooLarge,
+                                      std::to_string(file.content.size())
+                                              + " bytes; expected at most "
+                                              + std::to_string(maxFileBytes),
+                                      Place{file.name, 0, ""}});
+        return;
+    }
+    pt::ptree tree;
+    try {
+        std::istringstream input(file.content);
+        pt::read_ini(input, tree);
+    } catch (const pt::ini_parser_error &error) {
+        const bool duplicate = error.message().find("duplicate") != std::string::npos;
+        merged.errors.push_back(Error{
+                duplicate ? ErrorCode::ConfigDuplicate : ErrorCode::ConfigSyntax, error.message(),
+                Place{file.name, static_cast<std::uint32_t>(error.line()), ""}});
+        return;
+    }
+    mergeTree(file.name, tree, LineIndex(file.content), merged);
+}
+
+} // namespace
+
+MergedConfig mergeFiles(std::vector<SourceFile> files)
+{
+    std::sort(files.begin(), files.end());
+    MergedConfig merged;
+    for (const SourceFile &file : files) {
+        mergeFile(file, merged);
+    }
+    return merged;
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/tests/src/unit-config.cpp
@@ -0,0 +1,235 @@
+#include <balsamport/config/accept.h>
+#include <balsamport/config/schema.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <fixed_seed.h>
+
+using namespace balsamport;
+
+namespace {
+
+const std::string baseText = R"(; the base of the fleet
+[data-centre north]
+region = jutland
+has-weight-store = true
+
+[backend-server e1]
+address = 127.0.0.1:24001
+data-centre = north
+base = citrus-8b
+
+[adapter burn-plan]
+base = citrus-8b
+versions = 1,2,3
+bytes = 1000000
+
+[adapter-range member-]
+first = 1
+last = 32000
+base = citrus-8b
+versions = 1
+
+[route burn]
+targets = burn-plan@2:90, burn-plan@3:10
+
+[caller-class members]
+weight = 3
+
+[service lots]
+non-repeatable = POST /bookings, POST /deposits
+
+[limits]
+handover-wait = 4000
+)";
+
+SourceFile baseFile()
+{
+    return SourceFile{"10-base.ini", baseText};
+}
+
+Acceptance accept(std::vector<SourceFile> files)
+{
+    return acceptRevision(ConfigRevision(7), files);
+}
+
+bool hasFault(const Acceptance &result, ErrorCode code, const std::string &file, std::uint32_t line,
+              const std::string &text)
+{
+    return std::any_of(result.errors.begin(), result.errors.end(), [&](const Error &error) {
+        return error.code == code && error.place.file == file && error.place.line == line
+                && error.detail.find(text) != std::string::npos;
+    });
+}
+
+} // namespace
+
+TEST_CASE("a folder becomes a snapshot")
+{
+    const Acceptance base = accept({baseFile()});
+    for (const Error &error : base.errors) {
+        UNSCOPED_INFO(describe(error));
+    }
+    REQUIRE(base.accepted());
+    const Snapshot &snapshot = *base.snapshot;
+
+    SECTION("with its values and defaults")
+    {
+        REQUIRE(snapshot.revision == ConfigRevision(7));
+        REQUIRE(snapshot.backendServers.at(BackendServerId("e1")).slots == 8);
+        REQUIRE(snapshot.routes.at("burn").targets.size() == 2);
+        REQUIRE(snapshot.routes.at("burn").targets[0].share == 90);
+        REQUIRE(snapshot.routes.at("burn").targets[0].adapter.str() == "citrus-8b/burn-plan@2");
+        REQUIRE(snapshot.services.at(ServiceId("lots")).nonRepeatable.size() == 2);
+        REQUIRE(snapshot.limits.handoverWait == Millis(4000));
+    }
+
+    SECTION("with adapters of a declared range")
+    {
+        REQUIRE(snapshot.findAdapter(AdapterId("member-32000")).has_value());
+        REQUIRE_FALSE(snapshot.findAdapter(AdapterId("member-32001")).has_value());
+    }
+
+    SECTION("and defaults that are the schema's own")
+    {
+        const std::string text = "[data-centre a]\nregion = r\n[limits]\n";
+        const Acceptance plain = accept({{"a.ini", text}});
+        REQUIRE(plain.accepted());
+        std::string explicitText = text;
+        for (const KeySchema &key : findSectionSchema("limits")->keys) {
+            explicitText += std::string(key.key) + " = " + std::string(key.defaultText) + "\n";
+        }
+        const Acceptance written = accept({{"a.ini", explicitText}});
+        REQUIRE(written.accepted());
+        REQUIRE(written.snapshot->limits == LimitsConfig());
+        REQUIRE(plain.snapshot->limits == LimitsConfig());
+    }
+
+    SECTION("a month-end override is dropped in and removed again")
+    {
+        const SourceFile override{"90-month-end.ini",
+                                  "[limits]\nrequest-timeout = 90000\n[adapter burn-plan]\nbytes = "
+                                  "5\n"};
+        const Acceptance monthEnd = accept({override, baseFile()});
+        REQUIRE(monthEnd.accepted());
+        REQUIRE(monthEnd.snapshot->limits.requestTimeout == Millis(90'000));
+        REQUIRE(monthEnd.snapshot->limits.handoverWait == Millis(4000));
+        REQUIRE(monthEnd.snapshot->adapters.at(AdapterId("burn-plan")).bytes == 5);
+        REQUIRE(monthEnd.snapshot->adapters.at(AdapterId("burn-plan")).versions.size() == 3);
+        REQUIRE(*accept({baseFile()}).snapshot == snapshot);
+
+        SECTION("and every value tells where it comes from")
+        {
+            const MergedConfig merged = mergeFiles({override, baseFile()});
+            const MergedSection &adapter = merged.sections.at("adapter burn-plan");
+            REQUIRE(adapter.values.at("bytes").origin.file == "90-month-end.ini");
+            REQUIRE(adapter.values.at("bytes").origin.line == 4);
+            REQUIRE(adapter.values.at("versions").origin.file == "10-base.ini");
+            REQUIRE(adapter.values.at("versions").origin.line == 13);
+        }
+    }
+}
+
+TEST_CASE("a faulty revision is refused as a whole")
+{
+    SECTION("with every fault, its file, line, value and what was expected")
+    {
+        const Acceptance result = accept({baseFile(),
+                                          {"20-faulty.ini",
+                                           "[backend-server e2]\n"
+                                           "address = nowhere\n"
+                                           "data-centre = south\n"
+                                           "base = citrus-8b\n"
+                                           "slots = 0\n"
+                                           "colour = red\n"
+                                           "[route frost]\n"
+                                           "target = burn-plan@9\n"
+                                           "[weather w]\n"
+                                           "wind = 3\n"
+                                           "[caller c]\n"
+                                           "class = members\n"}});
+        REQUIRE_FALSE(result.accepted());
+        const std::string file = "20-faulty.ini";
+        REQUIRE(hasFault(result, ErrorCode::ConfigInvalidValue, file, 2, "\"nowhere\""));
+        REQUIRE(hasFault(result, ErrorCode::ConfigUnknownReference, file, 3, "\"south\""));
+        REQUIRE(hasFault(result, ErrorCode::ConfigInvalidValue, file, 5, "from 1 to 4096"));
+        REQUIRE(hasFault(result, ErrorCode::ConfigUnknownKey, file, 6, "no such key"));
+        REQUIRE(hasFault(result, ErrorCode::ConfigUnknownReference, file, 8, "burn-plan@9"));
+        REQUIRE(hasFault(result, ErrorCode::ConfigUnknownSection, file, 9, "no such kind"));
+        REQUIRE(hasFault(result, ErrorCode::ConfigMissingKey, file, 11, "64 hexadecimal"));
+        REQUIRE(result.errors.size() == 7);
+    }
+
+    SECTION("for broken syntax, with the line")
+    {
+        const Acceptance result = accept({baseFile(), {"b.ini", "[limits]\n\nno equals sign\n"}});
+        REQUIRE(hasFault(result, ErrorCode::ConfigSyntax, "b.ini", 3, ""));
+    }
+
+    SECTION("for a key that stands twice in one file")
+    {
+        const Acceptance result
+                = accept({baseFile(), {"b.ini", "[limits]\nbody-bytes = 1\nbody-bytes = 2\n"}});
+        REQUIRE(hasFault(result, ErrorCode::ConfigDuplicate, "b.ini", 3, "duplicate"));
+    }
+
+    SECTION("for two backend servers at one address")
+    {
+        const Acceptance result = accept({baseFile(),
+                                          {"b.ini",
+                                           "[backend-server e2]\naddress = 127.0.0.1:24001\n"
+                                           "data-centre = north\nbase = citrus-8b\n"}});
+        REQUIRE(hasFault(result, ErrorCode::ConfigDuplicate, "b.ini", 2, "127.0.0.1:24001"));
+    }
+
+    SECTION("for a handover wait that a stale view would outlast")
+    {
+        const Acceptance result
+                = accept({baseFile(), {"b.ini", "[limits]\nhandover-wait = 1000\n"}});
+        REQUIRE(hasFault(result, ErrorCode::ConfigInvalidValue, "b.ini", 2, "view-lifetime"));
+    }
+
+    SECTION("for a file above the platform's limit")
+    {
+        const Acceptance result
+                = accept({baseFile(), {"b.ini", std::string(maxFileBytes + 1, ';')}});
+        REQUIRE(hasFault(result, ErrorCode::ConfigTooLarge, "b.ini", 0, "1048576"));
+    }
+
+    SECTION("where the folder is empty, as a broken platform may say")
+    {
+        REQUIRE_FALSE(accept({}).accepted());
+    }
+}
+
+TEST_CASE("every VM decides alike")
+{
+    const bool alike = rc::check("the order in which files arrive does not matter", [] {
+        std::vector<SourceFile> files = {baseFile()};
+        const int extra = *rc::gen::inRange(0, 5);
+        for (int i = 0; i < extra; ++i) {
+            files.push_back({std::to_string(*rc::gen::inRange(0, 10'000)) + "-x.ini",
+                             "[limits]\ngather-time = "
+                                     + std::to_string(*rc::gen::inRange(0, 20'000)) + "\n"});
+        }
+        const Acceptance before = accept(files);
+        std::reverse(files.begin(), files.end());
+        const Acceptance after = accept(files);
+        RC_ASSERT(before.accepted() == after.accepted());
+        RC_ASSERT(before.errors == after.errors);
+        if (before.accepted()) {
+            RC_ASSERT(*before.snapshot == *after.snapshot);
+        }
+    });
+    REQUIRE(alike);
+
+    const bool total = rc::check("any text is accepted or refused with a typed fault", [] {
+        const auto text = *rc::gen::container<std::string>(
+                rc::gen::elementOf(std::string("[]=;\n ab@:,-1limts")));
+        const Acceptance result = accept({baseFile(), {"x.ini", text}});
+        RC_ASSERT(result.accepted() == result.errors.empty());
+    });
+    REQUIRE(total);
+}
