--- /dev/null
+++ b/src/controllers/member_messages.cpp
@@ -0,0 +1,96 @@
+#include <balsamport/controllers/member_messages.h>
+
+#include <balsamport/wire/convert.h>
+
+namespace balsamport {
+
+namespace {
+
+wire::MemberNews::State toWire(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return wire::MemberNews::ALIVE;
+    case MemberState::Suspect:
+        return wire::MemberNews::SUSPECT;
+    case MemberState::Dead:
+        return wire::MemberNews::DEAD;
+    case MemberState::Leaving:
+        return wire::MemberNews::LEAVING;
+    }
+    return wire::MemberNews::UNSPECIFIED;
+}
+
+MemberState fromWire(wire::MemberNews::State state)
+{
+    switch (state) {
+    case wire::MemberNews::SUSPECT:
+        return MemberState::Suspect;
+    case wire::MemberNews::DEAD:
+        return MemberState::Dead;
+    case wire::MemberNews::LEAVING:
+        return MemberState::Leaving;
+    default:
+        return MemberState::Alive;
+    }
+}
+
+} // namespace
+
+wire::MemberNews toWire(const Member &member)
+{
+    wire::MemberNews news;
+    *news.mutable_instance() = toWire(member.instance);
+    news.set_state(toWire(member.state));
+    news.set_data_centre(member.dataCentre.str());
+    news.set_controller_endpoint(member.controllerEndpoint);
+    news.set_gateway_address(member.gatewayAddress);
+    news.set_refutation(member.refutation);
+    return news;
+}
+
+wire::ListedVmEntry toWire(const ListedVm &listed)
+{
+    wire::ListedVmEntry entry;
+    entry.set_vm(listed.vm.str());
+    entry.set_data_centre(listed.dataCentre.str());
+    entry.set_controller_endpoint(listed.controllerEndpoint);
+    entry.set_gateway_address(listed.gatewayAddress);
+    entry.set_leaving(listed.leaving);
+    return entry;
+}
+
+wire::OwnerEntry toWire(const Owner &owner)
+{
+    wire::OwnerEntry entry;
+    entry.set_backend_server(owner.backendServer.str());
+    entry.set_vm(owner.vm.str());
+    entry.set_controller_endpoint(owner.controllerEndpoint);
+    return entry;
+}
+
+Member fromWire(const wire::MemberNews &news)
+{
+    Member member;
+    member.instance = fromWire(news.instance());
+    member.state = fromWire(news.state());
+    member.dataCentre = DataCentreId(news.data_centre());
+    member.controllerEndpoint = news.controller_endpoint();
+    member.gatewayAddress = news.gateway_address();
+    member.refutation = news.refutation();
+    return member;
+}
+
+ListedVm fromWire(const wire::ListedVmEntry &entry)
+{
+    return ListedVm{VmId(entry.vm()), DataCentreId(entry.data_centre()),
+                    entry.controller_endpoint(), entry.gateway_address(), entry.leaving()};
+}
+
+Owner fromWire(const wire::OwnerEntry &entry)
+{
+    return Owner{BackendServerId(entry.backend_server()), VmId(entry.vm()),
+                 entry.controller_endpoint()};
+}
+
+} // namespace balsamport
