--- a/tests/include/history_oracle.h
+++ b/tests/include/history_oracle.h
@@ -54,6 +54,15 @@
     bool operator==(const Event &) const = default;
 };
 
+/// @brief Makes an event without its further fields.
+inline Event eventAt(EventKind kind, Millis at)
+{
+    Event event;
+    event.kind = kind;
+    event.at = at;
+    return event;
+}
+
 /// @brief The promises of the product; the last one is of crashers.
 enum class Promise : std::uint8_t {
     RightAdapter,
