--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Entry points for people and CI. The build itself is CMakeLists.txt.
 BUILD ?= build
 JOBS ?= $(shell nproc)
+# make fuzz runs 25,000 histories of each kind for each seed.
+FUZZ_SEEDS ?= 1 2 3 4
 
 .PHONY: packages build test e2e fuzz demo bench-policy capacity format format-check lint proto clean
 
@@ -17,6 +19,10 @@
 e2e: build
 	cd $(BUILD) && ctest --output-on-failure -L e2e
 
+fuzz: build
+	printf '%s\n' $(FUZZ_SEEDS) | xargs -P $(JOBS) -I SEED \
+		$(BUILD)/fuzz-histories --seed SEED --count 25000
+
 demo: packages build
 	bash scripts/demo.sh $(BUILD)
 
--- /dev/null
+++ b/tests/fuzz/histories.cpp
@@ -0,0 +1,134 @@
+// Runs random histories of claims, answers and crashers against the oracle of the promises, and
+// prints the seed and how often each fault came. Ends with 1 where a promise was broken.
+#include "answer_world.h"
+#include "claim_steps.h"
+#include "suspect_world.h"
+
+#include <boost/program_options.hpp>
+
+#include <chrono>
+#include <iostream>
+
+using namespace balsamport;
+using namespace balsamport::testing;
+namespace po = boost::program_options;
+
+namespace {
+
+template<typename Counts, typename Names>
+void printFaults(const Counts &counts, const Names &names)
+{
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        std::cout << "fault: name=" << names[i] << " count=" << counts[i] << "\n";
+    }
+}
+
+template<typename Counts>
+void addTo(Counts &sum, const Counts &more)
+{
+    for (std::size_t i = 0; i < sum.size(); ++i) {
+        sum[i] += more[i];
+    }
+}
+
+/// Runs histories of one kind and prints what came of them.
+template<typename History>
+bool runKind(const char *kind, std::uint64_t seed, int count, const History &history)
+{
+    rc::detail::TestParams params;
+    params.seed = seed;
+    params.maxSuccess = count;
+    int ran = 0;
+    const auto start = std::chrono::steady_clock::now();
+    const auto result = rc::detail::checkTestable(
+            [&history, &ran] {
+                ++ran;
+                history();
+            },
+            rc::detail::TestMetadata(), params);
+    const std::chrono::duration<double> time = std::chrono::steady_clock::now() - start;
+    const bool passed = result.template is<rc::detail::SuccessResult>();
+    std::cout << "histories: kind=" << kind << " seed=" << seed << " count=" << ran
+              << " violations=" << (passed ? 0 : 1) << " seconds=" << time.count() << "\n";
+    if (!passed) {
+        rc::detail::printResultMessage(result, std::cout);
+        std::cout << std::endl;
+    }
+    return passed;
+}
+
+bool runClaims(std::uint64_t seed, int count)
+{
+    FaultCounts faults{};
+    std::uint64_t won = 0;
+    std::uint64_t notRun = 0;
+    const bool passed = runKind("claims", seed, count, [&] {
+        runClaimHistory(Plant::None, [&](const ClaimWorld &world) {
+            addTo(faults, world.faults());
+            won += world.won();
+            notRun += world.toldNotRun();
+        });
+    });
+    std::cout << "claims: won=" << won << " told-not-run=" << notRun << "\n";
+    printFaults(faults, faultNames);
+    return passed;
+}
+
+bool runAnswers(std::uint64_t seed, int count)
+{
+    std::array<std::uint64_t, answerFaultNames.size()> faults{};
+    std::uint64_t whole = 0;
+    const bool passed = runKind("answers", seed, count, [&] {
+        AnswerWorld world(AnswerPlant::None, *anyChoice());
+        runSteps(world);
+        addTo(faults, world.faults());
+        whole += world.whole();
+    });
+    std::cout << "answers: whole=" << whole << "\n";
+    printFaults(faults, answerFaultNames);
+    return passed;
+}
+
+bool runCrashers(std::uint64_t seed, int count)
+{
+    std::array<std::uint64_t, crashFaultNames.size()> faults{};
+    std::uint64_t finished = 0;
+    const bool passed = runKind("crashers", seed, count, [&] {
+        SuspectWorld world(CrashPlant::None, *anyChoice());
+        runSteps(world);
+        addTo(faults, world.faults());
+        finished += world.finished();
+    });
+    std::cout << "crashers: innocents-finished=" << finished << "\n";
+    printFaults(faults, crashFaultNames);
+    return passed;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::uint64_t seed = 0;
+    int count = 0;
+    po::options_description options("Random histories against the oracle of the promises");
+    options.add_options()("help", "print this text");
+    options.add_options()("seed", po::value(&seed)->default_value(20'261'204), "first seed");
+    options.add_options()("count", po::value(&count)->default_value(100'000),
+                          "histories of each kind");
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, options), values);
+        po::notify(values);
+    } catch (const po::error &error) {
+        std::cerr << error.what() << "\n";
+        return 2;
+    }
+    if (values.count("help") > 0) {
+        std::cout << options;
+        return 0;
+    }
+    const bool claims = runClaims(seed, count);
+    const bool answers = runAnswers(seed, count);
+    const bool crashers = runCrashers(seed, count);
+    return claims && answers && crashers ? 0 : 1;
+}
--- /dev/null
+++ b/tests/include/answer_world.h
@@ -0,0 +1,323 @@
+#ifndef BALSAMPORT_TESTS_ANSWER_WORLD_H
+#define BALSAMPORT_TESTS_ANSWER_WORLD_H
+
+#include "history_oracle.h"
+#include "world_random.h"
+
+#include <balsamport/core/hash.h>
+#include <balsamport/policy/answer_match.h>
+#include <balsamport/policy/retry.h>
+#include <balsamport/policy/stream_order.h>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace balsamport::testing {
+
+/// @brief Faults of answers that a history holds; counted.
+enum class AnswerFault : std::uint8_t {
+    ChunkLate,
+    ChunkTwice,
+    StreamBroken,
+    Resumed,
+    Restarted,
+    LateAnswer,
+    OtherRequest,
+    WrongVersion,
+    TextDiffers,
+    Count,
+};
+
+constexpr std::array<const char *, static_cast<std::size_t>(AnswerFault::Count)> answerFaultNames{
+        "chunk-late",  "chunk-twice",   "stream-broken", "resumed",     "restarted",
+        "late-answer", "other-request", "wrong-version", "text-differs"};
+
+/// @brief A fault planted in the handling of answers.
+enum class AnswerPlant : std::uint8_t {
+    None,
+    NoOrder, ///< Chunks are passed on as they come.
+    NoMatch, ///< Answers are not matched to their request and version.
+    SilentCut, ///< A broken stream is ended as if it were whole.
+};
+
+/// @brief One gateway that streams answers of several requests at once.
+///
+/// Drives StreamOrder, mismatchOf and decideRetry. The backend servers are a few lines of fake:
+/// their streams come in pieces, out of order, twice, late, broken, or from the wrong adapter.
+class AnswerWorld
+{
+public:
+    AnswerWorld(AnswerPlant plant, std::uint64_t seed)
+        : random(seed)
+        , plant(plant)
+    {
+        for (std::size_t i = 0; i < this->streams.size(); ++i) {
+            this->offer(i);
+        }
+    }
+
+    const HistoryOracle &oracle() const { return this->history; }
+    const std::array<std::uint64_t, static_cast<std::size_t>(AnswerFault::Count)> &faults() const
+    {
+        return this->counts;
+    }
+    std::uint64_t whole() const { return this->wholeCount; }
+
+    /// @brief A chunk of a stream arrives: any of those that were sent and are under way.
+    void arrive(std::size_t which)
+    {
+        Stream &stream = this->pick(which);
+        if (stream.underWay.empty()) {
+            this->produce(stream);
+            return;
+        }
+        const std::size_t place
+                = this->random.percent(30) ? this->random.below(stream.underWay.size()) : 0;
+        this->count(AnswerFault::ChunkLate, place > 0);
+        const Sent sent = stream.underWay[place];
+        const bool twice = this->random.percent(10);
+        this->count(AnswerFault::ChunkTwice, twice);
+        if (!twice) {
+            stream.underWay.erase(stream.underWay.begin() + static_cast<std::ptrdiff_t>(place));
+        }
+        this->take(stream, sent);
+    }
+
+    /// @brief The connection breaks; the gateway resumes, starts again elsewhere, or gives up.
+    void breakStream(std::size_t which)
+    {
+        Stream &stream = this->pick(which);
+        this->count(AnswerFault::StreamBroken);
+        if (this->plant == AnswerPlant::SilentCut) {
+            this->end(stream, EventKind::Done);
+            return;
+        }
+        FailedAttempt failed;
+        failed.failure = ErrorCode::ConnectionBroken;
+        failed.repeatable = true;
+        failed.answerStarted = stream.order.next() > 0;
+        failed.resumable = this->random.percent(50);
+        failed.attempts = stream.attempts;
+        failed.deadline = Millis(60'000);
+        const RetryDecision decision = decideRetry(failed, RetryBudget{}, 0.5);
+        if (decision.action == RetryAction::GiveUp) {
+            this->end(stream, EventKind::Failed);
+            return;
+        }
+        this->restart(stream, decision.action == RetryAction::Resume);
+    }
+
+    /// @brief A chunk of another request comes on this request's stream.
+    void confuse(std::size_t which)
+    {
+        Stream &stream = this->pick(which);
+        const Stream &other = this->pick(which + 1);
+        Sent sent{stream.attempt, other.name, stream.adapter, this->chunkOf(other, 0, 0)};
+        sent.chunk.number = stream.order.next();
+        sent.chunk.textHash = hash64(sent.chunk.payload);
+        this->count(AnswerFault::OtherRequest);
+        this->take(stream, sent);
+    }
+
+    /// @brief A backend server answers with another version of the adapter.
+    void answerWithOtherVersion(std::size_t which)
+    {
+        Stream &stream = this->pick(which);
+        Sent sent{stream.attempt, stream.name, "b/a@99",
+                  this->chunkOf(stream, stream.order.next(), 0)};
+        this->count(AnswerFault::WrongVersion);
+        this->take(stream, sent);
+    }
+
+    std::vector<Violation> finish()
+    {
+        for (Stream &stream : this->streams) {
+            if (!stream.ended) {
+                this->end(stream, EventKind::Failed);
+            }
+        }
+        return this->history.finish();
+    }
+
+    /// @brief A caller asks anew where its answer has ended.
+    void offerAgain(std::size_t which)
+    {
+        if (this->pick(which).ended) {
+            this->offer(which % this->streams.size());
+        }
+    }
+
+private:
+    struct Sent
+    {
+        std::uint64_t attempt = 0;
+        std::string request;
+        std::string adapter;
+        StreamChunk chunk;
+    };
+    struct Stream
+    {
+        std::string name;
+        std::string adapter;
+        std::uint64_t length = 0;
+        std::uint64_t attempt = 0;
+        std::uint32_t attempts = 1;
+        std::uint64_t variant = 0; ///< A server that samples anew writes another text.
+        std::uint64_t produced = 0;
+        std::vector<Sent> underWay;
+        StreamOrder order;
+        bool ended = false;
+    };
+
+    Stream &pick(std::size_t which) { return this->streams[which % this->streams.size()]; }
+
+    void count(AnswerFault fault, bool happened = true)
+    {
+        this->counts[static_cast<std::size_t>(fault)] += happened ? 1 : 0;
+    }
+
+    void offer(std::size_t which)
+    {
+        Stream &stream = this->streams[which];
+        stream = Stream{};
+        stream.name = "r" + std::to_string(++this->names);
+        stream.adapter = "b/a@" + std::to_string(1 + this->random.below(3));
+        stream.length = 1 + this->random.below(12);
+        stream.attempt = ++this->names;
+        Event offered = eventAt(EventKind::Offered, Millis(0));
+        offered.request = stream.name;
+        offered.adapter = stream.adapter;
+        offered.number = stream.length;
+        this->history.add(offered);
+    }
+
+    StreamChunk chunkOf(const Stream &stream, std::uint64_t number, std::uint64_t variant) const
+    {
+        const std::string text
+                = stream.name + "/" + std::to_string(number) + "/" + std::to_string(variant);
+        return {number, text, hash64(text), number + 1 == stream.length};
+    }
+
+    void produce(Stream &stream)
+    {
+        if (stream.ended || stream.produced >= stream.length) {
+            return;
+        }
+        const std::uint64_t end
+                = std::min(stream.length, stream.produced + 1 + this->random.below(4));
+        for (; stream.produced < end; ++stream.produced) {
+            stream.underWay.push_back({stream.attempt, stream.name, stream.adapter,
+                                       this->chunkOf(stream, stream.produced, stream.variant)});
+        }
+    }
+
+    void restart(Stream &stream, bool resume)
+    {
+        this->count(resume ? AnswerFault::Resumed : AnswerFault::Restarted);
+        ++stream.attempts;
+        stream.produced = resume ? stream.order.next() : 0;
+        if (!resume && this->random.percent(20)) {
+            ++stream.variant;
+            this->count(AnswerFault::TextDiffers);
+        }
+        if (this->random.percent(50)) {
+            stream.underWay.clear();
+        } // Else chunks of the old attempt come late.
+        stream.attempt = ++this->names;
+    }
+
+    void take(Stream &stream, const Sent &sent)
+    {
+        if (stream.ended) {
+            return;
+        }
+        const ExpectedAnswer expected{RequestId(stream.name), AttemptId(stream.attempt),
+                                      this->adapterOf(stream)};
+        const AnswerLabel label{AttemptId(sent.attempt), RequestId(sent.request), sent.adapter};
+        const auto mismatch = mismatchOf(expected, label);
+        this->count(AnswerFault::LateAnswer, mismatch == ErrorCode::GrantExpired);
+        if (mismatch && this->plant != AnswerPlant::NoMatch) {
+            return;
+        }
+        if (this->plant == AnswerPlant::NoOrder) {
+            this->pass(stream, sent, sent.chunk);
+            return;
+        }
+        const auto ready = stream.order.take(sent.chunk);
+        if (!ready) {
+            this->end(stream, EventKind::Failed);
+            return;
+        }
+        for (const StreamChunk &chunk : ready.value()) {
+            this->pass(stream, sent, chunk);
+        }
+        if (stream.order.isWhole()) {
+            ++this->wholeCount;
+            this->end(stream, EventKind::Done);
+        }
+    }
+
+    AdapterRef adapterOf(const Stream &stream) const
+    {
+        return {BaseModelId("b"), AdapterId("a"),
+                AdapterVersion(std::stoull(stream.adapter.substr(4)))};
+    }
+
+    /// The caller gets a chunk; its payload tells whose it is.
+    void pass(Stream &stream, const Sent &sent, const StreamChunk &chunk)
+    {
+        Event event = eventAt(EventKind::Chunk, Millis(0));
+        event.request = stream.name;
+        event.number = chunk.number;
+        event.source = chunk.payload.substr(0, chunk.payload.find('/'));
+        event.adapter = sent.adapter;
+        this->history.add(event);
+    }
+
+    void end(Stream &stream, EventKind kind)
+    {
+        if (stream.ended) {
+            return;
+        }
+        stream.ended = true;
+        Event event = eventAt(kind, Millis(0));
+        event.request = stream.name;
+        this->history.add(event);
+    }
+
+    WorldRandom random;
+    AnswerPlant plant;
+    std::array<Stream, 4> streams;
+    std::uint64_t names = 0;
+    HistoryOracle history;
+    std::array<std::uint64_t, static_cast<std::size_t>(AnswerFault::Count)> counts{};
+    std::uint64_t wholeCount = 0;
+};
+
+/// @brief One step of a history of answers.
+inline void applyStep(AnswerWorld &world, std::uint64_t choice)
+{
+    WorldRandom random(choice);
+    const std::uint64_t kind = random.below(24);
+    const std::size_t which = random.below(4);
+    if (kind < 16) {
+        for (std::uint64_t i = 0; i <= random.below(4); ++i) {
+            world.arrive(which);
+        }
+    } else if (kind < 18) {
+        world.offerAgain(which);
+    } else if (kind < 22) {
+        world.breakStream(which);
+    } else if (kind < 23) {
+        world.confuse(which);
+    } else {
+        world.answerWithOtherVersion(which);
+    }
+}
+
+} // namespace balsamport::testing
+
+#endif
--- a/tests/include/claim_world.h
+++ b/tests/include/claim_world.h
@@ -2,6 +2,7 @@
 #define BALSAMPORT_TESTS_CLAIM_WORLD_H
 
 #include "history_oracle.h"
+#include "world_random.h"
 
 #include <balsamport/policy/claim_key.h>
 #include <balsamport/policy/claim_round.h>
@@ -68,29 +69,6 @@
     DispatchAfterNotRun, ///< A gateway tells not-run and sends all the same.
 };
 
-/// @brief Small fast random numbers (SplitMix64).
-class WorldRandom
-{
-public:
-    explicit WorldRandom(std::uint64_t seed)
-        : state(seed)
-    { }
-    std::uint64_t next()
-    {
-        this->state += 0x9E37'79B9'7F4A'7C15U;
-        std::uint64_t z = this->state;
-        z = (z ^ (z >> 30U)) * 0xBF58'476D'1CE4'E5B9U;
-        z = (z ^ (z >> 27U)) * 0x94D0'49BB'1331'11EBU;
-        return z ^ (z >> 31U);
-    }
-    /// @return a number in [0, bound)
-    std::uint64_t below(std::uint64_t bound) { return this->next() % bound; }
-    bool percent(std::uint64_t chance) { return this->below(100) < chance; }
-
-private:
-    std::uint64_t state;
-};
-
 /// @brief Gateways, controllers, a service and callers in virtual time.
 ///
 /// Drives the policies that the daemons use: claim tables, tickets, rounds, outcomes and retries.
