--- a/include/balsamport/policy/claim_round.h
+++ b/include/balsamport/policy/claim_round.h
@@ -28,6 +28,7 @@
 struct ClaimRound
 {
     ClaimVotes votes;
+    bool ageKnown = true; ///< The key has a first-sent time, or is a ticket.
     std::size_t claimReplies = 0;
     std::size_t closeReplies = 0;
     bool closing = false; ///< The attempt is given up, whatever votes still come.
@@ -45,7 +46,7 @@
 
 /// @brief Starts a round that claims a key, or one that only closes it.
 [[nodiscard]] ClaimRound startRound(AttemptId attempt, Fingerprint body, std::size_t seatCount,
-                                    bool closeOnly);
+                                    bool ageKnown, bool closeOnly);
 
 /// @brief Takes the last reply of a seat to a claim, or to a request to close.
 /// @param close which of the two it answers
@@ -53,8 +54,13 @@
                                   const ClaimVerdict &verdict);
 
 /// @brief Gives the outcome of a round that is done.
+///
+/// Witnesses let keys of unknown age go once no attempt can be under way any more. A round on such
+/// a key that ends after its dispatch window may have asked witnesses that let it go, and proves
+/// nothing.
 /// @param arrivedAt when the request came to the gateway; monotonic
 /// @param deadline of the request; monotonic
+/// @param now monotonic
 [[nodiscard]] ClaimOutcome roundOutcome(const ClaimRound &round, Millis arrivedAt, Millis deadline);
 
 } // namespace balsamport
--- a/src/controllers/claim_client.cpp
+++ b/src/controllers/claim_client.cpp
@@ -189,7 +189,8 @@
         ClaimOutcome outcome;
         {
             const std::scoped_lock lock(this->mutex);
-            outcome = roundOutcome(this->round, this->query.arrivedAt, this->query.deadline);
+            outcome = roundOutcome(this->round, this->query.arrivedAt, this->query.deadline,
+                                   monotonicNow());
         }
         LOG(INFO) << logprefix::claim << "Claim ended. key=" << this->wireKey
                   << " attempt=" << this->query.attempt
@@ -243,7 +244,8 @@
         LOG(WARNING) << logprefix::claim << "Refused after a pause. key=" << round->wireKey;
         round->addresses.clear();
     }
-    round->round = startRound(query.attempt, query.body, round->addresses.size(), closeOnly);
+    round->round = startRound(query.attempt, query.body, round->addresses.size(), !ageUnknown,
+                              closeOnly);
     return round;
 }
 
--- a/src/policy/claim_round.cpp
+++ b/src/policy/claim_round.cpp
@@ -36,10 +36,12 @@
 
 } // namespace
 
-ClaimRound startRound(AttemptId attempt, Fingerprint body, std::size_t seatCount, bool closeOnly)
+ClaimRound startRound(AttemptId attempt, Fingerprint body, std::size_t seatCount, bool ageKnown,
+                      bool closeOnly)
 {
     ClaimRound round;
     round.votes = startVotes(attempt, body, seatCount);
+    round.ageKnown = ageKnown;
     round.closing = closeOnly;
     round.done = seatCount == 0;
     return round;
@@ -60,7 +62,7 @@
     return round.closing ? stepWhileClosing(round) : stepWhileClaiming(round);
 }
 
-ClaimOutcome roundOutcome(const ClaimRound &round, Millis arrivedAt, Millis deadline)
+ClaimOutcome roundOutcome(const ClaimRound &round, Millis arrivedAt, Millis deadline, Millis now)
 {
     ClaimOutcome outcome;
     outcome.standing = standingOf(round.votes);
@@ -68,7 +70,8 @@
         outcome.standing = ClaimStanding::Undecided;
     }
     outcome.dispatchDeadline = std::min(deadline, arrivedAt + dispatchWindow);
-    outcome.provenNotRun = isProvenNotRun(round.votes);
+    const bool inTime = round.ageKnown || now < arrivedAt + dispatchWindow;
+    outcome.provenNotRun = inTime && isProvenNotRun(round.votes);
     if (outcome.standing != ClaimStanding::Won) {
         outcome.failure = failureOf(round.votes);
     }
--- a/tests/include/claim_world.h
+++ b/tests/include/claim_world.h
@@ -774,7 +774,7 @@
     void finishClaim(const AttemptPtr &attempt)
     {
         const ClaimOutcome outcome = roundOutcome(attempt->round, attempt->arrivedAt,
-                                                  attempt->arrivedAt + requestTimeout);
+                                                  attempt->arrivedAt + requestTimeout, this->now);
         if (outcome.standing == ClaimStanding::Won) {
             ++this->wonCount;
             this->note(EventKind::Claimed, *attempt);
--- a/tests/src/unit-claims.cpp
+++ b/tests/src/unit-claims.cpp
@@ -297,6 +297,21 @@
     }
 }
 
+TEST_CASE("a round that a pause drew out proves nothing of a key of unknown age")
+{
+    const ClaimVerdict closed{ClaimHolder{}, std::nullopt};
+    const Millis arrivedAt{1'000};
+    const Millis deadline{60'000};
+    const Millis late = arrivedAt + dispatchWindow;
+    for (const bool ageKnown : {true, false}) {
+        ClaimRound round = startRound(AttemptId(1), Fingerprint(7), 3, ageKnown, true);
+        REQUIRE(takeReply(round, 0, true, closed) == ClaimStep::Wait);
+        REQUIRE(takeReply(round, 1, true, closed) == ClaimStep::Finish);
+        REQUIRE(roundOutcome(round, arrivedAt, deadline, late - Millis(1)).provenNotRun);
+        REQUIRE(roundOutcome(round, arrivedAt, deadline, late).provenNotRun == ageKnown);
+    }
+}
+
 TEST_CASE("seats")
 {
     const std::vector<DataCentreId> three{DataCentreId("a"), DataCentreId("b"), DataCentreId("c")};
