--- a/include/balsamport/policy/claim_round.h
+++ b/include/balsamport/policy/claim_round.h
@@ -61,7 +61,8 @@
 /// @param arrivedAt when the request came to the gateway; monotonic
 /// @param deadline of the request; monotonic
 /// @param now monotonic
-[[nodiscard]] ClaimOutcome roundOutcome(const ClaimRound &round, Millis arrivedAt, Millis deadline);
+[[nodiscard]] ClaimOutcome roundOutcome(const ClaimRound &round, Millis arrivedAt, Millis deadline,
+                                        Millis now);
 
 } // namespace balsamport
 
--- a/tests/include/claim_world.h
+++ b/tests/include/claim_world.h
@@ -685,8 +685,8 @@
         if (!(request.ageUnknown && pausedLately)) {
             this->findSeats(*attempt, gateway.view);
         }
-        attempt->round
-                = startRound(attempt->id, Fingerprint(request.body), attempt->seats.size(), false);
+        attempt->round = startRound(attempt->id, Fingerprint(request.body), attempt->seats.size(),
+                                    !request.ageUnknown, false);
         for (auto &answered : attempt->answered) {
             answered.assign(attempt->seats.size(), false);
         }
