--- a/include/balsamport/filters/answer.h
+++ b/include/balsamport/filters/answer.h
@@ -25,9 +25,6 @@
 constexpr std::string_view retryAfter = "Retry-After";
 } // namespace headername
 
-/// @return the HTTP status of a failure, for example 429 for Overloaded
-[[nodiscard]] int statusOf(ErrorCode code) noexcept;
-
 /// @return the time after which a caller should try again; nothing where it should not
 [[nodiscard]] std::optional<Millis> retryAfterOf(ErrorCode code) noexcept;
 
@@ -36,10 +33,11 @@
 [[nodiscard]] std::string errorBody(const Error &error);
 
 /// @brief Builds a whole typed answer, without the headers of a request's outcome.
-[[nodiscard]] HttpAnswer errorAnswer(const Error &error);
+/// @param retryAfter when to come back; 0 where only the kind of failure says so
+[[nodiscard]] HttpAnswer errorAnswer(const Error &error, Millis retryAfter = Millis(0));
 
 /// @brief Ends a request with a typed error and its outcome. Later calls do nothing.
-void failRequest(const ContextPtr &context, const Error &error);
+void failRequest(const ContextPtr &context, const Error &error, Millis retryAfter = Millis(0));
 
 /// @brief Ends a request with a whole answer and its outcome. Later calls do nothing.
 void answerRequest(const ContextPtr &context, HttpAnswer answer);
--- a/include/balsamport/filters/answer_store.h
+++ b/include/balsamport/filters/answer_store.h
@@ -1,74 +1,50 @@
 #ifndef BALSAMPORT_FILTERS_ANSWER_STORE_H
 #define BALSAMPORT_FILTERS_ANSWER_STORE_H
 
-#include <balsamport/core/clock.h>
-#include <balsamport/core/ids.h>
-#include <balsamport/http/http_message.h>
+#include <balsamport/policy/answer_memory.h>
 
-#include <array>
-#include <cstdint>
-#include <deque>
+#include <cstddef>
+#include <memory>
 #include <mutex>
-#include <optional>
-#include <unordered_map>
+#include <vector>
 
 namespace balsamport {
 
-/// @brief What is known here about a key.
-enum class KeyState : std::uint8_t {
-    New, ///< Nothing; it is now marked as in progress.
-    InProgress,
-    Answered,
-    OtherBody, ///< It was used with another body.
-};
-
 /// @brief Answers of non-repeatable requests, kept for a repeat of the same key.
 ///
-/// Sharded by key, each shard under its own lock. Bounded by entries and by bytes: the oldest
-/// answers go first; a key in progress never goes.
+/// Sharded by key, each shard under its own lock. All functions may be called from any thread.
 class AnswerStore
 {
 public:
-    /// @brief What look-up found.
-    struct Found
-    {
-        KeyState state = KeyState::New;
-        std::optional<HttpAnswer> answer; ///< Where state is Answered.
-    };
+    static constexpr std::size_t defaultBytes = std::size_t{32} * 1024 * 1024;
 
-    explicit AnswerStore(std::size_t maxEntries = 20'000, std::size_t maxBytes = 32U << 20U);
+    explicit AnswerStore(std::size_t maxBytes = defaultBytes);
 
-    /// @brief Looks a key up and marks a new one as in progress.
+    /// @brief Looks a key up and marks an unknown one as in progress.
+    /// @return Unknown where the caller now runs the request
     /// @complexity constant on average
-    [[nodiscard]] Found begin(const RequestKey &key, Fingerprint body);
+    [[nodiscard]] RememberedAnswer begin(const RequestKey &key, Fingerprint body);
 
     /// @brief Keeps the answer of a key in progress.
-    void finish(const RequestKey &key, const HttpAnswer &answer);
+    void finish(const RequestKey &key, HttpAnswer answer);
 
     /// @brief Forgets a key in progress that has no answer to keep; does nothing to others.
-    void forget(const RequestKey &key);
+    void abandon(const RequestKey &key);
 
 private:
-    struct Entry
-    {
-        Fingerprint body;
-        std::optional<HttpAnswer> answer;
-    };
     struct Shard
     {
+        explicit Shard(std::size_t maxBytes) noexcept
+            : memory(maxBytes)
+        { }
+
         std::mutex mutex;
-        std::unordered_map<RequestKey, Entry> entries;
-        std::deque<RequestKey> answered; ///< Oldest first.
-        std::size_t bytes = 0;
+        AnswerMemory memory; ///< Under the lock.
     };
-    static constexpr std::size_t shardCount = 16;
 
     Shard &shardOf(const RequestKey &key);
-    void trim(Shard &shard) const;
 
-    const std::size_t shardEntries;
-    const std::size_t shardBytes;
-    std::array<Shard, shardCount> shards;
+    std::vector<std::unique_ptr<Shard>> shards;
 };
 
 } // namespace balsamport
--- a/include/balsamport/filters/dispatch.h
+++ b/include/balsamport/filters/dispatch.h
@@ -3,6 +3,7 @@
 
 #include <balsamport/filters/answer_store.h>
 #include <balsamport/filters/filter.h>
+#include <balsamport/filters/retry_keeper.h>
 
 namespace balsamport {
 
@@ -11,7 +12,7 @@
 {
     BackendClient backend;
     GrantSource grants;
-    RetrySource retries;
+    std::shared_ptr<RetryKeeper> retries;
     SuspectSource suspects;
     TimerSource timer;
     std::shared_ptr<AnswerStore> answers;
@@ -21,8 +22,8 @@
 ///
 /// Whole answers are collected before the first byte goes out; streams go through the relay. The
 /// last filter: it never calls `next`.
-/// @param grant asked again for another place before a retry
-[[nodiscard]] Filter makeDispatchFilter(DispatchSources sources, Filter grant);
+/// @param place gets another place before a retry
+[[nodiscard]] Filter makeDispatchFilter(DispatchSources sources, Filter place);
 
 } // namespace balsamport
 
--- a/include/balsamport/filters/filter.h
+++ b/include/balsamport/filters/filter.h
@@ -17,6 +17,9 @@
 /// A filter never blocks: it starts what it waits for and calls `next` from the callback.
 using Filter = std::function<void(const ContextPtr &context, Next next)>;
 
+/// @brief Makes one filter of two.
+[[nodiscard]] Filter joinFilters(Filter first, Filter second);
+
 /// @brief Filters in their order.
 ///
 /// Example: `FilterChain({checkLimits, checkBody}).run(context);`
--- a/include/balsamport/filters/gateway.h
+++ b/include/balsamport/filters/gateway.h
@@ -21,7 +21,7 @@
     GrantSource grants;
     ClaimSource claims;
     BackendClient backend;
-    RetrySource retries;
+    std::shared_ptr<RetryKeeper> retries;
     SuspectSource suspects;
     TimerSource timer;
     std::function<std::string()> metrics; ///< Prometheus text.
--- a/include/balsamport/filters/outcome.h
+++ b/include/balsamport/filters/outcome.h
@@ -3,21 +3,21 @@
 
 #include <balsamport/filters/request_context.h>
 #include <balsamport/http/http_message.h>
+#include <balsamport/policy/outcome.h>
 
-#include <string_view>
+#include <optional>
 
 namespace balsamport {
 
-/// @brief Says what may be said about whether a request ran.
-/// @return "ran", "not-run" or "unknown"; "not-run" only where no attempt can have run
-[[nodiscard]] std::string_view outcomeOf(const RequestContext &context);
-
-/// @return true where the caller gave an Idempotency-Key
-[[nodiscard]] bool hasKey(const IncomingRequest &request);
+/// @brief Sums up how a request ended, for the outcome that its caller is told.
+[[nodiscard]] AttemptEnd endOf(const RequestContext &context, std::optional<ErrorCode> failure);
 
 /// @brief Adds the request's id and outcome.
 void addOutcomeHeaders(const RequestContext &context, HttpHeaders &headers);
 
+/// @return true where the caller gave an Idempotency-Key
+[[nodiscard]] bool hasKey(const IncomingRequest &request);
+
 } // namespace balsamport
 
 #endif
--- a/include/balsamport/filters/request_context.h
+++ b/include/balsamport/filters/request_context.h
@@ -66,12 +66,18 @@
     bool repeatable = true; ///< May be sent again after it may have run.
     RequestKey key; ///< Empty where the caller gave none.
     std::optional<KeyClaim> claim; ///< Of a non-repeatable request, once it is won.
-    bool keyNeverRan = false; ///< No attempt with the caller's key has run or can run.
+    bool keyKnown = false; ///< The idempotency filter has decided on `repeatable`.
+    bool claimLost = false;
+    bool provenNotRun = false; ///< No attempt with the key has run, or ever will without this one.
+    bool alone = false; ///< Suspected: it has the right to run alone.
 
     std::optional<Placement> placement; ///< Held now.
     std::vector<BackendServerId> triedServers;
     std::uint32_t attempts = 0; ///< Times the request was sent to a backend server.
     RunState run = RunState::NotSent;
+    std::optional<ErrorCode> failure; ///< Where the answer is a typed error.
+    int answerStatus = 0; ///< Of the answer that the caller gets.
+    std::function<void(const Error &)> failStream; ///< Ends a stream that has started.
 
     /// @brief Calls back once when the request has ended in any way.
     void onEnd(std::function<void()> finisher);
--- a/include/balsamport/filters/sources.h
+++ b/include/balsamport/filters/sources.h
@@ -6,6 +6,7 @@
 #include <balsamport/core/error.h>
 #include <balsamport/core/ids.h>
 #include <balsamport/http/http_client.h>
+#include <balsamport/policy/suspects.h>
 
 #include <functional>
 #include <optional>
@@ -33,7 +34,7 @@
     std::vector<std::uint64_t> prefixHashes;
     Fingerprint fingerprint;
     bool repeatable = true;
-    std::vector<BackendServerId> triedServers;
+    std::vector<BackendServerId> avoid; ///< Tried before, or failing now.
 
     bool operator==(const PlacementQuery &) const = default;
 };
@@ -59,30 +60,25 @@
     ServerCrashed,
 };
 
-/// @brief What is reported when a place is given back.
-struct PlacementReport
-{
-    PlacementEnd end = PlacementEnd::Finished;
-    Millis firstToken; ///< After the request was sent.
-    std::uint32_t tokens = 0;
-
-    bool operator==(const PlacementReport &) const = default;
-};
+/// Takes a place, or a failure and the time after which to come back; 0 where that is no use.
+using PlacementHandler = std::function<void(const Result<Placement> &place, Millis retryAfter)>;
 
 /// @brief Grants and gives back places. Each acquire() calls back once.
 struct GrantSource
 {
-    std::function<void(PlacementQuery, std::function<void(Result<Placement>)>)> acquire;
-    std::function<void(const PlacementQuery &, const Placement &, const PlacementReport &)> release;
+    std::function<void(const PlacementQuery &, PlacementHandler)> acquire;
+    std::function<void(const RequestId &)> cancel; ///< Gives up a request that waits.
+    std::function<void(const Placement &, PlacementEnd)> release;
 };
 
 /// @brief What a claim on a key is asked with.
 struct KeyClaimQuery
 {
-    RequestId request;
     RequestKey key;
+    CallerId caller;
     Fingerprint body;
-    Millis firstSentWall; ///< 0: unknown.
+    std::optional<Millis> firstSentWall; ///< Nothing where unknown.
+    Millis arrived; ///< Monotonic.
     Millis deadline; ///< Monotonic.
 
     bool operator==(const KeyClaimQuery &) const = default;
@@ -91,8 +87,8 @@
 /// @brief A won claim. Nothing may be sent at or after `dispatchBefore`.
 struct KeyClaim
 {
-    AttemptId attempt;
     Millis dispatchBefore; ///< Monotonic.
+    bool provenNotRun = false; ///< If this attempt is abandoned, none has run or ever will.
 
     bool operator==(const KeyClaim &) const = default;
 };
@@ -101,7 +97,7 @@
 struct KeyRefusal
 {
     Error error;
-    bool neverRuns = false; ///< No attempt with this key has run or can run.
+    bool provenNotRun = false; ///< No attempt with this key has run or ever will.
 
     bool operator==(const KeyRefusal &) const = default;
 };
@@ -118,8 +114,8 @@
 /// @brief Claims keys of non-repeatable requests and gives tickets. Each calls back once.
 struct ClaimSource
 {
-    std::function<void(KeyClaimQuery, std::function<void(KeyClaimAnswer)>)> claim;
-    std::function<void(std::function<void(Result<RequestKey>)>)> ticket;
+    std::function<void(const KeyClaimQuery &, std::function<void(const KeyClaimAnswer &)>)> claim;
+    std::function<void(std::function<void(const Result<RequestKey> &)>)> ticket;
 };
 
 /// @brief Sends requests to backend servers.
@@ -130,20 +126,16 @@
     std::function<void(std::uint64_t)> cancel;
 };
 
-/// @brief Decides on retries; fed with how backend servers fare.
-struct RetrySource
-{
-    std::function<void(const BackendServerId &, bool succeeded)> record;
-    /// Takes one retry from the budget.
-    /// @return how long to wait before it; nothing where there must be none
-    std::function<std::optional<Millis>(std::uint32_t attempts, Millis deadline)> next;
-};
-
-/// @brief Is told about requests whose backend server died and about those that ended.
+/// @brief Keeps requests apart that were in progress when a backend server died.
 struct SuspectSource
 {
-    std::function<void(Fingerprint, const BackendServerId &)> crashed;
-    std::function<void(Fingerprint)> finished;
+    std::function<void(Fingerprint, const RequestId &, std::function<void(SuspectVerdict)>)> ask;
+    /// Calls back once the others know of the crash.
+    std::function<void(Fingerprint, const RequestId &, const BackendServerId &,
+                       std::function<void()>)>
+            crashed;
+    std::function<void(Fingerprint, const RequestId &)> finished;
+    std::function<void(Fingerprint, const RequestId &)> runEnded; ///< Without a whole answer.
 };
 
 /// @brief Runs a function later, on a thread that must not be blocked.
--- a/src/filters/alias_resolution.cpp
+++ b/src/filters/alias_resolution.cpp
@@ -5,6 +5,7 @@
 #include <balsamport/filters/answer.h>
 #include <balsamport/filters/model_name.h>
 #include <balsamport/filters/service_path.h>
+#include <balsamport/policy/suspects.h>
 
 #include <algorithm>
 
@@ -63,8 +64,7 @@
     }
     const bool chat = context.endpoint == Endpoint::ChatCompletions;
     context.backendPath = chat ? "/v1/chat/completions" : "/v1/completions";
-    context.fingerprint
-            = Fingerprint(mixHash(hashOf(*context.adapter), hash64(context.request->body)));
+    context.fingerprint = fingerprintOf(*context.adapter, context.request->body);
     LOG(INFO) << logprefix::route << "Alias resolved. request=" << context.id
               << " adapter=" << *context.adapter << " revision=" << context.snapshot->revision;
     return std::nullopt;
--- a/src/filters/answer.cpp
+++ b/src/filters/answer.cpp
@@ -14,113 +14,17 @@
 
 constexpr std::int64_t millisPerSecond = 1'000;
 
-struct StatusRule
-{
-    int status;
-    Millis retryAfter; ///< 0: do not say.
-};
-
-constexpr StatusRule callerFault{400, Millis(0)};
-constexpr StatusRule unavailable{503, Millis(1'000)};
-
-StatusRule requestRule(ErrorCode code) noexcept
-{
-    switch (code) {
-    case ErrorCode::BodyTooLarge:
-        return {413, Millis(0)};
-    case ErrorCode::HeadersTooLarge:
-        return {431, Millis(0)};
-    case ErrorCode::Unauthorized:
-        return {401, Millis(0)};
-    case ErrorCode::UnknownModel:
-    case ErrorCode::UnknownService:
-    case ErrorCode::UnknownPath:
-        return {404, Millis(0)};
-    case ErrorCode::MethodNotAllowed:
-        return {405, Millis(0)};
-    case ErrorCode::RequestTimeout:
-        return {408, Millis(0)};
-    default:
-        return callerFault;
-    }
-}
-
-StatusRule keyRule(ErrorCode code) noexcept
-{
-    switch (code) {
-    case ErrorCode::KeyMissing:
-    case ErrorCode::KeyInvalid:
-    case ErrorCode::KeyFromFuture:
-        return callerFault;
-    case ErrorCode::KeyBodyMismatch:
-        return {422, Millis(0)};
-    case ErrorCode::KeyInProgress:
-        return {409, Millis(1'000)};
-    case ErrorCode::KeyUsed:
-    case ErrorCode::KeyClosed:
-    case ErrorCode::KeyTooOld:
-    case ErrorCode::TicketUnknown:
-        return {409, Millis(0)};
-    case ErrorCode::OutcomeUnknown:
-        return {502, Millis(0)};
-    default:
-        return unavailable;
-    }
-}
-
-StatusRule backendRule(ErrorCode code) noexcept
-{
-    switch (code) {
-    case ErrorCode::Timeout:
-        return {504, Millis(0)};
-    case ErrorCode::ConnectFailed:
-    case ErrorCode::PlatformUnavailable:
-    case ErrorCode::RateLimited:
-    case ErrorCode::AdapterNotLoaded:
-        return unavailable;
-    default:
-        return {502, Millis(0)};
-    }
-}
-
-StatusRule ruleOf(ErrorCode code) noexcept
-{
-    constexpr std::uint16_t hundred = 100;
-    switch (errorNumber(code) / hundred) {
-    case 1:
-        return requestRule(code);
-    case 3:
-        return keyRule(code);
-    case 6:
-        return backendRule(code);
-    case 7:
-        return {500, Millis(0)};
-    default:
-        break;
-    }
-    switch (code) {
-    case ErrorCode::Overloaded:
-        return {429, Millis(1'000)};
-    case ErrorCode::DeadlineExceeded:
-        return {504, Millis(0)};
-    case ErrorCode::Quarantined:
-        return {422, Millis(0)};
-    default:
-        return unavailable;
-    }
-}
+/// When to come back after a failure that passes by itself.
+constexpr Millis passingFault{1'000};
 
 } // namespace
 
-int statusOf(ErrorCode code) noexcept
-{
-    return ruleOf(code).status;
-}
-
 std::optional<Millis> retryAfterOf(ErrorCode code) noexcept
 {
-    const Millis after = ruleOf(code).retryAfter;
-    return after == Millis(0) ? std::nullopt : std::optional<Millis>(after);
+    constexpr int unavailableStatus = 503;
+    const bool passes = statusOf(code) == unavailableStatus || code == ErrorCode::RateLimited
+            || code == ErrorCode::KeyInProgress;
+    return passes ? std::optional<Millis>(passingFault) : std::nullopt;
 }
 
 std::string errorBody(const Error &error)
@@ -144,28 +48,37 @@
     return {buffer.GetString(), buffer.GetSize()};
 }
 
-HttpAnswer errorAnswer(const Error &error)
+HttpAnswer errorAnswer(const Error &error, Millis retryAfter)
 {
     HttpAnswer answer{statusOf(error.code),
                       {{std::string(headername::contentType), "application/json"}},
                       errorBody(error)};
-    if (const auto after = retryAfterOf(error.code)) {
+    const auto after
+            = retryAfter > Millis(0) ? std::optional<Millis>(retryAfter) : retryAfterOf(error.code);
+    if (after) {
         const std::int64_t seconds = (after->count() + millisPerSecond - 1) / millisPerSecond;
         answer.headers.push_back({std::string(headername::retryAfter), std::to_string(seconds)});
     }
     return answer;
 }
 
-void failRequest(const ContextPtr &context, const Error &error)
+void failRequest(const ContextPtr &context, const Error &error, Millis retryAfter)
 {
     LOG(INFO) << logprefix::http << "Request failed. request=" << context->id
-              << " error=" << errorName(error.code) << " outcome=" << outcomeOf(*context);
-    answerRequest(context, errorAnswer(error));
+              << " error=" << errorName(error.code)
+              << " outcome=" << outcomeName(outcomeOf(endOf(*context, error.code)));
+    context->failure = error.code;
+    if (context->failStream) {
+        context->failStream(error);
+        return;
+    }
+    answerRequest(context, errorAnswer(error, retryAfter));
 }
 
 void answerRequest(const ContextPtr &context, HttpAnswer answer)
 {
     if (context->claimAnswer()) {
+        context->answerStatus = answer.status;
         addOutcomeHeaders(*context, answer.headers);
         context->writer->send(answer);
     }
--- a/src/filters/answer_store.cpp
+++ b/src/filters/answer_store.cpp
@@ -1,68 +1,50 @@
 #include <balsamport/filters/answer_store.h>
 
 #include <functional>
+#include <utility>
 
 namespace balsamport {
 
-AnswerStore::AnswerStore(std::size_t maxEntries, std::size_t maxBytes)
-    : shardEntries(maxEntries / shardCount + 1)
-    , shardBytes(maxBytes / shardCount + 1)
-{ }
+namespace {
 
-AnswerStore::Shard &AnswerStore::shardOf(const RequestKey &key)
+constexpr std::size_t shardCount = 16;
+
+} // namespace
+
+AnswerStore::AnswerStore(std::size_t maxBytes)
 {
-    return this->shards[std::hash<RequestKey>()(key) % shardCount];
+    for (std::size_t i = 0; i < shardCount; ++i) {
+        this->shards.push_back(std::make_unique<Shard>(maxBytes / shardCount));
+    }
 }
 
-AnswerStore::Found AnswerStore::begin(const RequestKey &key, Fingerprint body)
+AnswerStore::Shard &AnswerStore::shardOf(const RequestKey &key)
 {
-    Shard &shard = this->shardOf(key);
-    const std::scoped_lock lock(shard.mutex);
-    const auto [entry, isNew] = shard.entries.try_emplace(key, Entry{body, std::nullopt});
-    if (isNew) {
-        return {KeyState::New, std::nullopt};
-    }
-    if (entry->second.body != body) {
-        return {KeyState::OtherBody, std::nullopt};
-    }
-    if (!entry->second.answer) {
-        return {KeyState::InProgress, std::nullopt};
-    }
-    return {KeyState::Answered, entry->second.answer};
+    return *this->shards[std::hash<RequestKey>()(key) % shardCount];
 }
 
-void AnswerStore::finish(const RequestKey &key, const HttpAnswer &answer)
+RememberedAnswer AnswerStore::begin(const RequestKey &key, Fingerprint body)
 {
     Shard &shard = this->shardOf(key);
     const std::scoped_lock lock(shard.mutex);
-    const auto entry = shard.entries.find(key);
-    if (entry == shard.entries.end() || entry->second.answer) {
-        return;
+    if (shard.memory.begin(key, body)) {
+        return {AnswerLookup::Unknown, nullptr};
     }
-    entry->second.answer = answer;
-    shard.bytes += answer.body.size();
-    shard.answered.push_back(key);
-    this->trim(shard);
+    return shard.memory.find(key, body);
 }
 
-void AnswerStore::forget(const RequestKey &key)
+void AnswerStore::finish(const RequestKey &key, HttpAnswer answer)
 {
     Shard &shard = this->shardOf(key);
     const std::scoped_lock lock(shard.mutex);
-    const auto entry = shard.entries.find(key);
-    if (entry != shard.entries.end() && !entry->second.answer) {
-        shard.entries.erase(entry);
-    }
+    shard.memory.finish(key, std::move(answer));
 }
 
-void AnswerStore::trim(Shard &shard) const
+void AnswerStore::abandon(const RequestKey &key)
 {
-    while (shard.answered.size() > this->shardEntries || shard.bytes > this->shardBytes) {
-        const auto oldest = shard.entries.find(shard.answered.front());
-        shard.bytes -= oldest->second.answer->body.size();
-        shard.entries.erase(oldest);
-        shard.answered.pop_front();
-    }
+    Shard &shard = this->shardOf(key);
+    const std::scoped_lock lock(shard.mutex);
+    shard.memory.abandon(key);
 }
 
 } // namespace balsamport
--- a/src/filters/dispatch.cpp
+++ b/src/filters/dispatch.cpp
@@ -3,10 +3,10 @@
 #include <balsamport/core/log.h>
 #include <balsamport/filters/answer.h>
 #include <balsamport/filters/backend_request.h>
-#include <balsamport/filters/grant.h>
 #include <balsamport/filters/ordering.h>
 #include <balsamport/filters/outcome.h>
 #include <balsamport/filters/stream_relay.h>
+#include <balsamport/policy/claim_key.h>
 
 #include <algorithm>
 #include <array>
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024;
-constexpr std::uint32_t maxResumes = 3;
+constexpr Millis probeTimeout{300};
 constexpr int firstErrorStatus = 400;
 constexpr int firstServerErrorStatus = 500;
 constexpr int notFoundStatus = 404;
@@ -37,11 +37,9 @@
     return std::find(methods.begin(), methods.end(), method) != methods.end();
 }
 
+/// Tells whether a request may run a second time.
 bool mayRunAgain(const RequestContext &context)
 {
-    if (context.run == RunState::NotSent) {
-        return true;
-    }
     return context.repeatable
             && (context.endpoint != Endpoint::Service
                 || isIdempotentMethod(context.request->method));
@@ -51,9 +49,9 @@
 class BackendCall : public std::enable_shared_from_this<BackendCall>
 {
 public:
-    BackendCall(Sources sources, Filter grant, ContextPtr context)
+    BackendCall(Sources sources, Filter place, ContextPtr context)
         : sources(std::move(sources))
-        , grant(std::move(grant))
+        , place(std::move(place))
         , context(std::move(context))
     { }
 
@@ -97,18 +95,21 @@
     void takeWholeAnswer();
     void startStreamOnce();
     void finishStream();
+    void failStream(const Error &error);
     void endStream();
 
     void handleFailure(const Error &error);
-    bool resumeStream(const Error &error);
+    void findCrash(const Error &error);
+    void takeCrash(const Error &error);
     void retryOrFail(const Error &error);
+    [[nodiscard]] FailedAttempt failedAttempt(const Error &error) const;
+    void resumeStream();
     void retryElsewhere(Millis delay);
     void giveUp(const Error &error);
     void release(PlacementEnd end);
-    void releaseAfter(const Error &error);
 
     const Sources sources;
-    const Filter grant;
+    const Filter place;
     const ContextPtr context;
     std::mutex mutex;
     std::uint64_t exchange = 0; ///< 0: none is under way. Under the lock.
@@ -117,16 +118,17 @@
     OrderedStream stream;
     std::shared_ptr<StreamRelay> relay;
     bool streamStarted = false;
-    std::uint32_t resumes = 0;
-    Millis sentAt;
-    std::optional<Millis> firstToken;
+    bool resuming = false; ///< The present connection continues a broken one.
 };
 
 void BackendCall::attempt()
 {
-    this->sentAt = monotonicNow();
+    const Millis now = monotonicNow();
+    this->resuming = false;
     this->context->attempts += 1;
-    this->send(backendRequestOf(*this->context, this->sentAt));
+    this->sources->retries->noteSent(this->context->placement->backendServer, now);
+    this->stream.reconnect(0);
+    this->send(backendRequestOf(*this->context, now));
 }
 
 void BackendCall::send(OutgoingRequest request)
@@ -164,6 +166,9 @@
     }
     if (number != 0) {
         this->sources->backend.cancel(number);
+    } else {
+        // Between two attempts it may wait for a place.
+        this->sources->grants.cancel(this->context->id);
     }
 }
 
@@ -231,7 +236,6 @@
     if (this->relay && !this->relay->hasRoom()) {
         return false;
     }
-    const std::uint64_t before = this->stream.chunks();
     auto text = this->stream.feed(piece);
     if (!text) {
         this->breakOff(text.error());
@@ -240,9 +244,6 @@
     if (text.value().empty()) {
         return true;
     }
-    if (this->stream.chunks() > before) {
-        this->resumes = 0;
-    }
     this->startStreamOnce();
     this->relay->write(std::move(text).value());
     return true;
@@ -254,7 +255,6 @@
         return;
     }
     this->streamStarted = true;
-    this->firstToken = monotonicNow() - this->sentAt;
     this->context->run = RunState::Ran;
     const std::weak_ptr<BackendCall> weak = this->weak_from_this();
     this->relay = std::make_shared<StreamRelay>(
@@ -265,8 +265,14 @@
                     self->sources->backend.resume(number);
                 }
             });
+    this->context->failStream = [weak](const Error &error) {
+        if (const auto self = weak.lock()) {
+            self->failStream(error);
+        }
+    };
     if (this->context->claimAnswer()) {
         HttpHeaders headers = callerHeadersOf(this->incoming.head.headers);
+        this->context->answerStatus = this->incoming.head.status;
         addOutcomeHeaders(*this->context, headers);
         this->context->writer->startStream(this->incoming.head.status, headers);
     }
@@ -304,21 +310,18 @@
         this->handleFailure({ErrorCode::AdapterNotLoaded, "the engine has not loaded the adapter"});
         return;
     }
-    const bool serverError = status >= firstServerErrorStatus;
-    if (serverError && mayRunAgain(*this->context)) {
+    if (status >= firstServerErrorStatus && mayRunAgain(*this->context)) {
         this->handleFailure({ErrorCode::BackendServerError,
                              "the backend server answered " + std::to_string(status)});
         return;
     }
-    if (!serverError) {
-        this->context->run = RunState::Ran;
-    }
-    this->firstToken = monotonicNow() - this->sentAt;
+    this->context->run = RunState::Ran;
     this->release(PlacementEnd::Finished);
     HttpAnswer answer{status, callerHeadersOf(this->incoming.head.headers),
                       std::move(this->incoming.body)};
-    if (!this->context->repeatable && this->context->run == RunState::Ran) {
-        this->sources->answers->finish(this->context->key, answer);
+    if (!this->context->repeatable && status < firstServerErrorStatus) {
+        this->sources->answers->finish(scopedKey(this->context->caller, this->context->key),
+                                       answer);
     }
     answerRequest(this->context, std::move(answer));
 }
@@ -345,56 +348,109 @@
     if (!neverSent) {
         this->context->run = std::max(this->context->run, RunState::Sent);
     }
+    const BackendServerId server = this->context->placement->backendServer;
     LOG(INFO) << logprefix::retry << "Attempt failed. request=" << this->context->id
-              << " server=" << this->context->placement->backendServer
-              << " error=" << errorName(error.code) << " chunks=" << this->stream.chunks();
-    if (this->streamStarted) {
-        if (!this->resumeStream(error)) {
-            this->releaseAfter(error);
-            this->giveUp(error);
-        }
-        return;
+              << " server=" << server << " error=" << errorName(error.code)
+              << " chunks=" << this->stream.next();
+    if (error.code != ErrorCode::AdapterNotLoaded && error.code != ErrorCode::ClaimExpired) {
+        this->sources->retries->noteFailure(server, monotonicNow());
+    }
+    const bool engine = this->context->endpoint != Endpoint::Service;
+    const bool lostWhileRunning = this->resuming
+            && (error.code == ErrorCode::ConnectFailed
+                || this->incoming.head.status == notFoundStatus);
+    if (engine && lostWhileRunning) {
+        this->takeCrash(error);
+    } else if (engine && error.code == ErrorCode::ConnectionBroken && !this->streamStarted) {
+        this->findCrash(error);
+    } else {
+        this->retryOrFail(error);
     }
-    this->releaseAfter(error);
-    this->retryOrFail(error);
 }
 
-bool BackendCall::resumeStream(const Error &error)
+/// Asks the engine for its load: one that refuses the connection has died.
+void BackendCall::findCrash(const Error &error)
 {
-    const bool broken = error.code == ErrorCode::ConnectionBroken
-            || error.code == ErrorCode::AnswerIncomplete || error.code == ErrorCode::BadResponse;
-    if (!broken || this->resumes >= maxResumes || this->stream.chunks() == 0
-        || monotonicNow() >= this->context->deadline) {
-        return false;
-    }
-    this->resumes += 1;
-    this->stream.reconnect();
-    LOG(INFO) << logprefix::retry << "Stream resumed. request=" << this->context->id
-              << " after=" << this->stream.chunks() - 1;
-    this->send(resumeRequestOf(*this->context, this->stream.chunks(), monotonicNow()));
-    return true;
+    OutgoingRequest probe;
+    probe.url = "http://" + this->context->placement->address + "/v1/load";
+    probe.connectTimeout = probeTimeout;
+    probe.timeout = probeTimeout;
+    const auto self = this->shared_from_this();
+    ExchangeHandlers handlers;
+    handlers.onDone = [self, error](const Result<void> &result) {
+        if (!result && result.error().code == ErrorCode::ConnectFailed) {
+            self->takeCrash(error);
+        } else {
+            self->retryOrFail(error);
+        }
+    };
+    this->sources->backend.start(std::move(probe), std::move(handlers));
+}
+
+/// Goes on once the others know of the crash, so that a resend meets the news.
+void BackendCall::takeCrash(const Error &error)
+{
+    const BackendServerId server = this->context->placement->backendServer;
+    LOG(WARNING) << logprefix::suspect << "Backend server died. request=" << this->context->id
+                 << " server=" << server;
+    this->release(PlacementEnd::ServerCrashed);
+    const auto self = this->shared_from_this();
+    const Error crash{ErrorCode::BackendServerCrashed, error.detail};
+    this->sources->suspects.crashed(this->context->fingerprint, this->context->id, server,
+                                    [self, crash] { self->retryOrFail(crash); });
+}
+
+FailedAttempt BackendCall::failedAttempt(const Error &error) const
+{
+    const RequestContext &request = *this->context;
+    FailedAttempt failed;
+    failed.failure = error.code;
+    failed.repeatable = mayRunAgain(request);
+    failed.sent = request.run != RunState::NotSent;
+    failed.answerStarted = this->streamStarted;
+    failed.resumable = this->streamStarted && !this->resuming && request.placement.has_value();
+    failed.attempts = request.attempts;
+    failed.now = monotonicNow();
+    failed.deadline = request.claim ? std::min(request.deadline, request.claim->dispatchBefore)
+                                    : request.deadline;
+    return failed;
 }
 
 void BackendCall::retryOrFail(const Error &error)
 {
-    if (error.code == ErrorCode::ClaimExpired || !mayRunAgain(*this->context)) {
-        this->giveUp(error);
+    const RetryDecision decision = this->sources->retries->decide(this->failedAttempt(error));
+    if (decision.action == RetryAction::Resume) {
+        this->resumeStream();
         return;
     }
-    const auto delay
-            = this->sources->retries.next(this->context->attempts, this->context->deadline);
-    if (!delay) {
-        this->giveUp(error);
+    if (this->context->placement) {
+        this->context->triedServers.push_back(this->context->placement->backendServer);
+        const bool notRun = error.code == ErrorCode::ConnectFailed
+                || error.code == ErrorCode::ClaimExpired
+                || error.code == ErrorCode::AdapterNotLoaded;
+        this->release(notRun ? PlacementEnd::Returned : PlacementEnd::Broken);
+    }
+    if (decision.action == RetryAction::TryAnother) {
+        this->retryElsewhere(decision.delay);
         return;
     }
-    this->retryElsewhere(*delay);
+    this->giveUp({decision.failure.value_or(error.code), error.detail});
+}
+
+void BackendCall::resumeStream()
+{
+    this->resuming = true;
+    this->stream.reconnect(this->stream.next());
+    LOG(INFO) << logprefix::retry << "Stream resumed. request=" << this->context->id
+              << " next=" << this->stream.next();
+    this->send(resumeRequestOf(*this->context, this->stream.next(), monotonicNow()));
 }
 
 void BackendCall::retryElsewhere(Millis delay)
 {
     const auto self = this->shared_from_this();
     this->sources->timer(delay,
-                         [self] { self->grant(self->context, [self] { self->attempt(); }); });
+                         [self] { self->place(self->context, [self] { self->attempt(); }); });
 }
 
 void BackendCall::giveUp(const Error &error)
@@ -405,63 +461,45 @@
         }
         this->release(PlacementEnd::Cancelled);
     }
-    if (!this->streamStarted) {
-        failRequest(this->context, error);
-        return;
-    }
-    // The caller sees a typed error instead of the last event.
-    this->relay->write("data: " + errorBody(error) + "\n\n");
-    this->endStream();
+    const bool late = error.code == ErrorCode::ClaimExpired && !this->context->claim;
+    failRequest(this->context, {late ? ErrorCode::DeadlineExceeded : error.code, error.detail});
 }
 
-void BackendCall::releaseAfter(const Error &error)
+/// The caller sees a typed error instead of the last event.
+void BackendCall::failStream(const Error &error)
 {
-    const BackendServerId server = this->context->placement->backendServer;
-    this->context->triedServers.push_back(server);
-    switch (error.code) {
-    case ErrorCode::ConnectFailed:
-    case ErrorCode::ClaimExpired:
-    case ErrorCode::AdapterNotLoaded:
-        this->release(PlacementEnd::Returned);
-        break;
-    case ErrorCode::ConnectionBroken:
-        if (this->context->endpoint != Endpoint::Service) {
-            this->sources->suspects.crashed(this->context->fingerprint, server);
-        }
-        this->release(PlacementEnd::Broken);
-        break;
-    default:
-        this->release(PlacementEnd::Broken);
-        break;
-    }
+    this->relay->write("data: " + errorBody(error) + "\n\n");
+    this->endStream();
 }
 
 void BackendCall::release(PlacementEnd end)
 {
-    if (!this->context->placement) {
+    RequestContext &request = *this->context;
+    if (!request.placement) {
         return;
     }
-    const Placement placement = *this->context->placement;
-    this->context->placement.reset();
-    const PlacementReport report{end, this->firstToken.value_or(Millis(0)),
-                                 static_cast<std::uint32_t>(this->stream.chunks())};
-    this->sources->grants.release(placementQueryOf(*this->context), placement, report);
-    const bool failed = end == PlacementEnd::Broken || end == PlacementEnd::ServerCrashed;
-    if (end == PlacementEnd::Finished || failed) {
-        this->sources->retries.record(placement.backendServer, !failed);
-    }
+    const Placement placement = *request.placement;
+    request.placement.reset();
+    this->sources->grants.release(placement, end);
+    const bool engine = request.endpoint != Endpoint::Service;
     if (end == PlacementEnd::Finished) {
-        this->sources->suspects.finished(this->context->fingerprint);
+        this->sources->retries->noteSuccess(placement.backendServer,
+                                            request.snapshot->limits.retryPercent);
+        if (engine) {
+            this->sources->suspects.finished(request.fingerprint, request.id);
+        }
+    } else if (engine && request.alone && end != PlacementEnd::ServerCrashed) {
+        this->sources->suspects.runEnded(request.fingerprint, request.id);
     }
 }
 
 } // namespace
 
-Filter makeDispatchFilter(DispatchSources sources, Filter grant)
+Filter makeDispatchFilter(DispatchSources sources, Filter place)
 {
     const auto shared = std::make_shared<const DispatchSources>(std::move(sources));
-    return [shared, grant = std::move(grant)](const ContextPtr &context, const Next & /*next*/) {
-        std::make_shared<BackendCall>(shared, grant, context)->begin();
+    return [shared, place = std::move(place)](const ContextPtr &context, const Next & /*next*/) {
+        std::make_shared<BackendCall>(shared, place, context)->begin();
     };
 }
 
--- a/src/filters/filter.cpp
+++ b/src/filters/filter.cpp
@@ -18,6 +18,14 @@
 
 } // namespace
 
+Filter joinFilters(Filter first, Filter second)
+{
+    return [first = std::move(first), second = std::move(second)](const ContextPtr &context,
+                                                                  Next next) {
+        first(context, [second, context, next = std::move(next)] { second(context, next); });
+    };
+}
+
 FilterChain::FilterChain(std::vector<Filter> filters)
     : filters(std::make_shared<const std::vector<Filter>>(std::move(filters)))
 { }
--- a/src/filters/gateway.cpp
+++ b/src/filters/gateway.cpp
@@ -11,6 +11,7 @@
 #include <balsamport/filters/outcome.h>
 #include <balsamport/filters/request_id.h>
 #include <balsamport/filters/size_limits.h>
+#include <balsamport/filters/suspicion.h>
 #include <balsamport/filters/tickets.h>
 
 #include <optional>
@@ -26,14 +27,16 @@
 FilterChain requestChain(const GatewaySources &sources, std::shared_ptr<InProgress> progress,
                          const std::shared_ptr<AnswerStore> &answers)
 {
-    const Filter grant = makeGrantFilter(sources.grants);
+    // Asked again before each retry.
+    const Filter place = joinFilters(makeSuspicionFilter(sources.suspects, sources.timer),
+                                     makeGrantFilter(sources.grants, sources.retries));
     const DispatchSources dispatch{sources.backend,  sources.grants, sources.retries,
                                    sources.suspects, sources.timer,  answers};
     return FilterChain({makeRequestIdFilter(), makeAuthenticationFilter(), makeSizeLimitsFilter(),
                         makeBodyCheckFilter(), makeAliasResolutionFilter(),
                         makeAdmissionFilter(std::move(progress)),
-                        makeIdempotencyFilter(sources.claims, answers), grant,
-                        makeDispatchFilter(dispatch, grant)});
+                        makeIdempotencyFilter(sources.claims, answers), place,
+                        makeDispatchFilter(dispatch, place)});
 }
 
 FilterChain shortChain(Filter last)
--- a/src/filters/grant.cpp
+++ b/src/filters/grant.cpp
@@ -7,7 +7,7 @@
 
 namespace balsamport {
 
-PlacementQuery placementQueryOf(const RequestContext &context)
+PlacementQuery placementQueryOf(const RequestContext &context, const RetryKeeper &retries)
 {
     PlacementQuery query;
     query.request = context.id;
@@ -20,33 +20,45 @@
     query.maxTokens = context.model.maxTokens;
     query.fingerprint = context.fingerprint;
     query.repeatable = context.repeatable;
-    query.triedServers = context.triedServers;
+    query.avoid = retries.openCircuits(monotonicNow());
+    query.avoid.insert(query.avoid.end(), context.triedServers.begin(), context.triedServers.end());
     return query;
 }
 
-Filter makeGrantFilter(GrantSource grants)
+namespace {
+
+void takePlace(const ContextPtr &context, const GrantSource &grants, const Next &next,
+               const Result<Placement> &result, Millis retryAfter)
+{
+    if (!result) {
+        failRequest(context, result.error(), retryAfter);
+        return;
+    }
+    const Placement &placement = result.value();
+    if (context->writer->isGone() && context->run == RunState::NotSent) {
+        grants.release(placement, PlacementEnd::Returned);
+        failRequest(context, {ErrorCode::CallerGone, "the caller has left"});
+        return;
+    }
+    context->placement = placement;
+    LOG(INFO) << logprefix::grant << "Placed. request=" << context->id
+              << " server=" << placement.backendServer << " grant=" << placement.grant
+              << " fencing=" << placement.fencing << " alone=" << context->alone;
+    next();
+}
+
+} // namespace
+
+Filter makeGrantFilter(GrantSource grants, std::shared_ptr<const RetryKeeper> retries)
 {
-    return [grants = std::move(grants)](const ContextPtr &context, Next next) {
-        const PlacementQuery query = placementQueryOf(*context);
-        grants.acquire(
-                query,
-                [grants, query, context, next = std::move(next)](const Result<Placement> &result) {
-                    if (!result) {
-                        failRequest(context, result.error());
-                        return;
-                    }
-                    if (context->writer->isGone()) {
-                        grants.release(query, result.value(),
-                                       {PlacementEnd::Returned, Millis(0), 0});
-                        failRequest(context, {ErrorCode::CallerGone, "the caller has left"});
-                        return;
-                    }
-                    context->placement = result.value();
-                    LOG(INFO) << logprefix::grant << "Placed. request=" << context->id
-                              << " server=" << result.value().backendServer
-                              << " grant=" << result.value().grant;
-                    next();
-                });
+    return [grants = std::move(grants), retries = std::move(retries)](const ContextPtr &context,
+                                                                      Next next) {
+        context->writer->onGone([cancel = grants.cancel, id = context->id] { cancel(id); });
+        grants.acquire(placementQueryOf(*context, *retries),
+                       [grants, context, next = std::move(next)](const Result<Placement> &result,
+                                                                 Millis retryAfter) {
+                           takePlace(context, grants, next, result, retryAfter);
+                       });
     };
 }
 
--- a/src/filters/idempotency.cpp
+++ b/src/filters/idempotency.cpp
@@ -2,8 +2,8 @@
 
 #include <balsamport/core/hash.h>
 #include <balsamport/filters/answer.h>
-#include <balsamport/filters/first_sent.h>
 #include <balsamport/filters/service_path.h>
+#include <balsamport/policy/claim_key.h>
 
 #include <algorithm>
 #include <utility>
@@ -12,85 +12,83 @@
 
 namespace {
 
-constexpr std::size_t maxKeyLength = 256;
-
-bool isKeyCharacter(char c) noexcept
-{
-    return c > ' ' && c <= '~';
-}
-
-/// Reads the key; fails with KeyInvalid or InvalidHeader.
-std::optional<Error> readKey(RequestContext &context)
+/// Reads whether the request may be repeated; the mark can be added by a header, never taken away.
+std::optional<Error> readMark(RequestContext &context)
 {
-    const HttpHeaders &headers = context.request->headers;
-    const auto mark = findHeader(headers, headername::repeatable);
+    const auto mark = findHeader(context.request->headers, headername::repeatable);
     if (mark && *mark != "false" && *mark != "true") {
         return Error{ErrorCode::InvalidHeader,
                      std::string(headername::repeatable) + " must be true or false"};
     }
-    const auto sameName = [](const HttpHeader &header) {
-        return findHeader({header}, headername::idempotencyKey).has_value();
-    };
-    if (std::count_if(headers.begin(), headers.end(), sameName) > 1) {
-        return Error{ErrorCode::InvalidHeader, "Idempotency-Key is given twice"};
-    }
     const auto service = context.snapshot->services.find(context.service);
     const bool byService = service != context.snapshot->services.end()
             && isNonRepeatable(service->second, context.request->method, context.backendPath);
-    // A header can add the mark, never take the service's away.
     context.repeatable = !byService && !(mark && *mark == "false");
-    const auto key = findHeader(headers, headername::idempotencyKey);
-    if (key) {
-        if (key->empty() || key->size() > maxKeyLength
-            || !std::all_of(key->begin(), key->end(), isKeyCharacter)) {
-            return Error{ErrorCode::KeyInvalid, "a key holds 1 to 256 visible ASCII characters"};
-        }
-        context.key = RequestKey(*key);
-    } else if (!context.repeatable) {
-        return Error{ErrorCode::KeyMissing,
-                     "a request that may not be repeated needs an Idempotency-Key"};
-    }
+    context.keyKnown = true;
     return std::nullopt;
 }
 
-/// Finds out when the key was first sent; 0 for unknown.
-Result<Millis> firstSentOf(const RequestContext &context)
+std::optional<Error> readKey(RequestContext &context)
 {
-    const auto given = findHeader(context.request->headers, headername::firstSent);
-    if (given) {
-        const auto time = parseHttpDate(*given);
-        if (!time) {
-            return Error{ErrorCode::InvalidHeader,
-                         std::string(headername::firstSent) + " must be an HTTP date"};
-        }
-        return *time;
+    const HttpHeaders &headers = context.request->headers;
+    const auto isKey = [](const HttpHeader &header) {
+        return findHeader({header}, headername::idempotencyKey).has_value();
+    };
+    if (std::count_if(headers.begin(), headers.end(), isKey) > 1) {
+        return Error{ErrorCode::InvalidHeader, "Idempotency-Key is given twice"};
+    }
+    const auto given = findHeader(headers, headername::idempotencyKey);
+    if (!given && context.repeatable) {
+        return std::nullopt;
     }
-    return parseUuid7Time(context.key.str()).value_or(Millis(0));
+    const auto key = checkKey(given.value_or(""));
+    if (!key) {
+        return key.error();
+    }
+    context.key = key.value();
+    return std::nullopt;
 }
 
 /// What a repeat of the same key must agree in. The adapter is left out: an alias may have moved.
 Fingerprint keyFingerprint(const RequestContext &context)
 {
     const IncomingRequest &request = *context.request;
-    const std::string target = context.caller.str() + " " + request.method + " " + request.path
-            + "?" + request.query;
+    const std::string target = request.method + " " + request.path + "?" + request.query;
     return Fingerprint(mixHash(hash64(target), hash64(request.body)));
 }
 
+Result<KeyClaimQuery> claimQueryOf(const RequestContext &context)
+{
+    std::optional<Millis> header;
+    if (const auto given = findHeader(context.request->headers, headername::firstSent)) {
+        const auto time = parseFirstSent(*given);
+        if (!time) {
+            return time.error();
+        }
+        header = time.value();
+    }
+    return KeyClaimQuery{context.key,
+                         context.caller,
+                         keyFingerprint(context),
+                         firstSentOf(context.key.str(), header),
+                         context.arrived,
+                         context.deadline};
+}
+
 /// Answers from what is kept here; false where the key is new.
-bool answerFromStore(const ContextPtr &context, AnswerStore &answers)
+bool answerFromStore(const ContextPtr &context, AnswerStore &answers, Fingerprint body)
 {
-    const AnswerStore::Found found = answers.begin(context->key, keyFingerprint(*context));
-    switch (found.state) {
-    case KeyState::New:
+    const RememberedAnswer found = answers.begin(scopedKey(context->caller, context->key), body);
+    switch (found.lookup) {
+    case AnswerLookup::Unknown:
         return false;
-    case KeyState::InProgress:
+    case AnswerLookup::InProgress:
         failRequest(context, {ErrorCode::KeyInProgress, "a request with this key is running"});
         return true;
-    case KeyState::OtherBody:
+    case AnswerLookup::BodyMismatch:
         failRequest(context, {ErrorCode::KeyBodyMismatch, "the key was used for another request"});
         return true;
-    case KeyState::Answered:
+    case AnswerLookup::Finished:
         break;
     }
     context->run = RunState::Ran;
@@ -98,21 +96,19 @@
     return true;
 }
 
-void claimKey(const ContextPtr &context, const ClaimSource &claims,
-              const std::shared_ptr<AnswerStore> &answers, Millis firstSent, Next next)
+void claimKey(const ContextPtr &context, const ClaimSource &claims, const KeyClaimQuery &query,
+              Next next)
 {
-    const KeyClaimQuery query{context->id, context->key, keyFingerprint(*context), firstSent,
-                              context->deadline};
-    claims.claim(query, [context, answers, next = std::move(next)](const KeyClaimAnswer &answer) {
-        if (!answer.won) {
-            answers->forget(context->key);
-            context->keyNeverRan = answer.refusal.neverRuns;
-            failRequest(context, answer.refusal.error);
+    claims.claim(query, [context, next = std::move(next)](const KeyClaimAnswer &answer) {
+        if (answer.won) {
+            context->claim = answer.won;
+            context->provenNotRun = answer.won->provenNotRun;
+            next();
             return;
         }
-        context->claim = answer.won;
-        context->onEnd([answers, key = context->key] { answers->forget(key); });
-        next();
+        context->claimLost = true;
+        context->provenNotRun = answer.refusal.provenNotRun;
+        failRequest(context, answer.refusal.error);
     });
 }
 
@@ -122,7 +118,11 @@
 {
     return [claims = std::move(claims), answers = std::move(answers)](const ContextPtr &context,
                                                                       Next next) {
-        if (const auto error = readKey(*context)) {
+        auto error = readMark(*context);
+        if (!error) {
+            error = readKey(*context);
+        }
+        if (error) {
             failRequest(context, *error);
             return;
         }
@@ -130,14 +130,18 @@
             next();
             return;
         }
-        const auto firstSent = firstSentOf(*context);
-        if (!firstSent) {
-            failRequest(context, firstSent.error());
+        const auto query = claimQueryOf(*context);
+        if (!query) {
+            failRequest(context, query.error());
             return;
         }
-        if (!answerFromStore(context, *answers)) {
-            claimKey(context, claims, answers, firstSent.value(), std::move(next));
+        if (answerFromStore(context, *answers, query.value().body)) {
+            return;
         }
+        context->onEnd([answers, key = scopedKey(context->caller, context->key)] {
+            answers->abandon(key);
+        });
+        claimKey(context, claims, query.value(), std::move(next));
     };
 }
 
--- a/src/filters/ordering.cpp
+++ b/src/filters/ordering.cpp
@@ -1,5 +1,9 @@
 #include <balsamport/filters/ordering.h>
 
+#include <balsamport/filters/chunk_reader.h>
+
+#include <utility>
+
 namespace balsamport {
 
 namespace {
@@ -8,9 +12,10 @@
 
 } // namespace
 
-void OrderedStream::reconnect()
+void OrderedStream::reconnect(std::uint64_t next)
 {
     this->parser = SseParser();
+    this->expected = next;
 }
 
 Result<std::string> OrderedStream::feed(std::string_view piece)
@@ -21,24 +26,36 @@
     }
     std::string text;
     for (const SseEvent &event : events.value()) {
-        if (this->complete) {
-            break;
-        }
-        if (event.data == lastEvent) {
-            this->complete = true;
-            text += formatSseEvent(event);
-            continue;
-        }
-        const std::uint64_t number = event.id.value_or(this->next);
-        if (number > this->next) {
-            return Error{ErrorCode::BadResponse, "a chunk of the stream is missing"};
-        }
-        if (number == this->next) {
-            this->next += 1;
-            text += formatSseEvent(event);
+        const auto taken = this->take(event, text);
+        if (!taken) {
+            return taken.error();
         }
     }
     return text;
 }
 
+Result<void> OrderedStream::take(const SseEvent &event, std::string &text)
+{
+    StreamChunk chunk;
+    chunk.last = event.data == lastEvent;
+    chunk.number = event.id.value_or(this->expected);
+    this->expected = chunk.number + 1;
+    if (!chunk.last) {
+        const auto hash = hashChunkText(event.data);
+        if (!hash) {
+            return hash.error();
+        }
+        chunk.textHash = hash.value();
+    }
+    chunk.payload = formatSseEvent(event);
+    const auto ready = this->order.take(std::move(chunk));
+    if (!ready) {
+        return ready.error();
+    }
+    for (const StreamChunk &next : ready.value()) {
+        text += next.payload;
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 } // namespace balsamport
--- a/src/filters/outcome.cpp
+++ b/src/filters/outcome.cpp
@@ -4,17 +4,37 @@
 
 namespace balsamport {
 
-std::string_view outcomeOf(const RequestContext &context)
+namespace {
+
+AttemptStage stageOf(const RequestContext &context) noexcept
 {
-    if (context.run == RunState::Ran) {
-        return "ran";
+    switch (context.run) {
+    case RunState::Ran:
+        return AttemptStage::Answered;
+    case RunState::Sent:
+        return AttemptStage::Sent;
+    case RunState::NotSent:
+        break;
     }
-    if (context.run == RunState::Sent) {
-        return "unknown";
+    if (context.claim) {
+        return AttemptStage::Claimed;
     }
-    // Another attempt with the key may have run, unless this one won the claim.
-    const bool excluded = context.claim.has_value() || context.keyNeverRan;
-    return excluded || !hasKey(*context.request) ? "not-run" : "unknown";
+    return context.claimLost ? AttemptStage::ClaimFailed : AttemptStage::Refused;
+}
+
+} // namespace
+
+AttemptEnd endOf(const RequestContext &context, std::optional<ErrorCode> failure)
+{
+    AttemptEnd end;
+    end.hasKey = hasKey(*context.request);
+    // Until the key was looked at, a request with a key may be a repeat of one that ran.
+    end.repeatable = context.repeatable && (context.keyKnown || !end.hasKey);
+    end.stage = stageOf(context);
+    end.provenNotRun = context.provenNotRun;
+    end.failure = failure;
+    end.answerStatus = context.answerStatus;
+    return end;
 }
 
 bool hasKey(const IncomingRequest &request)
@@ -24,8 +44,9 @@
 
 void addOutcomeHeaders(const RequestContext &context, HttpHeaders &headers)
 {
+    const Outcome outcome = outcomeOf(endOf(context, context.failure));
     headers.push_back({std::string(headername::requestId), context.id.str()});
-    headers.push_back({std::string(headername::outcome), std::string(outcomeOf(context))});
+    headers.push_back({std::string(headername::outcome), std::string(outcomeName(outcome))});
 }
 
 } // namespace balsamport
--- /dev/null
+++ b/src/filters/retry_keeper.cpp
@@ -0,0 +1,54 @@
+#include <balsamport/filters/retry_keeper.h>
+
+#include <algorithm>
+
+namespace balsamport {
+
+RetryDecision RetryKeeper::decide(const FailedAttempt &failed)
+{
+    const std::scoped_lock lock(this->mutex);
+    const double jitter = std::uniform_real_distribution<double>(0, 1)(this->random);
+    const RetryDecision decision = decideRetry(failed, this->budget, jitter);
+    if (decision.action != RetryAction::GiveUp) {
+        this->budget = afterRetry(this->budget);
+    }
+    return decision;
+}
+
+void RetryKeeper::noteSent(const BackendServerId &server, Millis now)
+{
+    const std::scoped_lock lock(this->mutex);
+    const auto found = this->failing.find(server);
+    if (found != this->failing.end() && mayPass(found->second, now)) {
+        found->second = afterPass(found->second, now);
+    }
+}
+
+void RetryKeeper::noteSuccess(const BackendServerId &server, std::uint32_t retryPercent)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->budget = afterSuccess(this->budget, retryPercent);
+    this->failing.erase(server);
+}
+
+void RetryKeeper::noteFailure(const BackendServerId &server, Millis now)
+{
+    const std::scoped_lock lock(this->mutex);
+    CircuitBreaker &breaker = this->failing[server];
+    breaker = afterFailure(breaker, now);
+}
+
+std::vector<BackendServerId> RetryKeeper::openCircuits(Millis now) const
+{
+    const std::scoped_lock lock(this->mutex);
+    std::vector<BackendServerId> open;
+    for (const auto &[server, breaker] : this->failing) {
+        if (!mayPass(breaker, now)) {
+            open.push_back(server);
+        }
+    }
+    std::sort(open.begin(), open.end());
+    return open;
+}
+
+} // namespace balsamport
