--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -30,7 +30,7 @@
 po::options_description gatewayOptions()
 {
     po::options_description options("Settings");
-    const auto add = options.add_options();
+    auto add = options.add_options();
     add("vm.id", po::value<std::string>()->required(), "name of this VM");
     add("vm.data-centre", po::value<std::string>()->required(), "data centre of this VM");
     add("gateway.listen", po::value<std::string>()->required(),
