--- a/include/balsamport/controllers/ownership_controller.h
+++ b/include/balsamport/controllers/ownership_controller.h
@@ -50,30 +50,36 @@
         PlatformList list;
         std::shared_ptr<const FleetView> fleet;
         MemberStates states;
-        Millis now;
     };
 
     void noticePause(Millis now);
-    void evaluateServers(const Inputs &inputs);
-    void evaluateSeats(const Inputs &inputs);
-    [[nodiscard]] Millis confirm(const Inputs &inputs, const Succession &succession);
-    void voteForSelf(const Inputs &inputs);
-    void askVoters(const Inputs &inputs);
+    void refreshInputs();
+    void findSuccessions();
+    void evaluateServers(Millis now);
+    void evaluateSeats(Millis now);
+    [[nodiscard]] Millis confirm(const Succession &succession);
+    [[nodiscard]] bool isHeldBySelf(const Succession &succession) const;
+    void voteForSelf(Millis now);
+    void askVoters(Millis now);
     void takeVotes(const VmId &voter, const wire::ViewConfirmReply &votes, Millis until);
-    [[nodiscard]] bool believesGone(const Inputs &inputs, const VmId &vm) const;
+    [[nodiscard]] bool believesGone(const VmId &vm) const;
+    [[nodiscard]] Millis viewLifetime() const;
+    [[nodiscard]] Millis handoverWait() const;
 
     MessageClient &client;
     MembershipController &membership;
     const Member self;
     mutable std::mutex mutex;
-    SnapshotPtr snapshot;
+    Inputs inputs;
     VoterState voter;
     Ballots ballots;
     OwnershipClaim wanted; ///< All subjects of the claims of this round.
+    std::map<BackendServerId, Succession> successions; ///< Servers of this data centre.
     std::map<BackendServerId, Tenure> tenures;
     std::map<BackendServerId, FencingNumber> fencing;
-    std::map<std::string, SeatTenure> seatTenures;
+    std::map<std::string, SeatTenure> seatTenures; ///< By Seat::str().
     Millis lastTick;
+    Millis nextEvaluation;
     Millis nextAsk;
 };
 
