--- a/src/controllers/platform_watcher.cpp
+++ b/src/controllers/platform_watcher.cpp
@@ -67,8 +67,8 @@
     }
     ++backoff.failures;
     if (backoff.failures == 1) {
-        LOG(WARNING) << logprefix::config << "A call to the platform failed. reason="
-                     << describe(result.error());
+        LOG(WARNING) << logprefix::config
+                     << "A call to the platform failed. reason=" << describe(result.error());
     }
     std::uint64_t number = 0;
     {
@@ -103,8 +103,7 @@
     this->hasRead = true;
     const ConfigRevision revision = published.value().revision;
     this->offered = std::max(this->offered, revision);
-    this->config.offer(
-            OfferedRevision{HeldRevision{revision, 0, std::move(files.value())}, true});
+    this->config.offer(OfferedRevision{HeldRevision{revision, 0, std::move(files.value())}, true});
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -162,8 +161,7 @@
 void PlatformWatcher::fillStatus(wire::StatusReply &status) const
 {
     const Millis success(this->lastSuccess);
-    status.set_platform_reachable(success != Millis()
-                                  && monotonicNow() < success + reachableTime);
+    status.set_platform_reachable(success != Millis() && monotonicNow() < success + reachableTime);
     status.set_platform_calls(this->platform.calls());
 }
 
--- a/tests/src/unit-metrics.cpp
+++ b/tests/src/unit-metrics.cpp
@@ -4,7 +4,10 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <fstream>
 #include <random>
+#include <regex>
+#include <sstream>
 #include <thread>
 
 using namespace balsamport;
@@ -24,6 +27,20 @@
     return sorted[static_cast<std::size_t>(static_cast<double>(sorted.size() - 1) * probability)];
 }
 
+std::string readFile(const std::string &name)
+{
+    std::ifstream stream(std::string(BALSAMPORT_SOURCE_DIR) + "/" + name);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+bool isMetric(const std::string &name)
+{
+    return std::any_of(metric::all.begin(), metric::all.end(),
+                       [&name](const MetricInfo &info) { return info.name == name; });
+}
+
 } // namespace
 
 TEST_CASE("a summary")
@@ -146,4 +163,30 @@
         std::sort(names.begin(), names.end());
         REQUIRE(std::adjacent_find(names.begin(), names.end()) == names.end());
     }
+
+    SECTION("are those of the operators' page, and of no others")
+    {
+        std::size_t rows = 0;
+        std::istringstream page(readFile("docs/METRICS.md"));
+        for (std::string line; std::getline(page, line);) {
+            rows += line.starts_with("| `balsamport_") ? 1 : 0;
+        }
+        REQUIRE(rows == metric::all.size());
+        const std::string text = readFile("docs/METRICS.md");
+        for (const MetricInfo &info : metric::all) {
+            REQUIRE(text.find("| `" + std::string(info.name) + "` |") != std::string::npos);
+        }
+    }
+
+    SECTION("are the only ones that alerts and dashboard ask for")
+    {
+        const std::string text = readFile("docs/alerts.yml") + readFile("docs/dashboard.json");
+        const std::regex pattern("balsamport_[a-z_]+");
+        std::size_t found = 0;
+        for (std::sregex_iterator it(text.begin(), text.end(), pattern), end; it != end; ++it) {
+            REQUIRE(isMetric(it->str()));
+            ++found;
+        }
+        REQUIRE(found > metric::all.size());
+    }
 }
