--- a/include/balsamport/policy/routing.h
+++ b/include/balsamport/policy/routing.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -126,6 +127,42 @@
     bool operator==(const Candidates &) const = default;
 };
 
+/// @brief A server that said what waiting there would cost.
+struct Redirect
+{
+    std::uint32_t node = 0;
+    Millis wait;
+
+    bool operator==(const Redirect &) const = default;
+};
+
+/// @brief How far a request has come with its candidates.
+struct AskPlan
+{
+    Candidates candidates;
+    std::size_t next = 0;
+    std::uint32_t asked = 0;
+    std::optional<Redirect> cheapest;
+
+    bool operator==(const AskPlan &) const = default;
+};
+
+/// @brief Whom to ask next, and whether to queue there rather than be sent on.
+struct Ask
+{
+    Candidate candidate;
+    bool lastChoice = false;
+
+    bool operator==(const Ask &) const = default;
+};
+
+/// @brief Gives the next candidate; after the last, the one whose wait was the shortest.
+/// @return nothing where all have been asked
+[[nodiscard]] std::optional<Ask> nextAsk(AskPlan &plan, const RouteGroup &group) noexcept;
+
+/// @brief Records that a server sent the request on.
+void noteRedirect(AskPlan &plan, std::uint32_t node, Millis wait) noexcept;
+
 /// @brief Builds the routing table of a data centre.
 /// @complexity O(n log n) for n backend servers
 [[nodiscard]] RoutingTable buildRoutingTable(const Snapshot &snapshot,
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -51,13 +51,6 @@
 
 using HeldKey = std::pair<BackendServerId, GrantId>;
 
-/// A server that said what waiting there would cost.
-struct Redirect
-{
-    std::uint32_t node = 0;
-    Millis wait;
-};
-
 /// One call of acquire() on its way. Only one reply at a time works on it.
 struct Acquire
 {
@@ -66,10 +59,7 @@
     std::uint64_t hash = 0;
     Millis started;
     RouteShardPtr shard;
-    Candidates candidates;
-    std::size_t next = 0;
-    std::uint32_t asked = 0;
-    std::optional<Redirect> cheapest;
+    AskPlan plan;
     Millis linkWait; ///< Until the link's budget would allow a skipped candidate.
     bool ownersMissing = false;
     std::atomic<bool> done{false};
@@ -122,7 +112,7 @@
     request.mutable_prefix_hashes()->Add(query.prefixHashes.begin(), query.prefixHashes.end());
     request.set_fingerprint(query.fingerprint.number());
     request.set_repeatable(query.repeatable);
-    request.set_tried_servers(acquire.asked);
+    request.set_tried_servers(acquire.plan.asked - 1);
     request.set_last_choice(lastChoice);
     request.set_across_link(candidate.distance == Distance::AcrossLink);
     return message;
@@ -402,15 +392,14 @@
     {
         const std::lock_guard guard(acquire->shard->lock);
         RouteMemory &memory = acquire->shard->memory;
-        if (acquire->asked == 0) {
+        if (acquire->plan.asked == 0) {
             noteRequest(memory, this->costs, acquire->hash, now);
         }
-        acquire->candidates
-                = chooseCandidates(acquire->shard->group, memory, this->costs, acquire->hash, now);
+        acquire->plan = AskPlan{
+                chooseCandidates(acquire->shard->group, memory, this->costs, acquire->hash, now), 0,
+                acquire->plan.asked, std::nullopt};
     }
-    acquire->ownersMissing = acquire->candidates.count == 0;
-    acquire->next = 0;
-    acquire->cheapest.reset();
+    acquire->ownersMissing = acquire->plan.candidates.count == 0;
     this->askNext(acquire);
 }
 
@@ -464,19 +453,16 @@
 void GrantClient::Core::askNext(const AcquirePtr &acquire)
 {
     const Millis now = monotonicNow();
-    while (acquire->next < acquire->candidates.count) {
-        const Candidate candidate = acquire->candidates.list[acquire->next++];
-        const RouteNode &node = acquire->shard->group.nodes[candidate.node];
+    while (const auto ask = nextAsk(acquire->plan, acquire->shard->group)) {
+        const RouteNode &node = acquire->shard->group.nodes[ask->candidate.node];
         const auto &exclude = acquire->query.exclude;
         if (std::find(exclude.begin(), exclude.end(), node.id) != exclude.end()) {
             continue;
         }
-        if (candidate.distance == Distance::AcrossLink && !this->takeLink(acquire, now)) {
+        if (ask->candidate.distance == Distance::AcrossLink && !this->takeLink(acquire, now)) {
             continue;
         }
-        const bool last
-                = acquire->next == acquire->candidates.count && !acquire->cheapest.has_value();
-        this->ask(acquire, candidate, last);
+        this->ask(acquire, ask->candidate, ask->lastChoice);
         return;
     }
     this->exhausted(acquire);
@@ -485,12 +471,6 @@
 void GrantClient::Core::exhausted(const AcquirePtr &acquire)
 {
     const Millis now = monotonicNow();
-    if (acquire->cheapest) {
-        const std::uint32_t node = acquire->cheapest->node;
-        acquire->cheapest.reset();
-        this->ask(acquire, {node, acquire->shard->group.nodes[node].distance, false}, true);
-        return;
-    }
     if (acquire->linkWait > Millis(0)) {
         this->fail(acquire, {ErrorCode::LinkBudgetSpent, "the link between the regions is full"},
                    acquire->linkWait);
@@ -521,7 +501,6 @@
         this->askNext(acquire);
         return;
     }
-    ++acquire->asked;
     {
         const std::lock_guard guard(acquire->endpointLock);
         acquire->endpoint = endpoint;
@@ -631,9 +610,7 @@
         noteWait(acquire->shard->memory, candidate.node, wait, monotonicNow());
         noteNotResident(acquire->shard->memory, acquire->hash, candidate.node);
     }
-    if (!acquire->cheapest || wait < acquire->cheapest->wait) {
-        acquire->cheapest = Redirect{candidate.node, wait};
-    }
+    noteRedirect(acquire->plan, candidate.node, wait);
     this->askNext(acquire);
 }
 
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -118,6 +118,30 @@
 
 } // namespace
 
+std::optional<Ask> nextAsk(AskPlan &plan, const RouteGroup &group) noexcept
+{
+    if (plan.next < plan.candidates.count) {
+        const Candidate candidate = plan.candidates.list[plan.next++];
+        ++plan.asked;
+        const bool last = plan.next == plan.candidates.count && !plan.cheapest.has_value();
+        return Ask{candidate, last};
+    }
+    if (!plan.cheapest) {
+        return std::nullopt;
+    }
+    const std::uint32_t node = plan.cheapest->node;
+    plan.cheapest.reset();
+    ++plan.asked;
+    return Ask{{node, group.nodes[node].distance, false}, true};
+}
+
+void noteRedirect(AskPlan &plan, std::uint32_t node, Millis wait) noexcept
+{
+    if (!plan.cheapest || wait < plan.cheapest->wait) {
+        plan.cheapest = Redirect{node, wait};
+    }
+}
+
 RoutingTable buildRoutingTable(const Snapshot &snapshot, const DataCentreId &dataCentre)
 {
     RoutingTable table;
--- /dev/null
+++ b/tests/include/policy_bench/fleet.h
@@ -0,0 +1,463 @@
+#ifndef BALSAMPORT_TESTS_POLICY_BENCH_FLEET_H
+#define BALSAMPORT_TESTS_POLICY_BENCH_FLEET_H
+
+#include <balsamport/core/hash.h>
+#include <balsamport/core/rendezvous.h>
+#include <balsamport/policy/grant_scheduler.h>
+#include <balsamport/policy/link_budget.h>
+#include <balsamport/policy/routing.h>
+
+#include "trace.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace balsamport::bench {
+
+/// @brief The project's own policy over fake engines: the functions that GrantClient and
+/// GrantController call, with messages as delays.
+class PolicyFleet
+{
+public:
+    PolicyFleet(const CellOptions &options, std::uint32_t weightPercent)
+        : options(options)
+        , store(this->clock, options)
+    {
+        this->limits = limitsFor(options.reading);
+        this->limits.weightPercent = weightPercent;
+        this->makeSnapshot();
+        this->makeVms();
+        this->makeServers();
+        this->dealTokens();
+    }
+
+    CellResult run(const std::vector<Arrival> &trace)
+    {
+        std::uint32_t turn = 0;
+        for (const Arrival &arrival : trace) {
+            const std::uint32_t vm = this->gatewayOf(arrival.dataCentre, turn++);
+            this->clock.at(arrival.at, [this, &arrival, vm] { this->arrive(arrival, vm); });
+        }
+        if (this->options.fault == Fault::ColdStart) {
+            this->clock.at(this->options.length / 2, [this] { this->restart(0); });
+        }
+        this->tick();
+        this->report();
+        this->clock.runUntil(this->options.length + sizes::requestDeadline * 2);
+        this->result.loads = this->store.started;
+        this->result.linkBytes = this->store.linkBytes;
+        this->result.storeExceeded = this->store.exceeded;
+        return std::move(this->result);
+    }
+
+private:
+    struct Pending
+    {
+        const Arrival *arrival = nullptr;
+        std::uint32_t vm = 0;
+        AdapterRef adapter;
+        std::uint64_t hash = 0;
+        AskPlan plan;
+        bool redirected = false;
+        bool linkSkipped = false;
+    };
+    using PendingPtr = std::shared_ptr<Pending>;
+    struct Holder
+    {
+        Millis askAfter;
+        bool asked = false;
+    };
+    struct Vm
+    {
+        std::uint32_t dataCentre = 0;
+        RouteMemory memory;
+        LinkBudget link;
+        LoadBudget loads;
+        std::map<std::uint32_t, Holder> holders; ///< Other VMs that hold tokens.
+        std::vector<std::uint32_t> servers; ///< Owned.
+    };
+    struct Server
+    {
+        Server(Clock &clock, CellResult &result, Millis countFrom)
+            : engine(clock, result, countFrom)
+        { }
+        ServerState state;
+        Engine engine;
+        std::uint32_t owner = 0;
+        std::uint64_t nextTicket = 1;
+        std::map<std::uint64_t, PendingPtr> waiting;
+        std::unordered_map<std::uint64_t, std::uint32_t> adapters; ///< Trace's number by hash.
+    };
+
+    static std::string vmName(std::uint32_t vm) { return "vm-" + std::to_string(vm); }
+    static std::uint32_t dataCentreOfVm(std::uint32_t vm) { return vm / 3; }
+    static DataCentreId dataCentreName(std::uint32_t index)
+    {
+        return DataCentreId("dc-" + std::to_string(index));
+    }
+
+    void makeSnapshot()
+    {
+        this->snapshot.limits = this->limits;
+        for (std::uint32_t i = 0; i < sizes::dataCentres; ++i) {
+            DataCentreConfig config;
+            config.id = dataCentreName(i);
+            config.region = RegionId(isAcross(i) ? "south" : "north");
+            config.hasWeightStore = !isAcross(i);
+            this->snapshot.dataCentres[config.id] = config;
+        }
+        for (std::uint32_t i = 0; i < sizes::servers; ++i) {
+            BackendServerConfig config;
+            config.id = serverName(i);
+            config.dataCentre = dataCentreName(dataCentreOf(i));
+            config.base = BaseModelId("base");
+            config.slots = sizes::slots;
+            config.batchWidth = sizes::batchWidth;
+            this->snapshot.backendServers[config.id] = config;
+        }
+    }
+
+    void makeVms()
+    {
+        for (std::uint32_t i = 0; i < sizes::dataCentres; ++i) {
+            const RoutingTable table = buildRoutingTable(this->snapshot, dataCentreName(i));
+            this->groups.push_back(table.engines.at(BaseModelId("base")));
+        }
+        this->vms.resize(sizes::vms);
+        for (std::uint32_t i = 0; i < sizes::vms; ++i) {
+            Vm &vm = this->vms[i];
+            vm.dataCentre = dataCentreOfVm(i);
+            vm.memory.loads.resize(sizes::servers);
+            setLinkShare(vm.link, this->limits.linkBytesPerSecond, sizes::vms, Millis(0));
+        }
+    }
+
+    void makeServers()
+    {
+        for (std::uint32_t i = 0; i < sizes::servers; ++i) {
+            auto server = std::make_unique<Server>(this->clock, this->result, this->options.warmUp);
+            server->state = makeServerState({sizes::slots, sizes::batchWidth, true, false},
+                                            GrantId(1));
+            std::vector<VmId> candidates;
+            for (std::uint32_t vm = 0; vm < sizes::vms; ++vm) {
+                if (dataCentreOfVm(vm) == dataCentreOf(i)) {
+                    candidates.emplace_back(vmName(vm));
+                }
+            }
+            const VmId owner = *rendezvousFirst(serverName(i).str(), candidates);
+            server->owner = static_cast<std::uint32_t>(std::stoul(owner.str().substr(3)));
+            this->vms[server->owner].servers.push_back(i);
+            this->servers.push_back(std::move(server));
+        }
+    }
+
+    void dealTokens()
+    {
+        std::vector<BackendServerId> engines;
+        for (std::uint32_t i = 0; i < sizes::servers; ++i) {
+            engines.push_back(serverName(i));
+        }
+        std::vector<std::vector<HeldToken>> held(sizes::vms);
+        for (std::uint32_t token = 0; token < this->limits.storeInFlight; ++token) {
+            const auto server = tokenServer(token, engines);
+            const auto index = static_cast<std::uint32_t>(
+                    std::find(engines.begin(), engines.end(), *server) - engines.begin());
+            held[this->servers[index]->owner].push_back({token, Millis(0)});
+        }
+        for (std::uint32_t vm = 0; vm < sizes::vms; ++vm) {
+            setTokens(this->vms[vm].loads, held[vm], tokenInterval(this->limits));
+            for (std::uint32_t other = 0; other < sizes::vms; ++other) {
+                if (other != vm && !held[other].empty()) {
+                    this->vms[vm].holders[other] = {};
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] std::uint32_t gatewayOf(std::uint32_t dataCentre, std::uint32_t turn) const
+    {
+        const std::uint32_t first = dataCentre * 3;
+        const std::uint32_t count = isAcross(dataCentre) ? 2 : 3;
+        return first + turn % count;
+    }
+
+    /// One way between two data centres.
+    [[nodiscard]] static Millis trip(std::uint32_t from, std::uint32_t to)
+    {
+        return isAcross(from) == isAcross(to) ? Millis(1) : sizes::linkTrip / 2;
+    }
+
+    void arrive(const Arrival &arrival, std::uint32_t vmIndex)
+    {
+        Vm &vm = this->vms[vmIndex];
+        const auto pending = std::make_shared<Pending>();
+        pending->arrival = &arrival;
+        pending->vm = vmIndex;
+        pending->adapter = adapterName(arrival.adapter);
+        pending->hash = hashOf(pending->adapter);
+        const Millis now = this->clock.now();
+        noteRequest(vm.memory, this->costs, pending->hash, now);
+        pending->plan.candidates = chooseCandidates(this->groups[vm.dataCentre], vm.memory,
+                                                    this->costs, pending->hash, now);
+        this->askNext(pending);
+    }
+
+    void askNext(const PendingPtr &pending)
+    {
+        Vm &vm = this->vms[pending->vm];
+        const std::uint64_t bytes
+                = sizes::promptBytes + pending->arrival->tokens * sizes::bytesPerToken;
+        while (const auto ask = nextAsk(pending->plan, this->groups[vm.dataCentre])) {
+            const bool across = ask->candidate.distance == Distance::AcrossLink;
+            if (across && !takeLinkBytes(vm.link, bytes, this->clock.now())) {
+                pending->linkSkipped = true;
+                continue;
+            }
+            const std::uint32_t server = ask->candidate.node;
+            this->clock.after(trip(vm.dataCentre, dataCentreOf(server)),
+                              [this, pending, server, last = ask->lastChoice] {
+                                  this->admit(pending, server, last);
+                              });
+            return;
+        }
+        recordRefusal(this->result, this->options, *pending->arrival, false);
+    }
+
+    void admit(const PendingPtr &pending, std::uint32_t index, bool lastChoice)
+    {
+        Server &server = *this->servers[index];
+        PlaceRequest request;
+        request.request = RequestId("r");
+        request.gateway = vmName(pending->vm);
+        request.adapter = pending->adapter;
+        request.adapterHash = pending->hash;
+        // The answer must be whole by the deadline, so the place is needed before.
+        request.deadline = pending->arrival->at + sizes::requestDeadline;
+        request.maxTokens = pending->arrival->tokens;
+        request.lastChoice = lastChoice;
+        const std::uint64_t ticket = server.nextTicket++;
+        server.adapters[pending->hash] = pending->arrival->adapter;
+        server.waiting[ticket] = pending;
+        const auto action = admitRequest(server.state, this->vms[server.owner].loads,
+                                         this->context(), std::move(request), ticket,
+                                         this->clock.now());
+        if (action) {
+            this->perform(index, *action, true);
+            return;
+        }
+        this->schedule(index);
+    }
+
+    [[nodiscard]] SchedulerContext context() const
+    {
+        SchedulerContext context;
+        context.weightPercent = this->limits.weightPercent;
+        context.gatherTime = this->limits.gatherTime;
+        return context;
+    }
+
+    void schedule(std::uint32_t index)
+    {
+        Server &server = *this->servers[index];
+        const auto actions = balsamport::schedule(server.state, this->vms[server.owner].loads,
+                                                  this->context(), this->clock.now());
+        for (const Action &action : actions) {
+            this->perform(index, action, false);
+        }
+    }
+
+    PendingPtr takeWaiting(Server &server, std::uint64_t ticket)
+    {
+        const auto found = server.waiting.find(ticket);
+        const PendingPtr pending = found->second;
+        server.waiting.erase(found);
+        return pending;
+    }
+
+    void perform(std::uint32_t index, const Action &action, bool atOnce)
+    {
+        Server &server = *this->servers[index];
+        if (const auto *order = std::get_if<OrderLoad>(&action)) {
+            this->load(index, *order);
+        } else if (const auto *given = std::get_if<GivePlace>(&action)) {
+            this->start(index, this->takeWaiting(server, given->ticket), *given);
+        } else if (const auto *refusal = std::get_if<RefusePlace>(&action)) {
+            const PendingPtr pending = this->takeWaiting(server, refusal->ticket);
+            recordRefusal(this->result, this->options, *pending->arrival, !atOnce);
+        } else if (const auto *redirect = std::get_if<RedirectPlace>(&action)) {
+            const PendingPtr pending = this->takeWaiting(server, redirect->ticket);
+            const Millis back = trip(this->vms[pending->vm].dataCentre, dataCentreOf(index));
+            const Millis wait = redirect->expectedWait;
+            this->clock.after(back, [this, pending, index, wait] {
+                Vm &vm = this->vms[pending->vm];
+                pending->redirected = true;
+                noteRedirect(pending->plan, index, wait);
+                noteWait(vm.memory, index, wait, this->clock.now());
+                noteNotResident(vm.memory, pending->hash, index);
+                this->askNext(pending);
+            });
+        }
+    }
+
+    void start(std::uint32_t index, const PendingPtr &pending, const GivePlace &given)
+    {
+        const std::uint32_t home = this->vms[pending->vm].dataCentre;
+        const Millis way = trip(home, dataCentreOf(index));
+        if (way > Millis(1)) {
+            this->store.cross(sizes::promptBytes
+                              + pending->arrival->tokens * sizes::bytesPerToken);
+        }
+        this->clock.after(way * 2, [this, index, pending, given, way] {
+            const Millis now = this->clock.now();
+            Vm &vm = this->vms[pending->vm];
+            const bool missed = given.waitedForLoad > Millis(0) || pending->redirected;
+            recordStart(this->result, this->options, *pending->arrival, missed, now);
+            const Millis queueWait = missed ? Millis(0) : now - pending->arrival->at - way * 3;
+            noteGranted(vm.memory, this->costs, pending->hash, index, queueWait, now);
+            ++vm.memory.loads[index].inFlight;
+            this->servers[index]->engine.run(
+                    pending->arrival->adapter, pending->arrival->tokens,
+                    [this, index, pending, given, way] {
+                        --this->vms[pending->vm].memory.loads[index].inFlight;
+                        this->clock.after(way * 2, [this, index, given] {
+                            releaseGrant(this->servers[index]->state, given.grant,
+                                         this->clock.now());
+                            this->schedule(index);
+                        });
+                    });
+        });
+    }
+
+    void load(std::uint32_t index, const OrderLoad &order)
+    {
+        Server &server = *this->servers[index];
+        if (order.victim) {
+            server.engine.unload(server.adapters.at(hashOf(*order.victim)));
+        }
+        const std::uint32_t start = server.engine.start;
+        const AdapterRef adapter = order.adapter;
+        this->store.load(index, [this, index, start, adapter](bool works) {
+            Server &loaded = *this->servers[index];
+            if (loaded.engine.start != start) {
+                works = false;
+            }
+            if (works) {
+                loaded.engine.resident.push_back(loaded.adapters.at(hashOf(adapter)));
+            }
+            finishLoadOrder(loaded.state, this->vms[loaded.owner].loads, adapter,
+                            works ? LoadOutcome::Loaded : LoadOutcome::Failed, this->clock.now());
+            this->schedule(index);
+        });
+    }
+
+    void tick()
+    {
+        constexpr Millis interval{20};
+        for (std::uint32_t i = 0; i < sizes::servers; ++i) {
+            this->schedule(i);
+        }
+        for (std::uint32_t vm = 0; vm < sizes::vms; ++vm) {
+            this->borrow(vm);
+        }
+        if (this->clock.now() < this->options.length + sizes::requestDeadline) {
+            this->clock.after(interval, [this] { this->tick(); });
+        }
+    }
+
+    void borrow(std::uint32_t index)
+    {
+        Vm &vm = this->vms[index];
+        const Millis now = this->clock.now();
+        const bool needed
+                = std::any_of(vm.servers.begin(), vm.servers.end(), [this, now](std::uint32_t s) {
+                      return needsToken(this->servers[s]->state, this->context(), now);
+                  });
+        const auto ready = nextTokenReady(vm.loads, now);
+        if (!needed || (ready && *ready <= now)) {
+            return;
+        }
+        for (auto &[other, holder] : vm.holders) {
+            if (!holder.asked && now >= holder.askAfter) {
+                holder.asked = true;
+                this->borrowFrom(index, other);
+                return;
+            }
+        }
+    }
+
+    void borrowFrom(std::uint32_t index, std::uint32_t other)
+    {
+        const Millis asked = this->clock.now();
+        const Millis way = trip(this->vms[index].dataCentre, this->vms[other].dataCentre);
+        this->clock.after(way, [this, index, other, asked, way] {
+            Vm &lender = this->vms[other];
+            const Millis now = this->clock.now();
+            const bool lent = lendToken(lender.loads, now, loadOrderTime);
+            const Millis wait = lent ? Millis(0) : *nextTokenReady(lender.loads, now) - now;
+            this->clock.after(way, [this, index, other, asked, lent, wait] {
+                Vm &vm = this->vms[index];
+                constexpr Millis shortest{50};
+                constexpr Millis longest{1'000};
+                vm.holders[other].asked = false;
+                vm.holders[other].askAfter
+                        = this->clock.now() + (lent ? Millis(0) : std::clamp(wait, shortest, longest));
+                if (lent) {
+                    addBorrowed(vm.loads, asked, loadOrderTime);
+                    for (const std::uint32_t server : vm.servers) {
+                        this->schedule(server);
+                    }
+                }
+            });
+        });
+    }
+
+    void report()
+    {
+        constexpr Millis interval{200};
+        const bool stale = this->options.fault == Fault::StaleReports;
+        const Millis age = stale ? Millis(3'000) : Millis(20);
+        for (std::uint32_t i = 0; i < sizes::servers; ++i) {
+            Server &server = *this->servers[i];
+            LoadReport report;
+            report.start = std::to_string(server.engine.start);
+            report.taken = this->clock.now();
+            for (const std::uint32_t adapter : server.engine.resident) {
+                report.resident.push_back(adapterName(adapter));
+            }
+            for (const auto &[adapter, count] : server.engine.runningAdapters) {
+                report.running[hashOf(adapterName(adapter))] = count;
+            }
+            this->clock.after(age, [this, i, report] {
+                Server &reported = *this->servers[i];
+                applyLoadReport(reported.state, this->vms[reported.owner].loads, report,
+                                this->clock.now());
+            });
+        }
+        if (this->clock.now() < this->options.length + sizes::requestDeadline) {
+            this->clock.after(interval, [this] { this->report(); });
+        }
+    }
+
+    void restart(std::uint32_t index)
+    {
+        Engine &engine = this->servers[index]->engine;
+        engine.resident.clear();
+        ++engine.start;
+    }
+
+    CellOptions options;
+    LimitsConfig limits;
+    RouteCosts costs;
+    Snapshot snapshot;
+    Clock clock;
+    CellResult result;
+    Store store;
+    std::vector<RouteGroup> groups; ///< By data centre of the gateway.
+    std::vector<Vm> vms;
+    std::vector<std::unique_ptr<Server>> servers;
+};
+
+} // namespace balsamport::bench
+
+#endif
