--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -43,27 +43,27 @@
     exit 1
 }
 
-gateway1=http://127.0.0.1:19101
-gateway2=http://127.0.0.1:19102
-platform=http://127.0.0.1:19100
-cp -r examples/demo/config "$work/config"
+gateway1=http://127.0.0.1:18301
+gateway2=http://127.0.0.1:18302
+platform=http://127.0.0.1:18100
+mkdir "$work/config" && cp examples/demo/*.ini "$work/config"/
 
 title "Start the stand-ins: platform, two engines, one service with two replicas"
-start platform "$bin/balsamport-standin" platform --listen 127.0.0.1:19100 \
-    --folder "$work/config" --vms examples/demo/vms.json
+start platform "$bin/balsamport-standin" platform --listen 127.0.0.1:18100 \
+    --folder "$work/config" --vms examples/demo/vms/vms.json
 for engine in 1 2; do
-    start "engine$engine" "$bin/balsamport-standin" engine --listen "127.0.0.1:1920$engine" \
+    start "engine$engine" "$bin/balsamport-standin" engine --listen "127.0.0.1:1810$engine" \
         --id "e$engine" --slots 4 --batch 8 --load-ms 250 --token-ms 10 --check-fencing
 done
-start bookings1 "$bin/balsamport-standin" service --listen 127.0.0.1:19301 --id b1
-start bookings2 "$bin/balsamport-standin" service --listen 127.0.0.1:19302 --id b2
+start bookings1 "$bin/balsamport-standin" service --listen 127.0.0.1:18201 --id b1
+start bookings2 "$bin/balsamport-standin" service --listen 127.0.0.1:18202 --id b2
 
 title "Start three VMs: a controller and a gateway each (two gateways are used)"
 for vm in 1 2 3; do
-    start "controller$vm" "$bin/balsamport-controller" --config "examples/demo/vm$vm-controller.ini"
+    start "controller$vm" "$bin/balsamport-controller" --config "examples/demo/vms/vm$vm-controller.ini"
 done
 for vm in 1 2; do
-    start "gateway$vm" "$bin/balsamport-gateway" --config "examples/demo/vm$vm-gateway.ini"
+    start "gateway$vm" "$bin/balsamport-gateway" --config "examples/demo/vms/vm$vm-gateway.ini"
 done
 wait_ready $gateway1/ready
 wait_ready $gateway2/ready
@@ -73,7 +73,7 @@
     -d '{"model":"burn-plan","max_tokens":8,"messages":[{"role":"user","content":"Frost tonight?"}]}' \
     | tee "$work/whole.txt"
 echo
-expect 'burn-plan@1' "$work/whole.txt" "the adapter version that the route names answered"
+expect 'burn-plan@3' "$work/whole.txt" "the adapter version that the route names answered"
 expect 'Balsamport-Outcome: ran' "$work/whole.txt" "the outcome is named"
 
 title "A stream through the other gateway"
@@ -90,8 +90,8 @@
         -H 'Content-Type: application/json' -d '{"lot":"candles-17"}' | tee -a "$work/booking.txt"
     echo
 done
-curl -sS http://127.0.0.1:19301/ledger >"$work/ledger1.txt"
-curl -sS http://127.0.0.1:19302/ledger >"$work/ledger2.txt"
+curl -sS http://127.0.0.1:18201/ledger >"$work/ledger1.txt"
+curl -sS http://127.0.0.1:18202/ledger >"$work/ledger2.txt"
 echo "ledgers: $(cat "$work/ledger1.txt") $(cat "$work/ledger2.txt")"
 runs=$(cat "$work"/ledger?.txt | grep -oF "\"$key\":" | wc -l)
 single=$(cat "$work"/ledger?.txt | grep -oE "\"$key\": ?1[,}]" | wc -l)
@@ -104,7 +104,7 @@
 expect 'key_missing' "$work/nokey.txt" "the refusal is typed"
 expect 'Balsamport-Outcome: not-run' "$work/nokey.txt" "and says that nothing ran"
 
-title "A configuration change: the month-end override sends burn-plan to version 2"
+title "A configuration change: the month-end override sends burn-plan to version 4"
 cp examples/demo/month-end/*.ini "$work/config/"
 curl -sS -X POST $platform/admin/reload
 echo
@@ -112,7 +112,7 @@
 for _ in $(seq 1 70); do
     curl -sS "$gateway1/v1/chat/completions" -d '{"model":"burn-plan","max_tokens":2,"messages":[{"role":"user","content":"hi"}]}' >"$work/c1.txt"
     curl -sS "$gateway2/v1/chat/completions" -d '{"model":"burn-plan","max_tokens":2,"messages":[{"role":"user","content":"hi"}]}' >"$work/c2.txt"
-    if grep -qF 'burn-plan@2' "$work/c1.txt" && grep -qF 'burn-plan@2' "$work/c2.txt"; then
+    if grep -qF 'burn-plan@4' "$work/c1.txt" && grep -qF 'burn-plan@4' "$work/c2.txt"; then
         changed=yes
         break
     fi
@@ -124,7 +124,7 @@
     || { echo "   FAILED: the change is not in force"; failures=$((failures + 1)); }
 
 title "Status as operators see it"
-"$bin/balsamportctl" status --endpoint tcp://127.0.0.1:19401 --endpoint tcp://127.0.0.1:19402
+"$bin/balsamportctl" status --endpoint tcp://127.0.0.1:18401 --endpoint tcp://127.0.0.1:18402
 
 title "Stop"
 if [ -n "${DEMO_KEEP_LOGS:-}" ]; then cp "$work"/*.log "$DEMO_KEEP_LOGS"/; fi
