Add the process fixture and end-to-end tests of configuration and ownership

Owner killed, paused and woken, leaving by SIGTERM and by the list, platform down, slow, garbled and replayed, half of a two-VM data centre lost.

--- /dev/null
+++ b/tests/e2e/e2e-fleet.cpp
@@ -0,0 +1,239 @@
+#include "process_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace balsamport;
+using namespace balsamport::testing;
+
+namespace {
+
+constexpr std::uint16_t firstPort = 24100;
+constexpr Millis inForce{10'000};
+constexpr Millis takeover{15'000};
+
+const std::string baseText = "[data-centre a]\nregion = r1\n"
+                             "[data-centre b]\nregion = r1\n"
+                             "[backend-server e1]\naddress = 127.0.0.1:24190\ndata-centre = a\n"
+                             "base = citrus\n"
+                             "[adapter burn-plan]\nbase = citrus\nversions = 1\n"
+                             "[limits]\nhandover-wait = 1000\nview-lifetime = 600\n";
+
+/// Three VMs in data centre a, two in b.
+void addVms(FleetFixture &fleet)
+{
+    std::uint16_t port = firstPort + 1;
+    for (const char *id : {"a1", "a2", "a3", "b1", "b2"}) {
+        fleet.addVm({id, std::string(1, id[0]), port, static_cast<std::uint16_t>(port + 20)});
+        ++port;
+    }
+    fleet.list({"a1", "a2", "a3", "b1", "b2"});
+}
+
+const std::vector<std::string> allVms = {"a1", "a2", "a3", "b1", "b2"};
+
+bool allHave(FleetFixture &fleet, const std::vector<std::string> &vms, std::uint64_t revision)
+{
+    return std::all_of(vms.begin(), vms.end(),
+                       [&](const std::string &vm) { return fleet.revisionAt(vm) == revision; });
+}
+
+bool isEffective(FleetFixture &fleet, const std::string &vm, const std::string &server)
+{
+    const auto status = fleet.status(vm);
+    if (!status) {
+        return false;
+    }
+    return std::any_of(status->servers().begin(), status->servers().end(),
+                       [&server](const wire::ServerStatus &entry) {
+                           return entry.backend_server() == server && entry.effective();
+                       });
+}
+
+std::string effectiveOwner(FleetFixture &fleet, const std::vector<std::string> &vms)
+{
+    std::string owner;
+    for (const std::string &vm : vms) {
+        if (isEffective(fleet, vm, "e1")) {
+            CHECK(owner.empty()); // Never two at once.
+            owner = vm;
+        }
+    }
+    return owner;
+}
+
+std::string awaitOwner(FleetFixture &fleet, const std::vector<std::string> &vms)
+{
+    std::string owner;
+    eventually(takeover, [&] {
+        owner = effectiveOwner(fleet, vms);
+        return !owner.empty();
+    });
+    return owner;
+}
+
+std::vector<std::string> without(std::vector<std::string> vms, const std::string &vm)
+{
+    vms.erase(std::remove(vms.begin(), vms.end(), vm), vms.end());
+    return vms;
+}
+
+} // namespace
+
+TEST_CASE("configuration comes in force everywhere and never reverts")
+{
+    FleetFixture fleet(firstPort);
+    fleet.writeConfig("10-base.ini", baseText);
+    addVms(fleet);
+    fleet.startPlatform();
+    for (const std::string &vm : allVms) {
+        fleet.startController(vm);
+    }
+    REQUIRE(eventually(inForce, [&] { return allHave(fleet, allVms, 1); }));
+
+    SECTION("a month-end override is dropped in and removed")
+    {
+        fleet.writeConfig("90-month-end.ini", "[limits]\nrequest-timeout = 90000\n");
+        fleet.publish();
+        REQUIRE(eventually(inForce, [&] { return allHave(fleet, allVms, 2); }));
+        fleet.removeConfig("90-month-end.ini");
+        fleet.publish();
+        REQUIRE(eventually(inForce, [&] { return allHave(fleet, allVms, 3); }));
+    }
+
+    SECTION("a replayed old revision is ignored, and a refused one leaves the last in force")
+    {
+        fleet.writeConfig("20-more.ini", "[limits]\ngather-time = 5\n");
+        fleet.publish();
+        REQUIRE(eventually(inForce, [&] { return allHave(fleet, allVms, 2); }));
+        fleet.mode("replay=1");
+        sleepFor(Millis(1'500));
+        REQUIRE(allHave(fleet, allVms, 2));
+        fleet.mode("replay=0");
+        fleet.writeConfig("30-faulty.ini", "[limits]\ngather-time = much\n");
+        fleet.publish();
+        const auto refusedAt = [&](const std::string &vm) {
+            const auto status = fleet.status(vm);
+            return status && status->last_refused().find("revision 3") != std::string::npos;
+        };
+        REQUIRE(eventually(inForce,
+                           [&] { return std::any_of(allVms.begin(), allVms.end(), refusedAt); }));
+        sleepFor(Millis(500));
+        REQUIRE(allHave(fleet, allVms, 2));
+        fleet.removeConfig("30-faulty.ini");
+        fleet.writeConfig("20-more.ini", "[limits]\ngather-time = 6\n");
+        fleet.publish();
+        REQUIRE(eventually(inForce, [&] { return allHave(fleet, allVms, 4); }));
+    }
+
+    SECTION("a VM that starts while the platform is down gets it from its peers")
+    {
+        for (const char *mode : {"down=1", "down=0&garbage=1", "garbage=0&slow_ms=5000"}) {
+            CAPTURE(mode);
+            fleet.mode(mode);
+            fleet.controller("a3").killNow();
+            REQUIRE(fleet.controller("a3").waitForExit(Millis(2'000)).has_value());
+            fleet.startController("a3");
+            REQUIRE(eventually(inForce, [&] { return fleet.revisionAt("a3") == 1; }));
+        }
+        fleet.mode("slow_ms=0");
+        fleet.writeConfig("20-more.ini", "[limits]\ngather-time = 5\n");
+        fleet.publish();
+        REQUIRE(eventually(inForce, [&] { return allHave(fleet, allVms, 2); }));
+    }
+}
+
+TEST_CASE("a backend server has one effective owner")
+{
+    FleetFixture fleet(firstPort);
+    fleet.writeConfig("10-base.ini", baseText);
+    addVms(fleet);
+    fleet.startPlatform();
+    for (const std::string &vm : allVms) {
+        fleet.startController(vm);
+    }
+    const std::vector<std::string> candidates = {"a1", "a2", "a3"};
+    const std::string owner = awaitOwner(fleet, candidates);
+    REQUIRE_FALSE(owner.empty());
+    const std::vector<std::string> others = without(candidates, owner);
+
+    SECTION("killed: another VM takes over")
+    {
+        fleet.controller(owner).killNow();
+        const std::string next = awaitOwner(fleet, others);
+        REQUIRE_FALSE(next.empty());
+        REQUIRE(fleet.ownerOf("e1", "b1") != "");
+
+        SECTION("and gives it back when the first one is there again")
+        {
+            fleet.startController(owner);
+            REQUIRE(eventually(takeover,
+                               [&] { return effectiveOwner(fleet, candidates) == owner; }));
+        }
+    }
+
+    SECTION("paused and woken: it gives no orders on its old view")
+    {
+        fleet.controller(owner).pause();
+        const std::string next = awaitOwner(fleet, others);
+        REQUIRE_FALSE(next.empty());
+        fleet.controller(owner).wake();
+        // effectiveOwner() checks that there are never two.
+        REQUIRE(eventually(takeover, [&] { return effectiveOwner(fleet, candidates) == owner; }));
+    }
+
+    SECTION("while the platform is down")
+    {
+        fleet.mode("down=1");
+        sleepFor(Millis(2'000));
+        REQUIRE(awaitOwner(fleet, candidates) == owner);
+        fleet.controller(owner).killNow();
+        REQUIRE_FALSE(awaitOwner(fleet, others).empty());
+    }
+
+    SECTION("stopped as planned: it hands over and exits with 0")
+    {
+        fleet.controller(owner).terminate();
+        REQUIRE_FALSE(awaitOwner(fleet, others).empty());
+        REQUIRE(fleet.controller(owner).waitForExit(Millis(15'000)) == 0);
+    }
+
+    SECTION("listed as leaving: it hands over")
+    {
+        fleet.list(allVms, {owner});
+        REQUIRE_FALSE(awaitOwner(fleet, others).empty());
+        REQUIRE_FALSE(isEffective(fleet, owner, "e1"));
+    }
+}
+
+TEST_CASE("half of a data centre with two VMs is lost")
+{
+    FleetFixture fleet(firstPort);
+    fleet.writeConfig("10-base.ini", baseText);
+    addVms(fleet);
+    fleet.list({"a1", "a2", "b1"});
+    fleet.startPlatform();
+    const std::vector<std::string> vms = {"a1", "a2"};
+    for (const char *vm : {"a1", "a2", "b1"}) {
+        fleet.startController(vm);
+    }
+    const std::string owner = awaitOwner(fleet, vms);
+    REQUIRE_FALSE(owner.empty());
+    const std::string other = without(vms, owner).front();
+
+    SECTION("the owner's half goes on with a fresh list")
+    {
+        fleet.controller(other).killNow();
+        sleepFor(Millis(4'000));
+        REQUIRE(isEffective(fleet, owner, "e1"));
+    }
+
+    SECTION("the other half gives no orders until the list drops the owner")
+    {
+        fleet.controller(owner).killNow();
+        REQUIRE(eventually(takeover, [&] { return fleet.ownerOf("e1", other) == other; }));
+        sleepFor(Millis(3'000));
+        REQUIRE_FALSE(isEffective(fleet, other, "e1"));
+        fleet.list({other, "b1"});
+        REQUIRE(awaitOwner(fleet, {other}) == other);
+    }
+}
--- /dev/null
+++ b/tests/e2e/process_fixture.h
@@ -0,0 +1,424 @@
+#ifndef BALSAMPORT_TESTS_PROCESS_FIXTURE_H
+#define BALSAMPORT_TESTS_PROCESS_FIXTURE_H
+
+#include <balsamport/core/clock.h>
+#include <balsamport/http/http_client.h>
+#include <balsamport/wire/message_client.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+/// Runs the built programs on loopback for end-to-end tests. Everything that a fixture starts it
+/// ends, by process id; files live in a folder of its own that goes with it.
+namespace balsamport::testing {
+
+/// @brief Asks again and again until a condition holds.
+/// @return false where it did not hold within the time
+inline bool eventually(Millis limit, const std::function<bool()> &condition)
+{
+    constexpr std::chrono::milliseconds pause{20};
+    const Millis end = monotonicNow() + limit;
+    while (!condition()) {
+        if (monotonicNow() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    return true;
+}
+
+inline void sleepFor(Millis time)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(time.count()));
+}
+
+/// @brief A folder that is removed with its contents.
+class TemporaryFolder
+{
+public:
+    TemporaryFolder()
+    {
+        std::string pattern
+                = (std::filesystem::temp_directory_path() / "balsamport-e2e-XXXXXX").string();
+        if (mkdtemp(pattern.data()) == nullptr) {
+            throw std::runtime_error("no temporary folder");
+        }
+        this->folder = pattern;
+    }
+    ~TemporaryFolder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(this->folder, ignored);
+    }
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+    [[nodiscard]] const std::filesystem::path &path() const noexcept { return this->folder; }
+
+    void write(const std::string &name, const std::string &content) const
+    {
+        std::ofstream stream(this->folder / name, std::ios::binary | std::ios::trunc);
+        stream << content;
+    }
+    void remove(const std::string &name) const { std::filesystem::remove(this->folder / name); }
+
+private:
+    std::filesystem::path folder;
+};
+
+/// @brief One running program. Killed by its process id when the object goes.
+class Process
+{
+public:
+    /// @param program name of a built binary, for example "balsamport-controller"
+    /// @param logFile takes standard output and standard error
+    Process(const std::string &program, const std::vector<std::string> &arguments,
+            std::string logFile)
+        : log(std::move(logFile))
+    {
+        std::vector<std::string> words = {std::string(BALSAMPORT_BIN_DIR) + "/" + program};
+        words.insert(words.end(), arguments.begin(), arguments.end());
+        std::vector<char *> argv;
+        for (std::string &word : words) {
+            argv.push_back(word.data());
+        }
+        argv.push_back(nullptr);
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        constexpr int logMode = 0600;
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, this->log.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, logMode);
+        posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+        const int failure
+                = posix_spawn(&this->pid, argv[0], &actions, nullptr, argv.data(), environ);
+        posix_spawn_file_actions_destroy(&actions);
+        if (failure != 0) {
+            throw std::runtime_error("cannot start " + words.front());
+        }
+    }
+    ~Process()
+    {
+        if (!this->ended()) {
+            this->signal(SIGKILL);
+            waitpid(this->pid, nullptr, 0);
+        }
+    }
+    Process(const Process &) = delete;
+    Process &operator=(const Process &) = delete;
+
+    void signal(int number) const
+    {
+        if (!this->status) {
+            kill(this->pid, number);
+        }
+    }
+    void killNow() { this->signal(SIGKILL); }
+    void terminate() { this->signal(SIGTERM); }
+    void pause() { this->signal(SIGSTOP); }
+    void wake() { this->signal(SIGCONT); }
+
+    /// @return true where the program has ended
+    bool ended()
+    {
+        int raw = 0;
+        if (!this->status && waitpid(this->pid, &raw, WNOHANG) == this->pid) {
+            this->status = raw;
+        }
+        return this->status.has_value();
+    }
+
+    /// @return the exit code; -1 where a signal ended it; nothing where it still runs
+    std::optional<int> waitForExit(Millis limit)
+    {
+        if (!eventually(limit, [this] { return this->ended(); })) {
+            return std::nullopt;
+        }
+        return WIFEXITED(*this->status) ? WEXITSTATUS(*this->status) : -1;
+    }
+
+    [[nodiscard]] std::string logText() const
+    {
+        std::ifstream stream(this->log);
+        std::ostringstream text;
+        text << stream.rdbuf();
+        return text.str();
+    }
+
+private:
+    std::string log;
+    pid_t pid = 0;
+    std::optional<int> status;
+};
+
+/// @brief A VM of the fleet under test.
+struct VmSpec
+{
+    std::string id;
+    std::string dataCentre;
+    std::uint16_t controllerPort = 0;
+    std::uint16_t gatewayPort = 0;
+
+    [[nodiscard]] std::string controllerEndpoint() const
+    {
+        return "tcp://127.0.0.1:" + std::to_string(this->controllerPort);
+    }
+    [[nodiscard]] std::string gatewayAddress() const
+    {
+        return "127.0.0.1:" + std::to_string(this->gatewayPort);
+    }
+};
+
+/// @brief A platform, VMs and backend servers on loopback.
+///
+/// Example:
+///
+///     FleetFixture fleet(24100);
+///     fleet.writeConfig("10-base.ini", text);
+///     fleet.addVm({"a1", "a", 24110, 24111});
+///     fleet.startPlatform();
+///     fleet.startController("a1");
+class FleetFixture
+{
+public:
+    /// @param platformPort port of the platform's stand-in
+    explicit FleetFixture(std::uint16_t platformPort)
+        : port(platformPort)
+        , messages({"test", 1}, {})
+    {
+        std::filesystem::create_directory(this->configFolder());
+    }
+
+    /// @name Configuration and VM list
+    /// @{
+    void writeConfig(const std::string &name, const std::string &text) const
+    {
+        this->folder.write("config/" + name, text);
+    }
+    void removeConfig(const std::string &name) const { this->folder.remove("config/" + name); }
+    void addVm(const VmSpec &vm) { this->vms[vm.id] = vm; }
+    /// VMs in the platform's list, in order; `leaving` ones are listed as such.
+    void list(const std::vector<std::string> &ids, const std::vector<std::string> &leaving = {})
+    {
+        this->listed = ids;
+        this->leavingVms = leaving;
+        this->folder.write("vms.json", this->vmsJson());
+        if (this->platform) {
+            this->post("/admin/vms", this->vmsJson());
+        }
+    }
+    /// Publishes what is in the folder now. Returns the answer's body.
+    std::string publish() { return this->post("/admin/reload", ""); }
+    /// For example "down=1" or "stale=1".
+    std::string mode(const std::string &query) { return this->post("/admin/mode?" + query, ""); }
+    /// @}
+
+    /// @name Processes
+    /// @{
+    void startPlatform(const std::vector<std::string> &further = {})
+    {
+        std::vector<std::string> arguments = {"platform",
+                                              "--listen",
+                                              this->platformAddress(),
+                                              "--folder",
+                                              this->configFolder(),
+                                              "--vms",
+                                              (this->folder.path() / "vms.json").string()};
+        arguments.insert(arguments.end(), further.begin(), further.end());
+        this->platform = this->spawn("balsamport-standin", arguments, "platform");
+        this->waitForHttp(this->platformAddress(), "/admin/calls");
+    }
+    void stopPlatform() { this->platform.reset(); }
+
+    /// @param further more settings, each KEY=VALUE
+    void startController(const std::string &vmId, const std::vector<std::string> &further = {})
+    {
+        const VmSpec &vm = this->vms.at(vmId);
+        std::string peers;
+        for (const auto &[id, other] : this->vms) {
+            peers += (peers.empty() ? "" : ",") + other.controllerEndpoint();
+        }
+        std::vector<std::string> settings = {"vm.id=" + vm.id,
+                                             "vm.data-centre=" + vm.dataCentre,
+                                             "vm.gateway-address=" + vm.gatewayAddress(),
+                                             "controller.endpoint=" + vm.controllerEndpoint(),
+                                             "platform.address=" + this->platformAddress(),
+                                             "peers.endpoints=" + peers};
+        settings.insert(settings.end(), further.begin(), further.end());
+        this->controllers.erase(vmId);
+        this->controllers[vmId]
+                = this->spawn("balsamport-controller", asSets(settings), "controller-" + vmId);
+    }
+    void startGateway(const std::string &vmId, const std::vector<std::string> &further = {})
+    {
+        const VmSpec &vm = this->vms.at(vmId);
+        std::vector<std::string> settings = {"vm.id=" + vm.id, "vm.data-centre=" + vm.dataCentre,
+                                             "gateway.listen=" + vm.gatewayAddress(),
+                                             "controller.endpoint=" + vm.controllerEndpoint()};
+        settings.insert(settings.end(), further.begin(), further.end());
+        this->gateways.erase(vmId);
+        this->gateways[vmId]
+                = this->spawn("balsamport-gateway", asSets(settings), "gateway-" + vmId);
+    }
+    /// Starts an engine or a service; `kind` is the stand-in's subcommand.
+    void startBackendServer(const std::string &kind, const std::string &id,
+                            std::uint16_t listenPort, const std::vector<std::string> &further = {})
+    {
+        const std::string address = "127.0.0.1:" + std::to_string(listenPort);
+        std::vector<std::string> arguments = {kind, "--listen", address, "--id", id};
+        arguments.insert(arguments.end(), further.begin(), further.end());
+        this->backendServers.erase(id);
+        this->backendServers[id] = this->spawn("balsamport-standin", arguments, id);
+    }
+    Process &controller(const std::string &vmId) { return *this->controllers.at(vmId); }
+    Process &gateway(const std::string &vmId) { return *this->gateways.at(vmId); }
+    Process &backendServer(const std::string &id) { return *this->backendServers.at(id); }
+    /// @}
+
+    /// @name Questions
+    /// @{
+    std::optional<wire::StatusReply> status(const std::string &vmId)
+    {
+        wire::Envelope message;
+        message.mutable_status_request();
+        const auto reply = this->ask(vmId, std::move(message));
+        if (!reply || !reply->has_status_reply()) {
+            return std::nullopt;
+        }
+        return reply->status_reply();
+    }
+    std::optional<wire::Envelope> ask(const std::string &vmId, wire::Envelope message)
+    {
+        constexpr Millis answerTimeout{500};
+        const auto reply = this->messages.call(this->vms.at(vmId).controllerEndpoint(),
+                                               std::move(message), answerTimeout);
+        return reply.has_value() ? std::optional(reply.value()) : std::nullopt;
+    }
+    std::optional<wire::MembersReply> members(const std::string &vmId)
+    {
+        wire::Envelope message;
+        message.mutable_members_pull();
+        const auto reply = this->ask(vmId, std::move(message));
+        if (!reply || !reply->has_members_reply()) {
+            return std::nullopt;
+        }
+        return reply->members_reply();
+    }
+    /// The owner of a backend server as a VM sees it; empty where none is known.
+    std::string ownerOf(const std::string &backendServer, const std::string &seenBy)
+    {
+        const auto reply = this->members(seenBy);
+        if (!reply) {
+            return {};
+        }
+        for (const wire::OwnerEntry &owner : reply->owners()) {
+            if (owner.backend_server() == backendServer) {
+                return owner.vm();
+            }
+        }
+        return {};
+    }
+    std::uint64_t revisionAt(const std::string &vmId)
+    {
+        const auto reply = this->status(vmId);
+        return reply ? reply->config_revision() : 0;
+    }
+    HttpClient &http() { return this->httpClient; }
+    [[nodiscard]] std::string platformAddress() const
+    {
+        return "127.0.0.1:" + std::to_string(this->port);
+    }
+    [[nodiscard]] const std::filesystem::path &path() const { return this->folder.path(); }
+    std::string get(const std::string &address, const std::string &target)
+    {
+        OutgoingRequest request;
+        request.url = "http://" + address + target;
+        request.timeout = Millis(2'000);
+        const auto answer = this->httpClient.fetch(std::move(request));
+        return answer.has_value() ? answer.value().body : std::string();
+    }
+    bool waitForHttp(const std::string &address, const std::string &target)
+    {
+        return eventually(Millis(10'000), [&] { return !this->get(address, target).empty(); });
+    }
+    /// @}
+
+private:
+    [[nodiscard]] std::string configFolder() const
+    {
+        return (this->folder.path() / "config").string();
+    }
+    static std::vector<std::string> asSets(const std::vector<std::string> &settings)
+    {
+        std::vector<std::string> arguments;
+        for (const std::string &setting : settings) {
+            arguments.emplace_back("--set");
+            arguments.push_back(setting);
+        }
+        return arguments;
+    }
+    std::unique_ptr<Process> spawn(const std::string &program,
+                                   const std::vector<std::string> &arguments,
+                                   const std::string &name)
+    {
+        const std::string log = (this->folder.path() / (name + ".log")).string();
+        return std::make_unique<Process>(program, arguments, log);
+    }
+    std::string post(const std::string &target, const std::string &body)
+    {
+        OutgoingRequest request;
+        request.method = "POST";
+        request.url = "http://" + this->platformAddress() + target;
+        request.body = body;
+        request.timeout = Millis(5'000);
+        const auto answer = this->httpClient.fetch(std::move(request));
+        return answer.has_value() ? answer.value().body : std::string();
+    }
+    std::string vmsJson() const
+    {
+        std::string json = "{\"vms\":[";
+        for (const std::string &id : this->listed) {
+            const VmSpec &vm = this->vms.at(id);
+            const bool leaving = std::find(this->leavingVms.begin(), this->leavingVms.end(), id)
+                    != this->leavingVms.end();
+            json += (json.back() == '[' ? "" : ",");
+            json += R"({"id":")" + id + R"(","data_centre":")" + vm.dataCentre
+                    + R"(","controller":")" + vm.controllerEndpoint() + R"(","gateway":")"
+                    + vm.gatewayAddress() + R"(","state":")" + (leaving ? "leaving" : "live")
+                    + "\"}";
+        }
+        return json + "]}";
+    }
+
+    const std::uint16_t port;
+    TemporaryFolder folder;
+    HttpClient httpClient;
+    MessageClient messages;
+    std::map<std::string, VmSpec> vms;
+    std::vector<std::string> listed;
+    std::vector<std::string> leavingVms;
+    std::unique_ptr<Process> platform;
+    std::map<std::string, std::unique_ptr<Process>> backendServers;
+    std::map<std::string, std::unique_ptr<Process>> controllers;
+    std::map<std::string, std::unique_ptr<Process>> gateways;
+};
+
+} // namespace balsamport::testing
+
+#endif
