Queue peers for tokens by the age of their oldest request

Cause: a lent token stayed busy to the end of its lease and askers polled. Now a lender keeps askers in order of age for 300 ms, and a finished or unneeded token is returned by message.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -285,7 +285,7 @@
     std::vector<Cell> cells = makeCells(values["only"].as<std::string>(), seed);
     runAll(cells, std::max(1U, values["threads"].as<unsigned>()));
     std::cout << "seed=" << seed << " stalls in ms; a refused request counts its deadline of "
-              << sizes::requestDeadline << "\n";
+              << sizes::requestDeadline.count() << "\n";
     if (values.count("plot-data") > 0) {
         writePlotData(values["plot-data"].as<std::string>(), cells);
     }
--- a/include/balsamport/controllers/grant_client.h
+++ b/include/balsamport/controllers/grant_client.h
@@ -83,7 +83,7 @@
 
     /// @brief Takes in the configuration and the fleet; grants held at a server whose owner
     /// changed are announced to the new one.
-    void update(SnapshotPtr snapshot, std::shared_ptr<const FleetView> fleet);
+    void update(const SnapshotPtr &snapshot, const std::shared_ptr<const FleetView> &fleet);
 
     /// @brief Asks for a place.
     /// @param handler gets a place, or UnknownModel, UnknownService, NoBackendServer, Overloaded,
--- a/include/balsamport/controllers/grant_controller.h
+++ b/include/balsamport/controllers/grant_controller.h
@@ -58,13 +58,15 @@
     ///
     /// Call it on each change, and on each confirmation, since `confirmedUntil` bounds the orders.
     /// @param fleet names the peers that shares of the weight store are borrowed from
-    void update(SnapshotPtr snapshot, const std::vector<ServerOwnership> &servers,
-                std::shared_ptr<const FleetView> fleet);
+    void update(const SnapshotPtr &snapshot, const std::vector<ServerOwnership> &servers,
+                const std::shared_ptr<const FleetView> &fleet);
 
     /// @brief Answers one message.
     ///
     /// A grant request whose `deadline_ms` is 0 asks for no place: the adapter is loaded when the
-    /// budget for loads has room to spare.
+    /// budget for loads has room to spare. A share_borrow with `in_flight` 1 asks for a token of
+    /// the weight store, with how long its oldest request has waited in `millitokens`; with
+    /// `in_flight` 0 it returns loan `millitokens`, used where `lease_ms` is not 0.
     void handle(const wire::Envelope &message, const Replier &reply);
 
     /// @brief Runs what is due: queues, deadlines, load reports, borrowing.
--- a/include/balsamport/policy/load_budget.h
+++ b/include/balsamport/policy/load_budget.h
@@ -21,6 +21,7 @@
     Millis readyAt; ///< The store's rate allows the next load from here on.
     Millis busyUntil; ///< A load or a lease may be in flight until here.
     Millis heldSince; ///< When this VM's right to the token began.
+    std::uint64_t loan = 0; ///< Number of the loan that it is out on; 0 for none.
 
     bool operator==(const LoadToken &) const = default;
 };
@@ -28,12 +29,35 @@
 /// @brief A token lent by a peer, good for one load that ends before the lease does.
 struct BorrowedToken
 {
+    std::uint64_t loan = 0; ///< The lender's number.
+    std::uint64_t lender = 0; ///< Chosen by the caller of the policy.
     Millis startBy; ///< The load must start before.
     Millis until; ///< The load must have ended by then.
 
     bool operator==(const BorrowedToken &) const = default;
 };
 
+/// @brief A peer that waits for a token.
+struct LoanAsk
+{
+    std::uint64_t ask = 0; ///< Chosen by the caller of the policy.
+    Millis since; ///< When the oldest request behind it came.
+    Millis came; ///< When this VM got the request.
+    Millis until; ///< Refused then.
+
+    bool operator==(const LoanAsk &) const = default;
+};
+
+/// @brief A borrowed token that goes back to its lender.
+struct LoanReturn
+{
+    std::uint64_t loan = 0;
+    std::uint64_t lender = 0;
+    bool used = false; ///< A load was made on it.
+
+    bool operator==(const LoanReturn &) const = default;
+};
+
 /// @brief The tokens of one VM.
 struct LoadBudget
 {
@@ -41,6 +65,9 @@
     std::vector<LoadToken> tokens; ///< Held by this VM, ordered by index.
     std::vector<LoadToken> retired; ///< Once held; kept so that a token that returns is not fresh.
     std::vector<BorrowedToken> borrowed;
+    std::vector<LoanAsk> asks; ///< Peers that wait for a token of this VM.
+    std::vector<LoanReturn> returns; ///< To be sent to their lenders.
+    std::uint64_t nextLoan = 1;
 
     bool operator==(const LoadBudget &) const = default;
 };
@@ -49,6 +76,7 @@
 struct LoadPermit
 {
     std::optional<std::uint32_t> token; ///< Nothing: a borrowed one.
+    BorrowedToken borrowed;
     Millis deadline; ///< The load must have ended by then.
 
     bool operator==(const LoadPermit &) const = default;
@@ -86,23 +114,44 @@
 /// @complexity O(n * m) for n tokens now and m before
 void setTokens(LoadBudget &budget, const std::vector<HeldToken> &held, Millis interval);
 
-/// @brief Takes a token for a load that starts now.
+/// @brief Takes a token for a load that starts now. A peer whose request is older goes first.
+/// @param since when the oldest request for the load came
 /// @return nothing where none is ready
-/// @complexity linear in the tokens held
-[[nodiscard]] std::optional<LoadPermit> takeToken(LoadBudget &budget, Millis now);
+/// @complexity linear in the tokens held and the peers waiting
+[[nodiscard]] std::optional<LoadPermit> takeToken(LoadBudget &budget, Millis since, Millis now);
 
 /// @brief Gives back a token after its load has ended; its rate stays spent.
-void finishLoad(LoadBudget &budget, const LoadPermit &permit, Millis now) noexcept;
+void finishLoad(LoadBudget &budget, const LoadPermit &permit, Millis now);
+
+/// @brief Puts a peer into the queue for a token.
+void askLoan(LoadBudget &budget, const LoanAsk &ask);
+
+/// @brief The answer to a peer in the queue.
+struct LoanAnswer
+{
+    std::uint64_t ask = 0;
+    std::uint64_t loan = 0; ///< 0: refused.
+    Millis wait; ///< Where refused: when to ask again.
+    Millis kept; ///< How long the peer was kept waiting.
+
+    bool operator==(const LoanAnswer &) const = default;
+};
+
+/// @brief Lends ready tokens, the oldest request first, and refuses peers that waited too long.
+/// @param mayLend whether this VM's right to its tokens is confirmed
+[[nodiscard]] std::vector<LoanAnswer> serveLoans(LoadBudget &budget, bool mayLend, Millis now);
+
+/// @brief Takes a lent token back. A loan that is not the token's latest is ignored.
+/// @param used a load was made on it; otherwise its rate is not spent
+void returnLoan(LoadBudget &budget, std::uint64_t loan, bool used, Millis now) noexcept;
 
-/// @brief Lends a ready token for one load.
-/// @param lease for how long the borrower may use it
-/// @return whether one was ready
-[[nodiscard]] bool lendToken(LoadBudget &budget, Millis now, Millis lease);
+/// @brief Adds a token that a peer has lent, for loadOrderTime.
+/// @param lent the earliest time at which it can have been lent: when the request for it was sent,
+/// and later by how long the lender kept it
+void addBorrowed(LoadBudget &budget, std::uint64_t loan, std::uint64_t lender, Millis lent);
 
-/// @brief Adds a token that a peer has lent.
-/// @param asked when the request for it was sent
-/// @param lease as the lender gave it
-void addBorrowed(LoadBudget &budget, Millis asked, Millis lease);
+/// @brief Sends back borrowed tokens that nobody needs.
+void returnUnneeded(LoadBudget &budget);
 
 /// @return when a token becomes ready, now where one is; nothing where none is held
 [[nodiscard]] std::optional<Millis> nextTokenReady(const LoadBudget &budget, Millis now) noexcept;
--- a/src/controllers/engine_client.cpp
+++ b/src/controllers/engine_client.cpp
@@ -223,8 +223,9 @@
         }
         report.resident.push_back(adapter.value());
     }
-    const auto running = document.FindMember("running_adapters");
-    if (running != document.MemberEnd() && running->value.IsObject()) {
+    const rapidjson::Value &root = document;
+    const auto running = root.FindMember("running_adapters");
+    if (running != root.MemberEnd() && running->value.IsObject()) {
         for (const auto &entry : running->value.GetObject()) {
             const auto adapter = parseAdapterRef(entry.name.GetString());
             if (adapter.has_value() && entry.value.IsUint()) {
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -218,7 +218,8 @@
 
 } // namespace
 
-void GrantClient::update(SnapshotPtr snapshot, std::shared_ptr<const FleetView> fleet)
+void GrantClient::update(const SnapshotPtr &snapshot,
+                         const std::shared_ptr<const FleetView> &fleet)
 {
     if (snapshot == nullptr || fleet == nullptr) {
         return;
--- a/src/controllers/grant_controller.cpp
+++ b/src/controllers/grant_controller.cpp
@@ -18,8 +18,9 @@
 
 constexpr Millis reportInterval{200};
 constexpr Millis keepAliveInterval{500}; ///< Between two QUEUED replies to one waiter.
-constexpr Millis shareTimeout{500};
-constexpr Millis shareRetry{50};
+constexpr Millis shareTimeout{800};
+constexpr Millis sharePatience{300}; ///< How long a lender keeps a request before refusing it.
+constexpr Millis shareRetry{10};
 constexpr Millis shareRetryLongest{1'000};
 constexpr Millis announceGrace{5'000}; ///< A younger grant may be missing in an announcement.
 
@@ -44,6 +45,7 @@
 /// A peer that holds a share of the weight store.
 struct ShareHolder
 {
+    std::uint64_t number = 0;
     Millis askAfter;
     bool asked = false;
 };
@@ -63,10 +65,13 @@
     SnapshotPtr snapshot;
     std::map<std::string, std::uint64_t> gatewayRuns; ///< Newest incarnation by VM.
 
-    std::mutex budgetLock; ///< Guards the three below; taken after a shard's lock.
+    std::mutex budgetLock; ///< Guards the six below; taken after a shard's lock.
     LoadBudget budget;
     Millis budgetConfirmedUntil;
     std::map<std::string, ShareHolder> holders; ///< By endpoint.
+    std::map<std::uint64_t, std::string> lenders; ///< Endpoints by number; kept for returns.
+    std::map<std::uint64_t, Replier> loanAsks; ///< Peers that wait for a token, by ask.
+    std::uint64_t nextAsk = 1;
 
     [[nodiscard]] std::vector<std::shared_ptr<GrantShard>> allShards() const
     {
@@ -94,12 +99,15 @@
     void release(const wire::Envelope &message);
     void announce(const wire::Envelope &message);
     void lend(const wire::ShareBorrow &borrow, const Replier &reply);
+    void serveAsks(Millis now);
+    void sendReturns();
     void run(const std::shared_ptr<GrantShard> &shard, Millis now);
     void perform(const std::shared_ptr<GrantShard> &shard, const std::vector<Action> &actions);
     void sendLoad(const std::shared_ptr<GrantShard> &shard, const OrderLoad &order);
     void readReport(const std::shared_ptr<GrantShard> &shard, Millis now);
     void borrow(Millis now);
-    void borrowFrom(const std::string &endpoint, Millis now);
+    void borrowFrom(const std::string &endpoint, Millis waited, Millis now);
+    void takeLoan(const std::string &endpoint, Millis asked, const Result<wire::Envelope> &reply);
 };
 
 PeerMessages peerMessagesOver(MessageClient &client)
@@ -134,8 +142,9 @@
             || message.has_grant_announce() || message.has_share_borrow();
 }
 
-void GrantController::update(SnapshotPtr snapshot, const std::vector<ServerOwnership> &servers,
-                             std::shared_ptr<const FleetView> fleet)
+void GrantController::update(const SnapshotPtr &snapshot,
+                             const std::vector<ServerOwnership> &servers,
+                             const std::shared_ptr<const FleetView> &fleet)
 {
     if (snapshot == nullptr) {
         return;
@@ -166,7 +175,9 @@
         this->core->readReport(shard, now);
         this->core->run(shard, now);
     }
+    this->core->serveAsks(now);
     this->core->borrow(now);
+    this->core->sendReturns();
 }
 
 void GrantController::fillStatus(wire::StatusReply &status) const
@@ -258,7 +269,11 @@
     std::erase_if(this->holders,
                   [&endpoints](const auto &entry) { return !endpoints.contains(entry.first); });
     for (const std::string &endpoint : endpoints) {
-        this->holders.try_emplace(endpoint);
+        const auto [at, added] = this->holders.try_emplace(endpoint);
+        if (added) {
+            at->second.number = this->nextAsk++;
+            this->lenders[at->second.number] = endpoint;
+        }
     }
 }
 
@@ -316,6 +331,7 @@
         }
     }
     this->run(shard, now);
+    this->borrow(now);
     // Only a request that goes on waiting is told so; the others have their final answer.
     const std::lock_guard guard(shard->lock);
     tellQueued(*shard, now, keepAliveInterval);
@@ -353,20 +369,53 @@
 void GrantController::Core::lend(const wire::ShareBorrow &borrow, const Replier &reply)
 {
     const Millis now = monotonicNow();
-    const Millis lease(std::min<std::int64_t>(borrow.lease_ms(), loadOrderTime.count()));
-    wire::Envelope message;
-    wire::ShareReply &answer = *message.mutable_share_reply();
+    {
+        const std::lock_guard guard(this->budgetLock);
+        if (borrow.in_flight() == 0) {
+            returnLoan(this->budget, borrow.millitokens(), borrow.lease_ms() > 0, now);
+        } else {
+            const std::uint64_t ask = this->nextAsk++;
+            this->loanAsks[ask] = reply;
+            const Millis since = now - Millis(borrow.millitokens());
+            askLoan(this->budget, {ask, since, now, now + sharePatience});
+        }
+    }
+    this->serveAsks(now);
+}
+
+void GrantController::Core::serveAsks(Millis now)
+{
     const std::lock_guard guard(this->budgetLock);
-    if (now + lease < this->budgetConfirmedUntil + loadOrderTime && now < this->budgetConfirmedUntil
-        && lendToken(this->budget, now, lease)) {
-        answer.set_in_flight(1);
-        answer.set_lease_ms(static_cast<std::uint32_t>(lease.count()));
-    } else {
-        const auto ready = nextTokenReady(this->budget, now);
-        const Millis wait = ready ? *ready - now : shareRetryLongest;
-        answer.set_lease_ms(static_cast<std::uint32_t>(wait.count()));
+    const bool mayLend = now < this->budgetConfirmedUntil;
+    for (const LoanAnswer &answer : serveLoans(this->budget, mayLend, now)) {
+        wire::Envelope message;
+        wire::ShareReply &share = *message.mutable_share_reply();
+        share.set_in_flight(answer.loan == 0 ? 0 : 1);
+        share.set_millitokens(static_cast<std::uint32_t>(answer.loan));
+        const Millis time = answer.loan == 0 ? answer.wait : loadOrderTime + answer.kept;
+        share.set_lease_ms(static_cast<std::uint32_t>(time.count()));
+        this->loanAsks[answer.ask](std::move(message));
+        this->loanAsks.erase(answer.ask);
+    }
+}
+
+void GrantController::Core::sendReturns()
+{
+    std::vector<std::pair<std::string, LoanReturn>> returns;
+    {
+        const std::lock_guard guard(this->budgetLock);
+        for (const LoanReturn &loan : this->budget.returns) {
+            returns.emplace_back(this->lenders[loan.lender], loan);
+        }
+        this->budget.returns.clear();
+    }
+    for (const auto &[endpoint, loan] : returns) {
+        wire::Envelope message;
+        message.mutable_share_borrow()->set_in_flight(0);
+        message.mutable_share_borrow()->set_millitokens(static_cast<std::uint32_t>(loan.loan));
+        message.mutable_share_borrow()->set_lease_ms(loan.used ? 1 : 0);
+        this->peers.notify(endpoint, std::move(message));
     }
-    reply(std::move(message));
 }
 
 void GrantController::Core::run(const std::shared_ptr<GrantShard> &shard, Millis now)
@@ -389,6 +438,7 @@
         tellQueued(*shard, now, keepAliveInterval);
     }
     this->perform(shard, actions);
+    this->sendReturns();
 }
 
 void GrantController::Core::perform(const std::shared_ptr<GrantShard> &shard,
@@ -471,71 +521,76 @@
 
 void GrantController::Core::borrow(Millis now)
 {
-    bool needed = false;
+    std::optional<Millis> since;
     for (const auto &shard : this->allShards()) {
         const std::lock_guard guard(shard->lock);
-        needed = needed || needsToken(shard->state, contextOf(*shard, now), now);
-    }
-    if (!needed) {
-        return;
+        const auto need = needsToken(shard->state, contextOf(*shard, now), now);
+        since = need && since ? std::min(*need, *since) : (need ? need : since);
     }
     std::vector<std::string> endpoints;
     {
         const std::lock_guard guard(this->budgetLock);
+        if (!since) {
+            returnUnneeded(this->budget);
+        }
         const auto ready = nextTokenReady(this->budget, now);
-        if (ready && *ready <= now && now < this->budgetConfirmedUntil) {
+        if (!since || (ready && *ready <= now && now < this->budgetConfirmedUntil)) {
             return;
         }
         for (auto &[endpoint, holder] : this->holders) {
             if (!holder.asked && now >= holder.askAfter) {
                 holder.asked = true;
                 endpoints.push_back(endpoint);
-                break;
             }
         }
     }
     for (const std::string &endpoint : endpoints) {
-        this->borrowFrom(endpoint, now);
+        this->borrowFrom(endpoint, now - *since, now);
     }
 }
 
-void GrantController::Core::borrowFrom(const std::string &endpoint, Millis now)
+void GrantController::Core::borrowFrom(const std::string &endpoint, Millis waited, Millis now)
 {
     wire::Envelope message;
     message.mutable_share_borrow()->set_in_flight(1);
-    message.mutable_share_borrow()->set_lease_ms(static_cast<std::uint32_t>(loadOrderTime.count()));
+    message.mutable_share_borrow()->set_millitokens(static_cast<std::uint32_t>(waited.count()));
     this->peers.request(endpoint, std::move(message), shareTimeout,
                         [weak = this->weak_from_this(), endpoint,
                          asked = now](const Result<wire::Envelope> &reply) {
                             const auto core = weak.lock();
-                            if (core == nullptr || core->stopped) {
-                                return false;
-                            }
-                            {
-                                const std::lock_guard guard(core->budgetLock);
-                                ShareHolder &holder = core->holders[endpoint];
-                                holder.asked = false;
-                                const Millis answered = monotonicNow();
-                                holder.askAfter = answered + shareRetryLongest;
-                                if (!reply.has_value() || !reply.value().has_share_reply()) {
-                                    return false;
-                                }
-                                const wire::ShareReply &share = reply.value().share_reply();
-                                const Millis time(share.lease_ms());
-                                if (share.in_flight() == 0) {
-                                    holder.askAfter = answered
-                                            + std::clamp(time, shareRetry, shareRetryLongest);
-                                    return false;
-                                }
-                                holder.askAfter = answered;
-                                addBorrowed(core->budget, asked, time);
-                            }
-                            const Millis answered = monotonicNow();
-                            for (const auto &shard : core->allShards()) {
-                                core->run(shard, answered);
+                            if (core != nullptr && !core->stopped) {
+                                core->takeLoan(endpoint, asked, reply);
                             }
                             return false;
                         });
 }
 
+void GrantController::Core::takeLoan(const std::string &endpoint, Millis asked,
+                                     const Result<wire::Envelope> &reply)
+{
+    const Millis now = monotonicNow();
+    {
+        const std::lock_guard guard(this->budgetLock);
+        ShareHolder &holder = this->holders[endpoint];
+        holder.asked = false;
+        holder.askAfter = now + shareRetryLongest;
+        if (!reply.has_value() || !reply.value().has_share_reply()) {
+            return;
+        }
+        const wire::ShareReply &share = reply.value().share_reply();
+        if (share.in_flight() == 0) {
+            holder.askAfter = now + std::clamp(Millis(share.lease_ms()), shareRetry,
+                                               shareRetryLongest);
+            return;
+        }
+        holder.askAfter = now;
+        addBorrowed(this->budget, share.millitokens(), holder.number,
+                    asked + Millis(share.lease_ms()) - loadOrderTime);
+    }
+    for (const auto &shard : this->allShards()) {
+        this->run(shard, now);
+    }
+    this->borrow(now);
+}
+
 } // namespace balsamport
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -232,6 +232,7 @@
     std::int32_t priority = 0;
     std::int64_t urgency = 0;
     Millis deadline;
+    Millis since; ///< When the oldest of the callers came.
 };
 
 std::vector<WantedLoad> wantedLoads(const ServerState &server, Millis now)
@@ -249,11 +250,11 @@
                                   [hash](const WantedLoad &w) { return w.hash == hash; });
         if (found == wanted.end()) {
             found = wanted.insert(wanted.end(),
-                                  {waiter.request.adapter, hash, waiter.request.priority, 0,
-                                   waiter.request.deadline});
+                                  {waiter.request.adapter, hash, waiter.request.priority, 0, waiter.request.deadline, waiter.since});
         }
         found->priority = std::max(found->priority, waiter.request.priority);
         found->deadline = std::min(found->deadline, waiter.request.deadline);
+        found->since = std::min(found->since, waiter.since);
         found->urgency += (now - waiter.since).count() + 1;
     }
     std::sort(wanted.begin(), wanted.end(), [](const WantedLoad &a, const WantedLoad &b) {
@@ -309,7 +310,7 @@
         if (slot == nullptr) {
             return;
         }
-        const auto permit = takeToken(budget, now);
+        const auto permit = takeToken(budget, wanted.since, now);
         if (!permit) {
             return;
         }
@@ -626,17 +627,23 @@
     return slot != nullptr && slot->state == SlotState::Resident;
 }
 
-bool needsToken(const ServerState &server, const SchedulerContext &context, Millis now) noexcept
+std::optional<Millis> needsToken(const ServerState &server, const SchedulerContext &context,
+                                 Millis now) noexcept
 {
     if (context.right != OwnerRight::Full || context.leaving || !server.reported) {
-        return false;
-    }
-    if (wantedLoads(server, now).empty()) {
-        return false;
-    }
-    return std::any_of(server.slots.begin(), server.slots.end(), [&server](const Slot &slot) {
-        return slot.state == SlotState::Free || mayEvict(server, slot);
-    });
+        return std::nullopt;
+    }
+    const std::vector<WantedLoad> wanted = wantedLoads(server, now);
+    const bool room = std::any_of(
+            server.slots.begin(), server.slots.end(), [&server](const Slot &slot) {
+                return slot.state == SlotState::Free || mayEvict(server, slot);
+            });
+    if (wanted.empty() || !room) {
+        return std::nullopt;
+    }
+    return std::min_element(wanted.begin(), wanted.end(),
+                            [](const auto &a, const auto &b) { return a.since < b.since; })
+            ->since;
 }
 
 Millis expectedWait(const ServerState &server, const LoadBudget &budget, std::uint64_t adapterHash,
--- a/src/policy/load_budget.cpp
+++ b/src/policy/load_budget.cpp
@@ -25,8 +25,13 @@
 
 void dropEndedLeases(LoadBudget &budget, Millis now)
 {
-    std::erase_if(budget.borrowed,
-                  [now](const BorrowedToken &token) { return token.startBy <= now; });
+    std::erase_if(budget.borrowed, [&budget, now](const BorrowedToken &token) {
+        if (now < token.startBy) {
+            return false;
+        }
+        budget.returns.push_back({token.loan, token.lender, false});
+        return true;
+    });
 }
 
 } // namespace
@@ -66,46 +71,95 @@
     budget.interval = interval;
 }
 
-std::optional<LoadPermit> takeToken(LoadBudget &budget, Millis now)
+std::optional<LoadPermit> takeToken(LoadBudget &budget, Millis since, Millis now)
 {
     dropEndedLeases(budget, now);
     if (!budget.borrowed.empty()) {
-        const LoadPermit permit{std::nullopt, budget.borrowed.back().until};
+        const BorrowedToken borrowed = budget.borrowed.back();
         budget.borrowed.pop_back();
-        return permit;
+        return LoadPermit{std::nullopt, borrowed, borrowed.until};
     }
-    LoadToken *token = findReady(budget, now);
-    if (token == nullptr) {
+    const auto ready = std::count_if(budget.tokens.begin(), budget.tokens.end(),
+                                     [now](const LoadToken &token) { return isReady(token, now); });
+    const auto older = std::count_if(budget.asks.begin(), budget.asks.end(),
+                                     [since](const LoanAsk &ask) { return ask.since < since; });
+    if (ready <= older) {
         return std::nullopt;
     }
+    LoadToken *token = findReady(budget, now);
     token->readyAt = now + budget.interval;
     token->busyUntil = now + loadOrderTime;
-    return LoadPermit{token->index, token->busyUntil};
+    token->loan = 0;
+    return LoadPermit{token->index, {}, token->busyUntil};
 }
 
-void finishLoad(LoadBudget &budget, const LoadPermit &permit, Millis now) noexcept
+void finishLoad(LoadBudget &budget, const LoadPermit &permit, Millis now)
 {
+    if (!permit.token) {
+        budget.returns.push_back({permit.borrowed.loan, permit.borrowed.lender, true});
+        return;
+    }
     for (LoadToken &token : budget.tokens) {
-        if (permit.token == token.index && token.busyUntil == permit.deadline) {
+        const bool same = token.loan == 0 && token.busyUntil == permit.deadline;
+        if (token.index == *permit.token && same) {
             token.busyUntil = std::min(token.busyUntil, now);
         }
     }
 }
 
-bool lendToken(LoadBudget &budget, Millis now, Millis lease)
+void askLoan(LoadBudget &budget, const LoanAsk &ask)
 {
-    LoadToken *token = findReady(budget, now);
-    if (token == nullptr) {
-        return false;
+    budget.asks.push_back(ask);
+}
+
+std::vector<LoanAnswer> serveLoans(LoadBudget &budget, bool mayLend, Millis now)
+{
+    std::vector<LoanAnswer> answers;
+    std::sort(budget.asks.begin(), budget.asks.end(),
+              [](const LoanAsk &a, const LoanAsk &b) { return a.since < b.since; });
+    std::erase_if(budget.asks, [&](const LoanAsk &ask) {
+        LoadToken *token = mayLend ? findReady(budget, now) : nullptr;
+        if (token != nullptr) {
+            token->loan = budget.nextLoan++;
+            token->readyAt = now + budget.interval + borrowedStartTime;
+            token->busyUntil = now + loadOrderTime + leaseMargin;
+            answers.push_back({ask.ask, token->loan, Millis(0), now - ask.came});
+            return true;
+        }
+        if (now < ask.until) {
+            return false;
+        }
+        const auto ready = nextTokenReady(budget, now);
+        answers.push_back({ask.ask, 0, ready ? *ready - now : loadOrderTime,
+                           now - ask.came});
+        return true;
+    });
+    return answers;
+}
+
+void returnLoan(LoadBudget &budget, std::uint64_t loan, bool used, Millis now) noexcept
+{
+    for (LoadToken &token : budget.tokens) {
+        if (loan == 0 || token.loan != loan) {
+            continue;
+        }
+        token.loan = 0;
+        token.busyUntil = std::min(token.busyUntil, now);
+        token.readyAt = used ? token.readyAt : std::min(token.readyAt, now);
     }
-    token->readyAt = now + budget.interval + borrowedStartTime;
-    token->busyUntil = now + lease + leaseMargin;
-    return true;
 }
 
-void addBorrowed(LoadBudget &budget, Millis asked, Millis lease)
+void addBorrowed(LoadBudget &budget, std::uint64_t loan, std::uint64_t lender, Millis lent)
 {
-    budget.borrowed.push_back({asked + borrowedStartTime, asked + lease});
+    budget.borrowed.push_back({loan, lender, lent + borrowedStartTime, lent + loadOrderTime});
+}
+
+void returnUnneeded(LoadBudget &budget)
+{
+    for (const BorrowedToken &token : budget.borrowed) {
+        budget.returns.push_back({token.loan, token.lender, false});
+    }
+    budget.borrowed.clear();
 }
 
 std::optional<Millis> nextTokenReady(const LoadBudget &budget, Millis now) noexcept
