Pool the regions' slots where the link carries the loads; redirect only for what is better elsewhere

Cause: the three far engines were used only for copies, each a second load, and a wait for a token sent requests on to servers where it was no shorter.

--- a/include/balsamport/policy/load_budget.h
+++ b/include/balsamport/policy/load_budget.h
@@ -54,6 +54,7 @@
     std::uint64_t loan = 0;
     std::uint64_t lender = 0;
     bool used = false; ///< A load was made on it.
+    Millis started; ///< When that load started.
 
     bool operator==(const LoanReturn &) const = default;
 };
@@ -78,6 +79,7 @@
     std::optional<std::uint32_t> token; ///< Nothing: a borrowed one.
     BorrowedToken borrowed;
     Millis deadline; ///< The load must have ended by then.
+    Millis started;
 
     bool operator==(const LoadPermit &) const = default;
 };
@@ -142,8 +144,10 @@
 [[nodiscard]] std::vector<LoanAnswer> serveLoans(LoadBudget &budget, bool mayLend, Millis now);
 
 /// @brief Takes a lent token back. A loan that is not the token's latest is ignored.
-/// @param used a load was made on it; otherwise its rate is not spent
-void returnLoan(LoadBudget &budget, std::uint64_t loan, bool used, Millis now) noexcept;
+/// @param started the latest time at which a load can have started on it; nothing where none was
+/// made, and its rate is not spent
+void returnLoan(LoadBudget &budget, std::uint64_t loan, std::optional<Millis> started,
+                Millis now) noexcept;
 
 /// @brief Adds a token that a peer has lent, for loadOrderTime.
 /// @param lent the earliest time at which it can have been lent: when the request for it was sent,
--- a/include/balsamport/policy/routing.h
+++ b/include/balsamport/policy/routing.h
@@ -104,6 +104,7 @@
     Millis shrinkAfter{30'000}; ///< Calm time after which a replica is given up.
     double copyDemand = 3; ///< Decayed requests that pay for a copy across the link.
     Millis demandHalfLife{60'000};
+    bool poolRegions = false; ///< Homes lie in both regions; see poolsRegions().
 
     bool operator==(const RouteCosts &) const = default;
 };
@@ -168,6 +169,11 @@
 [[nodiscard]] RoutingTable buildRoutingTable(const Snapshot &snapshot,
                                              const DataCentreId &dataCentre);
 
+/// @brief Tells whether the regions' slots may be one pool: all loads that the store allows, as far
+/// as they go to servers of the other region, fit into the link's budget.
+[[nodiscard]] bool poolsRegions(const RouteGroup &group, const LimitsConfig &limits,
+                                std::uint64_t adapterBytes) noexcept;
+
 /// @brief Chooses where to ask for a place on an adapter.
 ///
 /// Replicas that are believed resident go first, the cheapest first: distance, then load. Then the
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -143,6 +143,7 @@
     std::map<BaseModelId, RouteShardPtr> engines;
     std::map<ServiceId, RouteShardPtr> services;
     std::unordered_map<BackendServerId, std::string> owners; ///< Controllers' endpoints.
+    SnapshotPtr snapshot;
 
     mutable std::mutex heldLock; ///< Guards the four below.
     std::map<HeldKey, HeldPlace> heldPlaces;
@@ -163,6 +164,7 @@
     }
 
     [[nodiscard]] RouteShardPtr findShard(const GrantQuery &query) const;
+    [[nodiscard]] RouteCosts costsFor(const Acquire &acquire) const;
     void begin(const AcquirePtr &acquire);
     void grantService(const AcquirePtr &acquire);
     void askNext(const AcquirePtr &acquire);
@@ -237,6 +239,7 @@
         this->core->services = rebuild(table.services, this->core->services);
         moved = this->core->owners != owners;
         this->core->owners = std::move(owners);
+        this->core->snapshot = snapshot;
     }
     {
         const std::lock_guard guard(this->core->linkLock);
@@ -368,6 +371,16 @@
     return found == this->engines.end() ? nullptr : found->second;
 }
 
+RouteCosts GrantClient::Core::costsFor(const Acquire &acquire) const
+{
+    RouteCosts weighed = this->costs;
+    const std::lock_guard guard(this->routesLock);
+    const auto adapter = this->snapshot->findAdapter(acquire.query.adapter.adapter);
+    weighed.poolRegions = poolsRegions(acquire.shard->group, this->snapshot->limits,
+                                       adapter ? adapter->bytes : 0);
+    return weighed;
+}
+
 void GrantClient::Core::begin(const AcquirePtr &acquire)
 {
     const Millis now = monotonicNow();
@@ -390,6 +403,7 @@
         this->grantService(acquire);
         return;
     }
+    const RouteCosts weighed = this->costsFor(*acquire);
     {
         const std::lock_guard guard(acquire->shard->lock);
         RouteMemory &memory = acquire->shard->memory;
@@ -397,7 +411,7 @@
             noteRequest(memory, this->costs, acquire->hash, now);
         }
         acquire->plan = AskPlan{
-                chooseCandidates(acquire->shard->group, memory, this->costs, acquire->hash, now), 0,
+                chooseCandidates(acquire->shard->group, memory, weighed, acquire->hash, now), 0,
                 acquire->plan.asked, std::nullopt};
     }
     acquire->ownersMissing = acquire->plan.candidates.count == 0;
--- a/src/controllers/grant_controller.cpp
+++ b/src/controllers/grant_controller.cpp
@@ -372,7 +372,10 @@
     {
         const std::lock_guard guard(this->budgetLock);
         if (borrow.in_flight() == 0) {
-            returnLoan(this->budget, borrow.millitokens(), borrow.lease_ms() > 0, now);
+            const Millis ago = Millis(borrow.lease_ms()) - Millis(1);
+            const bool used = borrow.lease_ms() > 0;
+            returnLoan(this->budget, borrow.millitokens(),
+                       used ? std::optional(now - ago) : std::nullopt, now);
         } else {
             const std::uint64_t ask = this->nextAsk++;
             this->loanAsks[ask] = reply;
@@ -413,7 +416,9 @@
         wire::Envelope message;
         message.mutable_share_borrow()->set_in_flight(0);
         message.mutable_share_borrow()->set_millitokens(static_cast<std::uint32_t>(loan.loan));
-        message.mutable_share_borrow()->set_lease_ms(loan.used ? 1 : 0);
+        const Millis ago = monotonicNow() - loan.started;
+        message.mutable_share_borrow()->set_lease_ms(
+                loan.used ? static_cast<std::uint32_t>(ago.count()) + 1 : 0);
         this->peers.notify(endpoint, std::move(message));
     }
 }
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -272,6 +272,14 @@
             && !isWaitedFor(server, slot.hash);
 }
 
+/// Whether a slot is free or could be made free.
+bool hasRoom(const ServerState &server)
+{
+    return std::any_of(server.slots.begin(), server.slots.end(), [&server](const Slot &slot) {
+        return slot.state == SlotState::Free || mayEvict(server, slot);
+    });
+}
+
 Slot *chooseSlot(ServerState &server, Millis now)
 {
     Slot *best = nullptr;
@@ -432,8 +440,10 @@
     const Millis wait = expectedWait(server, budget, hash, now);
     const bool resident = server.limits.adapterless || isResident(server, hash);
     const bool mayLoad = context.right == OwnerRight::Full && !isBackingOff(server, hash, now);
-    const bool longWait = wait > server.loadTime * redirectLoadTimes;
-    const bool noLoad = !resident && findSlot(server, hash) == nullptr && !mayLoad;
+    // The store is shared by all: waiting for a token would be no shorter elsewhere.
+    const bool longWait = batchWait(server) > server.loadTime * redirectLoadTimes;
+    const bool absent = !resident && findSlot(server, hash) == nullptr;
+    const bool noLoad = absent && (!mayLoad || !hasRoom(server));
     if (!request.lastChoice && (noLoad || longWait)) {
         return Action(RedirectPlace{ticket, wait});
     }
@@ -634,11 +644,7 @@
         return std::nullopt;
     }
     const std::vector<WantedLoad> wanted = wantedLoads(server, now);
-    const bool room = std::any_of(
-            server.slots.begin(), server.slots.end(), [&server](const Slot &slot) {
-                return slot.state == SlotState::Free || mayEvict(server, slot);
-            });
-    if (wanted.empty() || !room) {
+    if (wanted.empty() || !hasRoom(server)) {
         return std::nullopt;
     }
     return std::min_element(wanted.begin(), wanted.end(),
--- a/src/policy/load_budget.cpp
+++ b/src/policy/load_budget.cpp
@@ -29,7 +29,7 @@
         if (now < token.startBy) {
             return false;
         }
-        budget.returns.push_back({token.loan, token.lender, false});
+        budget.returns.push_back({token.loan, token.lender, false, Millis()});
         return true;
     });
 }
@@ -77,7 +77,7 @@
     if (!budget.borrowed.empty()) {
         const BorrowedToken borrowed = budget.borrowed.back();
         budget.borrowed.pop_back();
-        return LoadPermit{std::nullopt, borrowed, borrowed.until};
+        return LoadPermit{std::nullopt, borrowed, borrowed.until, now};
     }
     const auto ready = std::count_if(budget.tokens.begin(), budget.tokens.end(),
                                      [now](const LoadToken &token) { return isReady(token, now); });
@@ -90,13 +90,14 @@
     token->readyAt = now + budget.interval;
     token->busyUntil = now + loadOrderTime;
     token->loan = 0;
-    return LoadPermit{token->index, {}, token->busyUntil};
+    return LoadPermit{token->index, {}, token->busyUntil, now};
 }
 
 void finishLoad(LoadBudget &budget, const LoadPermit &permit, Millis now)
 {
     if (!permit.token) {
-        budget.returns.push_back({permit.borrowed.loan, permit.borrowed.lender, true});
+        budget.returns.push_back(
+                {permit.borrowed.loan, permit.borrowed.lender, true, permit.started});
         return;
     }
     for (LoadToken &token : budget.tokens) {
@@ -137,7 +138,8 @@
     return answers;
 }
 
-void returnLoan(LoadBudget &budget, std::uint64_t loan, bool used, Millis now) noexcept
+void returnLoan(LoadBudget &budget, std::uint64_t loan, std::optional<Millis> started,
+                Millis now) noexcept
 {
     for (LoadToken &token : budget.tokens) {
         if (loan == 0 || token.loan != loan) {
@@ -145,7 +147,8 @@
         }
         token.loan = 0;
         token.busyUntil = std::min(token.busyUntil, now);
-        token.readyAt = used ? token.readyAt : std::min(token.readyAt, now);
+        const Millis ready = started ? *started + budget.interval : now;
+        token.readyAt = std::min(token.readyAt, ready);
     }
 }
 
@@ -157,7 +160,7 @@
 void returnUnneeded(LoadBudget &budget)
 {
     for (const BorrowedToken &token : budget.borrowed) {
-        budget.returns.push_back({token.loan, token.lender, false});
+        budget.returns.push_back({token.loan, token.lender, false, Millis()});
     }
     budget.borrowed.clear();
 }
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -177,6 +177,20 @@
     return table;
 }
 
+bool poolsRegions(const RouteGroup &group, const LimitsConfig &limits,
+                  std::uint64_t adapterBytes) noexcept
+{
+    if (group.nodes.empty()) {
+        return false;
+    }
+    constexpr double perThousandSeconds = 1'000;
+    const auto nodes = static_cast<double>(group.nodes.size());
+    const double farShare = 1 - static_cast<double>(group.storeNodes) / nodes;
+    const double bytesPerSecond = limits.storeLoadsPerThousandSeconds / perThousandSeconds
+            * farShare * static_cast<double>(adapterBytes);
+    return bytesPerSecond <= static_cast<double>(limits.linkBytesPerSecond);
+}
+
 Candidates chooseCandidates(const RouteGroup &group, const RouteMemory &memory,
                             const RouteCosts &costs, std::uint64_t adapterHash, Millis now) noexcept
 {
@@ -186,7 +200,8 @@
     const auto found = memory.places.find(adapterHash);
     if (found != memory.places.end()) {
         const AdapterPlaces &places = found->second;
-        wantsCopy = decayed(places.demand, costs.demandHalfLife, now) >= costs.copyDemand;
+        wantsCopy = !costs.poolRegions
+                && decayed(places.demand, costs.demandHalfLife, now) >= costs.copyDemand;
         wantsReplica = places.count < places.replicas;
         BestNodes best;
         for (std::size_t i = 0; i < places.count; ++i) {
@@ -206,7 +221,9 @@
     if (wantsCopy) {
         appendHomes(candidates, group, memory, adapterHash, now, isOwn);
     }
-    appendHomes(candidates, group, memory, adapterHash, now, isNearStore);
+    if (!costs.poolRegions) {
+        appendHomes(candidates, group, memory, adapterHash, now, isNearStore);
+    }
     const auto any = [](const RouteNode &) { return true; };
     appendHomes(candidates, group, memory, adapterHash, now, any);
     return candidates;
--- a/tests/include/policy_bench/fleet.h
+++ b/tests/include/policy_bench/fleet.h
@@ -125,6 +125,8 @@
             const RoutingTable table = buildRoutingTable(this->snapshot, dataCentreName(i));
             this->groups.push_back(table.engines.at(BaseModelId("base")));
         }
+        this->costs.poolRegions
+                = poolsRegions(this->groups[0], this->limits, sizes::adapterBytes);
         this->vms.resize(sizes::vms);
         for (std::uint32_t i = 0; i < sizes::vms; ++i) {
             Vm &vm = this->vms[i];
@@ -448,7 +450,9 @@
             const auto lender = static_cast<std::uint32_t>(loan.lender);
             this->clock.after(trip(vm.dataCentre, this->vms[lender].dataCentre),
                               [this, lender, loan] {
-                                  returnLoan(this->vms[lender].loads, loan.loan, loan.used,
+                                  returnLoan(this->vms[lender].loads, loan.loan,
+                                             loan.used ? std::optional(loan.started)
+                                                       : std::nullopt,
                                              this->clock.now());
                                   this->serveAsks(lender);
                               });
