--- a/tests/src/unit-config.cpp
+++ b/tests/src/unit-config.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <fixed_seed.h>
+#include <fstream>
+#include <sstream>
 
 using namespace balsamport;
 
@@ -233,3 +235,17 @@
     });
     REQUIRE(total);
 }
+
+TEST_CASE("the manual holds the schema as it is")
+{
+    std::ifstream stream(std::string(BALSAMPORT_SOURCE_DIR) + "/docs/CONFIGURATION.md");
+    std::ostringstream text;
+    text << stream.rdbuf();
+    const std::string begin = "<!-- schema: begin -->\n";
+    const std::size_t from = text.str().find(begin);
+    const std::size_t to = text.str().find("<!-- schema: end -->");
+    REQUIRE(from != std::string::npos);
+    REQUIRE(to != std::string::npos);
+    const std::size_t start = from + begin.size();
+    REQUIRE(text.str().substr(start, to - start) == schemaAsMarkdown());
+}
