Add the gateway daemon

Cause: the filters had no program; grants, claims, suspects and the fleet view are there now. Conclusion: callers' HTTP, the chain and the clients run in one process; SIGTERM ends it gracefully.

--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -49,7 +49,7 @@
                                  "Callers' connections that are open"};
 
 /// Every metric; docs/METRICS.md lists the same.
-constexpr std::array all{
+inline constexpr std::array all{
         requests,      outcomes,      refusals,    firstToken, loadStall,
         queueWait,     claimLatency,  retries,     batchFill,  queueDepth,
         loads,         unloads,       linkBytes,   revision,   revisionAge,
--- a/include/balsamport/filters/timer_thread.h
+++ b/include/balsamport/filters/timer_thread.h
@@ -19,6 +19,9 @@
     TimerThread(const TimerThread &) = delete;
     TimerThread &operator=(const TimerThread &) = delete;
 
+    /// @brief Runs nothing any more; waits for what runs now.
+    void stop();
+
     /// @brief Runs a function once after a delay.
     void after(Millis delay, std::function<void()> task);
 
--- a/src/filters/timer_thread.cpp
+++ b/src/filters/timer_thread.cpp
@@ -22,9 +22,16 @@
 }
 
 TimerThread::~TimerThread()
+{
+    this->stop();
+}
+
+void TimerThread::stop()
 {
     this->loop->context.stop();
-    this->loop->thread.join();
+    if (this->loop->thread.joinable()) {
+        this->loop->thread.join();
+    }
 }
 
 void TimerThread::after(Millis delay, std::function<void()> task)
--- /dev/null
+++ b/src/programs/gateway/bindings.cpp
@@ -0,0 +1,143 @@
+#include "bindings.h"
+
+#include <balsamport/core/metric_names.h>
+
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+constexpr double millisPerSecond = 1'000;
+
+GrantQuery toGrantQuery(const PlacementQuery &query)
+{
+    GrantQuery grant;
+    grant.request = query.request;
+    grant.adapter = query.adapter.value_or(AdapterRef{});
+    grant.service = query.service;
+    grant.priority = query.priority;
+    grant.callerClass = query.callerClass;
+    grant.deadline = query.deadline;
+    grant.promptBytes = query.promptBytes;
+    grant.maxTokens = query.maxTokens;
+    grant.prefixHashes = query.prefixHashes;
+    grant.fingerprint = query.fingerprint;
+    grant.repeatable = query.repeatable;
+    grant.exclude = query.avoid;
+    return grant;
+}
+
+Placement toPlacement(const GrantedPlace &place)
+{
+    return {place.backendServer, place.address, place.grant, place.fencing, place.suspect};
+}
+
+ReleaseHow toReleaseHow(PlacementEnd end) noexcept
+{
+    switch (end) {
+    case PlacementEnd::Finished:
+        return ReleaseHow::Finished;
+    case PlacementEnd::Returned:
+        return ReleaseHow::Returned;
+    case PlacementEnd::Broken:
+        return ReleaseHow::Broken;
+    case PlacementEnd::Cancelled:
+        return ReleaseHow::Cancelled;
+    case PlacementEnd::ServerCrashed:
+        break;
+    }
+    return ReleaseHow::ServerCrashed;
+}
+
+void observeWaits(const GrantedPlace &place)
+{
+    static Summary &queueWait = processMetrics().summary(metric::queueWait);
+    static Summary &loadStall = processMetrics().summary(metric::loadStall);
+    const Millis now = monotonicNow();
+    queueWait.observe(static_cast<double>(place.waited.count()) / millisPerSecond, now);
+    loadStall.observe(static_cast<double>(place.waitedForLoad.count()) / millisPerSecond, now);
+}
+
+KeyClaimAnswer toAnswer(const ClaimOutcome &outcome)
+{
+    if (outcome.standing == ClaimStanding::Won) {
+        return {KeyClaim{outcome.dispatchDeadline, outcome.provenNotRun}, {}};
+    }
+    const ErrorCode code = outcome.failure.value_or(ErrorCode::WitnessUnavailable);
+    return {std::nullopt, {{code, "the key was not granted"}, outcome.provenNotRun}};
+}
+
+} // namespace
+
+GrantSource grantSourceOver(GrantClient &client)
+{
+    GrantSource source;
+    source.acquire = [&client](const PlacementQuery &query, PlacementHandler handler) {
+        client.acquire(toGrantQuery(query),
+                       [handler = std::move(handler)](const Result<GrantedPlace> &place,
+                                                      Millis retryAfter) {
+                           if (!place) {
+                               handler(place.error(), retryAfter);
+                               return;
+                           }
+                           observeWaits(place.value());
+                           handler(toPlacement(place.value()), retryAfter);
+                       });
+    };
+    source.cancel = [&client](const RequestId &request) { client.cancel(request); };
+    source.release = [&client](const Placement &placement, PlacementEnd end) {
+        client.release(placement.backendServer, placement.grant, toReleaseHow(end));
+    };
+    return source;
+}
+
+ClaimSource claimSourceOver(ClaimClient &client)
+{
+    ClaimSource source;
+    source.claim = [&client](const KeyClaimQuery &query, auto handler) {
+        const Millis started = monotonicNow();
+        const ClaimQuery claim{query.key,           query.caller,  query.body,    newAttemptId(),
+                               query.firstSentWall, query.arrived, query.deadline};
+        client.claim(claim, [handler = std::move(handler), started](const ClaimOutcome &outcome) {
+            static Summary &latency = processMetrics().summary(metric::claimLatency);
+            const Millis now = monotonicNow();
+            latency.observe(static_cast<double>((now - started).count()) / millisPerSecond, now);
+            handler(toAnswer(outcome));
+        });
+    };
+    source.ticket = [&client](auto handler) { client.ticket(std::move(handler)); };
+    return source;
+}
+
+SuspectSource suspectSourceOver(SuspectClient &client)
+{
+    SuspectSource source;
+    source.ask = [&client](Fingerprint fingerprint, const RequestId &request, auto handler) {
+        client.ask(fingerprint, request, std::move(handler));
+    };
+    source.crashed = [&client](Fingerprint fingerprint, const RequestId &request,
+                               const BackendServerId &server, auto handler) {
+        client.crashed({CrashedRequest{fingerprint, request}}, server, std::move(handler));
+    };
+    source.finished = [&client](Fingerprint fingerprint, const RequestId &request) {
+        client.finished(fingerprint, request);
+    };
+    source.runEnded = [&client](Fingerprint fingerprint, const RequestId &request) {
+        client.runEnded(fingerprint, request);
+    };
+    return source;
+}
+
+BackendClient backendClientOver(HttpClient &client)
+{
+    BackendClient backend;
+    backend.start = [&client](OutgoingRequest request, ExchangeHandlers handlers) {
+        return client.start(std::move(request), std::move(handlers));
+    };
+    backend.resume = [&client](std::uint64_t number) { client.resume(number); };
+    backend.cancel = [&client](std::uint64_t number) { client.cancel(number); };
+    return backend;
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/programs/gateway/bindings.h
@@ -0,0 +1,22 @@
+#ifndef BALSAMPORT_PROGRAMS_GATEWAY_BINDINGS_H
+#define BALSAMPORT_PROGRAMS_GATEWAY_BINDINGS_H
+
+#include <balsamport/controllers/claim_client.h>
+#include <balsamport/controllers/grant_client.h>
+#include <balsamport/controllers/suspect_client.h>
+#include <balsamport/filters/sources.h>
+#include <balsamport/http/http_client.h>
+
+/// @file
+/// Binds the filters' interfaces to the real clients. Each client must outlive what is returned.
+
+namespace balsamport {
+
+[[nodiscard]] GrantSource grantSourceOver(GrantClient &client);
+[[nodiscard]] ClaimSource claimSourceOver(ClaimClient &client);
+[[nodiscard]] SuspectSource suspectSourceOver(SuspectClient &client);
+[[nodiscard]] BackendClient backendClientOver(HttpClient &client);
+
+} // namespace balsamport
+
+#endif
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -1,5 +1,7 @@
 #include "gateway_settings.h"
 
+#include <sstream>
+
 namespace po = boost::program_options;
 
 namespace balsamport {
@@ -14,6 +16,19 @@
 constexpr std::uint32_t defaultLeaveLimitMs = 120'000;
 constexpr std::string_view tcpPrefix = "tcp://";
 
+std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> items;
+    std::istringstream stream(text);
+    std::string item;
+    while (std::getline(stream, item, ',')) {
+        if (!item.empty()) {
+            items.push_back(item);
+        }
+    }
+    return items;
+}
+
 Millis millisOf(const po::variables_map &values, const char *name)
 {
     return Millis(values[name].as<std::uint32_t>());
@@ -54,7 +69,13 @@
     add("tls.certificate", po::value<std::string>()->default_value(""),
         "PEM file with the certificate shown to callers; empty for plain HTTP");
     add("tls.key", po::value<std::string>()->default_value(""),
-        "PEM file with the certificate's key");
+        "PEM file with the certificate's key, mode 0600");
+    add("keys.public", po::value<std::string>()->default_value(""),
+        "file with the fleet's public CURVE key; empty for plain text");
+    add("keys.secret", po::value<std::string>()->default_value(""),
+        "file with the fleet's secret CURVE key, mode 0600");
+    add("keys.accepted", po::value<std::string>()->default_value(""),
+        "files with further public keys, while keys are rotated; separated by commas");
     return options;
 }
 
@@ -80,6 +101,9 @@
     settings.http.readTimeout = millisOf(values, "gateway.read-timeout-ms");
     settings.http.tlsCertificateFile = values["tls.certificate"].as<std::string>();
     settings.http.tlsKeyFile = values["tls.key"].as<std::string>();
+    settings.keys.publicFile = values["keys.public"].as<std::string>();
+    settings.keys.secretFile = values["keys.secret"].as<std::string>();
+    settings.keys.acceptedFiles = splitList(values["keys.accepted"].as<std::string>());
     settings.maxInProgress = values["gateway.max-requests"].as<std::uint32_t>();
     settings.leaveDelay = millisOf(values, "gateway.leave-delay-ms");
     settings.leaveLimit = millisOf(values, "gateway.leave-limit-ms");
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -3,7 +3,7 @@
 
 #include <balsamport/core/settings.h>
 #include <balsamport/http/http_server.h>
-#include <balsamport/wire/curve_keys.h>
+#include <balsamport/wire/key_files.h>
 
 #include <string>
 
@@ -15,7 +15,7 @@
     VmId vm;
     DataCentreId dataCentre;
     std::string controllerEndpoint; ///< tcp://IP:PORT
-    CurveKeys keys;
+    KeyFileSettings keys;
     HttpServerSettings http;
     std::uint32_t maxInProgress = 0;
     Millis leaveDelay; ///< From SIGTERM until the socket may close, for the balancer to notice.
--- a/src/programs/gateway/main.cpp
+++ b/src/programs/gateway/main.cpp
@@ -9,6 +9,7 @@
 #include <asio.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -46,5 +47,10 @@
         return exitcode::failure;
     }
     waitForStop();
-    return daemon.value()->leave() ? exitcode::success : exitcode::failure;
+    if (!daemon.value()->leave()) {
+        // Requests still use all parts, so none can be taken down in order.
+        google::FlushLogFiles(google::GLOG_INFO);
+        std::_Exit(exitcode::failure);
+    }
+    return exitcode::success;
 }
--- a/tests/include/policy_bench/fleet.h
+++ b/tests/include/policy_bench/fleet.h
@@ -137,8 +137,8 @@
     {
         for (std::uint32_t i = 0; i < sizes::servers; ++i) {
             auto server = std::make_unique<Server>(this->clock, this->result, this->options.warmUp);
-            server->state = makeServerState({sizes::slots, sizes::batchWidth, true, false},
-                                            GrantId(1));
+            server->state
+                    = makeServerState({sizes::slots, sizes::batchWidth, true, false}, GrantId(1));
             std::vector<VmId> candidates;
             for (std::uint32_t vm = 0; vm < sizes::vms; ++vm) {
                 if (dataCentreOfVm(vm) == dataCentreOf(i)) {
@@ -239,9 +239,9 @@
         const std::uint64_t ticket = server.nextTicket++;
         server.adapters[pending->hash] = pending->arrival->adapter;
         server.waiting[ticket] = pending;
-        const auto action = admitRequest(server.state, this->vms[server.owner].loads,
-                                         this->context(), std::move(request), ticket,
-                                         this->clock.now());
+        const auto action
+                = admitRequest(server.state, this->vms[server.owner].loads, this->context(),
+                               std::move(request), ticket, this->clock.now());
         if (action) {
             this->perform(index, *action, true);
             return;
@@ -305,8 +305,7 @@
         const std::uint32_t home = this->vms[pending->vm].dataCentre;
         const Millis way = trip(home, dataCentreOf(index));
         if (way > Millis(1)) {
-            this->store.cross(sizes::promptBytes
-                              + pending->arrival->tokens * sizes::bytesPerToken);
+            this->store.cross(sizes::promptBytes + pending->arrival->tokens * sizes::bytesPerToken);
         }
         this->clock.after(way * 2, [this, index, pending, given, way] {
             const Millis now = this->clock.now();
@@ -400,8 +399,8 @@
                 constexpr Millis shortest{50};
                 constexpr Millis longest{1'000};
                 vm.holders[other].asked = false;
-                vm.holders[other].askAfter
-                        = this->clock.now() + (lent ? Millis(0) : std::clamp(wait, shortest, longest));
+                vm.holders[other].askAfter = this->clock.now()
+                        + (lent ? Millis(0) : std::clamp(wait, shortest, longest));
                 if (lent) {
                     addBorrowed(vm.loads, asked, loadOrderTime);
                     for (const std::uint32_t server : vm.servers) {
