Serve callers over TLS, and split the HTTP server

Cause: the gateway's tls settings were read and then ignored, so a fleet that set them served plain text. Ruled out: one server template with a runtime switch, as RESTinio fixes the socket's type at compile time; the common part is now a template that both kinds use. Before: tls.certificate had no effect.

--- a/include/balsamport/http/http_server.h
+++ b/include/balsamport/http/http_server.h
@@ -76,8 +76,8 @@
 {
 public:
     /// @return ListenFailed where the address cannot be bound
-    [[nodiscard]] static Result<std::unique_ptr<HttpServer>> start(HttpServerSettings settings,
-                                                                   HttpHandler handler);
+    [[nodiscard]] static Result<std::unique_ptr<HttpServer>>
+    start(const HttpServerSettings &settings, HttpHandler handler);
     ~HttpServer(); ///< Closes the listening socket and all connections.
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- /dev/null
+++ b/src/http/response_writer.cpp
@@ -0,0 +1,206 @@
+#include "response_writer.h"
+
+#include <balsamport/core/log.h>
+
+#include <http_parser.h>
+
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+/// Size that the last chunk of a broken answer announces and does not have.
+constexpr std::size_t missingChunkBytes = 1024 * 1024;
+
+restinio::http_status_line_t statusLine(int status)
+{
+    return restinio::http_status_line_t{
+            restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
+            http_status_str(static_cast<http_status>(status))};
+}
+
+/// A chunk whose header announces more than its data, so that the answer cannot pass as whole.
+///
+/// RESTinio reads the size once to see that the chunk is not empty and once for the chunk's header;
+/// the data follow after that.
+class TruncatedChunk
+{
+public:
+    [[nodiscard]] const char *data() const noexcept { return ""; }
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        constexpr int readsForHeader = 2;
+        return this->reads++ < readsForHeader ? missingChunkBytes : 0;
+    }
+
+private:
+    mutable int reads = 0;
+};
+
+} // namespace
+
+RestinioWriter::RestinioWriter(restinio::request_handle_t handle)
+    : request(std::move(handle))
+{ }
+
+RestinioWriter::~RestinioWriter()
+{
+    this->breakAnswer();
+}
+
+void RestinioWriter::send(const HttpAnswer &answer)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->answered) {
+        return;
+    }
+    this->answered = true;
+    auto response = this->request->create_response(statusLine(answer.status));
+    for (const HttpHeader &header : answer.headers) {
+        response.append_header(header.name, header.value);
+    }
+    response.set_body(answer.body);
+    response.done();
+}
+
+void RestinioWriter::startStream(int status, const HttpHeaders &headers)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->answered) {
+        return;
+    }
+    this->answered = true;
+    this->stream = std::make_unique<Stream>(
+            this->request->create_response<restinio::chunked_output_t>(statusLine(status)));
+    for (const HttpHeader &header : headers) {
+        this->stream->append_header(header.name, header.value);
+    }
+    this->stream->connection_close();
+    this->stream->flush();
+}
+
+void RestinioWriter::write(std::string piece, std::function<void()> onWritten)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->stream && !this->gone) {
+            this->stream->append_chunk(std::move(piece));
+            this->stream->flush([callback = std::move(onWritten)](const auto & /*error*/) {
+                if (callback) {
+                    callback();
+                }
+            });
+            return;
+        }
+    }
+    if (onWritten) {
+        onWritten();
+    }
+}
+
+void RestinioWriter::finish()
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->stream) {
+        this->stream->done();
+        this->stream.reset();
+    }
+}
+
+void RestinioWriter::abort()
+{
+    this->breakAnswer();
+}
+
+void RestinioWriter::breakAnswer()
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->stream) {
+        this->stream->append_chunk(restinio::writable_item_t{std::make_shared<TruncatedChunk>()});
+        this->stream->done();
+        this->stream.reset();
+    } else if (!this->answered) {
+        this->answered = true;
+        constexpr int internalError = 500;
+        this->request->create_response(statusLine(internalError)).connection_close().done();
+    }
+}
+
+void RestinioWriter::onGone(std::function<void()> callback)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!this->gone) {
+            this->goneCallback = std::move(callback);
+            return;
+        }
+    }
+    callback();
+}
+
+void RestinioWriter::connectionClosed()
+{
+    std::function<void()> callback;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->gone = true;
+        callback.swap(this->goneCallback);
+    }
+    if (callback) {
+        callback();
+    }
+}
+
+void ConnectionRegistry::add(restinio::connection_id_t id,
+                             const std::weak_ptr<RestinioWriter> &writer)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->writers.find(id);
+    if (found == this->writers.end()) {
+        return;
+    }
+    std::erase_if(found->second, [](const auto &old) { return old.expired(); });
+    found->second.push_back(writer);
+}
+
+void ConnectionRegistry::state_changed(const restinio::connection_state::notice_t &notice) noexcept
+{
+    using restinio::connection_state::accepted_t;
+    using restinio::connection_state::closed_t;
+    std::vector<std::weak_ptr<RestinioWriter>> closed;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (restinio::holds_alternative<accepted_t>(notice.cause())) {
+            this->writers[notice.connection_id()];
+            ++this->count;
+        } else if (restinio::holds_alternative<closed_t>(notice.cause())) {
+            closed.swap(this->writers[notice.connection_id()]);
+            this->writers.erase(notice.connection_id());
+            --this->count;
+        }
+    }
+    for (const auto &weak : closed) {
+        const std::shared_ptr<RestinioWriter> writer = weak.lock();
+        if (writer) {
+            writer->connectionClosed();
+        }
+    }
+}
+
+std::shared_ptr<const IncomingRequest> readRequest(const restinio::request_handle_t &handle)
+{
+    auto request = std::make_shared<IncomingRequest>();
+    const restinio::http_request_header_t &header = handle->header();
+    request->method = header.method().c_str();
+    request->path = std::string(header.path());
+    request->query = std::string(header.query());
+    header.for_each_field([&request](const restinio::http_header_field_t &field) {
+        request->headers.push_back(HttpHeader{field.name(), field.value()});
+    });
+    request->body = handle->body();
+    request->remote = fmt::format("{}", fmt::streamed(handle->remote_endpoint()));
+    return request;
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/http/response_writer.h
@@ -0,0 +1,74 @@
+#ifndef BALSAMPORT_HTTP_RESPONSE_WRITER_H
+#define BALSAMPORT_HTTP_RESPONSE_WRITER_H
+
+#include <balsamport/http/http_server.h>
+
+#include <restinio/all.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief Answers one request on a RESTinio connection.
+class RestinioWriter : public ResponseWriter
+{
+public:
+    explicit RestinioWriter(restinio::request_handle_t handle);
+    ~RestinioWriter() override;
+    RestinioWriter(const RestinioWriter &) = delete;
+    RestinioWriter &operator=(const RestinioWriter &) = delete;
+
+    void send(const HttpAnswer &answer) override;
+    void startStream(int status, const HttpHeaders &headers) override;
+    void write(std::string piece, std::function<void()> onWritten) override;
+    void finish() override;
+    void abort() override;
+    [[nodiscard]] bool isGone() const override { return this->gone; }
+    void onGone(std::function<void()> callback) override;
+
+    /// @brief Tells the writer that its connection is closed.
+    void connectionClosed();
+
+private:
+    using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
+
+    void breakAnswer();
+
+    restinio::request_handle_t request;
+    std::mutex mutex;
+    std::unique_ptr<Stream> stream; ///< Under mutex.
+    std::function<void()> goneCallback; ///< Under mutex.
+    bool answered = false; ///< Under mutex.
+    std::atomic<bool> gone{false};
+};
+
+/// @brief Tells the writers of a connection when it closes.
+class ConnectionRegistry
+{
+public:
+    /// @brief Adds a writer to an open connection.
+    void add(restinio::connection_id_t id, const std::weak_ptr<RestinioWriter> &writer);
+
+    // NOLINTNEXTLINE(readability-identifier-naming): RESTinio calls it by this name.
+    void state_changed(const restinio::connection_state::notice_t &notice) noexcept;
+
+    [[nodiscard]] std::uint32_t open() const noexcept { return this->count; }
+
+private:
+    using Writers = std::vector<std::weak_ptr<RestinioWriter>>;
+
+    std::mutex mutex;
+    std::unordered_map<restinio::connection_id_t, Writers> writers; ///< Under mutex.
+    std::atomic<std::uint32_t> count{0};
+};
+
+/// @brief Copies what a handler needs from a request of RESTinio.
+[[nodiscard]] std::shared_ptr<const IncomingRequest>
+readRequest(const restinio::request_handle_t &handle);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/http/server_runner.h
@@ -0,0 +1,113 @@
+#ifndef BALSAMPORT_HTTP_SERVER_RUNNER_H
+#define BALSAMPORT_HTTP_SERVER_RUNNER_H
+
+#include "response_writer.h"
+
+#include <chrono>
+
+namespace balsamport {
+
+/// @brief A server that runs until it is destroyed.
+class ServerRunner
+{
+public:
+    virtual ~ServerRunner() = default;
+};
+
+/// @brief IP number and port of a listening socket.
+struct ListenAddress
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    bool operator==(const ListenAddress &) const = default;
+};
+
+/// @brief What both kinds of server start from.
+struct RunnerSettings
+{
+    HttpServerSettings http;
+    ListenAddress listen;
+    HttpHandler handler;
+    std::shared_ptr<ConnectionRegistry> registry;
+};
+
+/// @brief Adds what plain and TLS servers have in common to RESTinio's traits.
+template<typename Base>
+struct ServerTraits : public Base
+{
+    using connection_state_listener_t = ConnectionRegistry;
+    // NOLINTNEXTLINE(readability-identifier-naming): RESTinio reads it by this name.
+    static constexpr bool use_connection_count_limiter = true;
+};
+
+/// @brief A server with the given traits.
+template<typename Traits>
+class TypedRunner : public ServerRunner
+{
+public:
+    explicit TypedRunner(restinio::running_server_handle_t<Traits> handle)
+        : server(std::move(handle))
+    { }
+    ~TypedRunner() override
+    {
+        this->server->stop();
+        this->server->wait();
+    }
+    TypedRunner(const TypedRunner &) = delete;
+    TypedRunner &operator=(const TypedRunner &) = delete;
+
+private:
+    restinio::running_server_handle_t<Traits> server;
+};
+
+/// @brief Limits of a request's parts, beside its body.
+[[nodiscard]] restinio::incoming_http_msg_limits_t messageLimits(std::uint64_t maxBodyBytes);
+
+/// @brief Fills RESTinio's settings.
+template<typename Traits>
+[[nodiscard]] restinio::server_settings_t<Traits> serverSettings(const RunnerSettings &settings)
+{
+    constexpr std::size_t pipelinedRequests = 2; // So that a closed connection is noticed.
+    constexpr std::chrono::seconds writeTimeout{60};
+    const auto onRequest = [registry = settings.registry,
+                            handler = settings.handler](const restinio::request_handle_t &handle) {
+        auto writer = std::make_shared<RestinioWriter>(handle);
+        registry->add(handle->connection_id(), writer);
+        handler(readRequest(handle), std::move(writer));
+        return restinio::request_accepted();
+    };
+    restinio::server_settings_t<Traits> result;
+    result.address(settings.listen.ip)
+            .port(settings.listen.port)
+            .request_handler(onRequest)
+            .connection_state_listener(settings.registry)
+            .max_parallel_connections(settings.http.maxConnections)
+            .max_pipelined_requests(pipelinedRequests)
+            .read_next_http_message_timelimit(
+                    std::chrono::milliseconds(settings.http.readTimeout.count()))
+            .handle_request_timeout(std::chrono::milliseconds(settings.http.handleTimeout.count()))
+            .write_http_response_timelimit(writeTimeout)
+            .incoming_http_msg_limits(messageLimits(settings.http.maxBodyBytes));
+    return result;
+}
+
+/// @brief Starts a server. Throws std::exception where the address cannot be bound.
+template<typename Traits>
+[[nodiscard]] std::unique_ptr<ServerRunner> runServer(restinio::server_settings_t<Traits> settings,
+                                                      std::uint32_t threads)
+{
+    return std::make_unique<TypedRunner<Traits>>(
+            restinio::run_async<Traits>(restinio::own_io_context(), std::move(settings), threads));
+}
+
+/// @brief Starts a server for plain HTTP. Throws std::exception where it cannot.
+[[nodiscard]] std::unique_ptr<ServerRunner> runPlainServer(const RunnerSettings &settings);
+
+/// @brief Starts a server for HTTPS, with the certificate and key that the settings name.
+/// @return KeyFileInvalid or KeyFilePermissions; throws std::exception where it cannot listen
+[[nodiscard]] Result<std::unique_ptr<ServerRunner>> runTlsServer(const RunnerSettings &settings);
+
+} // namespace balsamport
+
+#endif
