--- a/tests/e2e/process_fixture.h
+++ b/tests/e2e/process_fixture.h
@@ -129,6 +129,7 @@
             kill(this->pid, number);
         }
     }
+    [[nodiscard]] pid_t id() const noexcept { return this->pid; }
     void killNow() { this->signal(SIGKILL); }
     void terminate() { this->signal(SIGTERM); }
     void pause() { this->signal(SIGSTOP); }
