--- a/include/balsamport/policy/load_budget.h
+++ b/include/balsamport/policy/load_budget.h
@@ -88,18 +88,21 @@
 constexpr Millis loadOrderTime{3'000};
 /// How much longer a lender waits than the lease that it gave, for drift between two clocks.
 constexpr Millis leaseMargin{200};
+/// How long a load waits for tokens of its own region before those of the other are asked for.
+constexpr Millis farBorrowDelay{15};
 /// Time within which a borrowed token must be used, counted from the sending of the request.
 constexpr Millis borrowedStartTime{100};
 
 /// @return the time between two loads on one token for the store's whole rate
 [[nodiscard]] Millis tokenInterval(const LimitsConfig &limits) noexcept;
 
-/// @brief Names the backend server whose owner holds a token.
+/// @brief Names the backend servers whose owners hold the tokens: each token its first choice by
+/// rendezvous among the servers that hold fewest, so that the tokens are spread evenly.
 /// @param engines all configured engines
-/// @return nothing where there are no engines
-/// @complexity O(n) for n engines
-[[nodiscard]] std::optional<BackendServerId>
-tokenServer(std::uint32_t token, const std::vector<BackendServerId> &engines);
+/// @return one for each token; empty where there are no engines
+/// @complexity O(t * n) for t tokens and n engines
+[[nodiscard]] std::vector<BackendServerId> tokenServers(std::uint32_t tokens,
+                                                        const std::vector<BackendServerId> &engines);
 
 /// @brief A token that this VM holds, and since when.
 struct HeldToken
--- a/include/balsamport/policy/routing.h
+++ b/include/balsamport/policy/routing.h
@@ -41,6 +41,7 @@
     std::vector<RouteNode> nodes;
     std::size_t storeNodes = 0; ///< How many are near the weight store.
     std::size_t ownNodes = 0; ///< How many are in the gateway's region.
+    std::vector<std::uint32_t> packed; ///< Asked first for what is not resident; see packedServers().
 
     bool operator==(const RouteGroup &) const = default;
 };
@@ -104,6 +105,7 @@
     Millis shrinkAfter{30'000}; ///< Calm time after which a replica is given up.
     double copyDemand = 3; ///< Decayed requests that pay for a copy across the link.
     Millis demandHalfLife{60'000};
+    bool packs = false; ///< Batch fill weighs more than load stalls: packed servers go first.
     bool poolRegions = false; ///< Homes lie in both regions; see poolsRegions().
 
     bool operator==(const RouteCosts &) const = default;
@@ -164,11 +166,24 @@
 /// @brief Records that a server sent the request on.
 void noteRedirect(AskPlan &plan, std::uint32_t node, Millis wait) noexcept;
 
+/// @brief Names the engines of a base model that are asked first for adapters that are not known to
+/// be resident, where batch fill weighs more than load stalls. While loads are cheap they take as
+/// many requests as fit, so that batches fill; the rest lies on the other engines by rendezvous.
+/// @return in the order of asking; the same on every VM
+[[nodiscard]] std::vector<BackendServerId> packedServers(const Snapshot &snapshot,
+                                                         const BaseModelId &base);
+
 /// @brief Builds the routing table of a data centre.
 /// @complexity O(n log n) for n backend servers
 [[nodiscard]] RoutingTable buildRoutingTable(const Snapshot &snapshot,
                                              const DataCentreId &dataCentre);
 
+/// @return whether batch fill weighs more than load stalls
+[[nodiscard]] constexpr bool packsBatches(std::uint32_t weightPercent) noexcept
+{
+    return weightPercent > 50;
+}
+
 /// @brief Tells whether the regions' slots may be one pool: all loads that the store allows, as far
 /// as they go to servers of the other region, fit into the link's budget.
 [[nodiscard]] bool poolsRegions(const RouteGroup &group, const LimitsConfig &limits,
--- a/include/balsamport/policy/server_state.h
+++ b/include/balsamport/policy/server_state.h
@@ -22,6 +22,7 @@
     std::uint32_t batchWidth = 16;
     bool mixesAdapters = true;
     bool adapterless = false; ///< A plain service: requests name no adapter.
+    bool packed = false; ///< Asked first for what is not resident: keeps the hottest adapters.
 
     bool operator==(const ServerLimits &) const = default;
 };
@@ -126,6 +127,7 @@
     bool reported = false; ///< A load report has come; before it nothing is loaded.
     std::uint64_t nextGrant = 1;
     Millis loadTime{250}; ///< Learnt from the loads of this server.
+    Millis tokenWait; ///< Learnt: how long loads wait for a token of the weight store.
     Millis serviceTime{1'000}; ///< Learnt from the grants of this server.
     std::string engineStart; ///< Tells one run of the engine from another.
     std::unordered_map<CallerClassId, double> classService; ///< For fair shares, by class.
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -376,6 +376,7 @@
     RouteCosts weighed = this->costs;
     const std::lock_guard guard(this->routesLock);
     const auto adapter = this->snapshot->findAdapter(acquire.query.adapter.adapter);
+    weighed.packs = packsBatches(this->snapshot->limits.weightPercent);
     weighed.poolRegions = poolsRegions(acquire.shard->group, this->snapshot->limits,
                                        adapter ? adapter->bytes : 0);
     return weighed;
@@ -622,7 +623,9 @@
     }
     {
         const std::lock_guard guard(acquire->shard->lock);
-        noteWait(acquire->shard->memory, candidate.node, wait, monotonicNow());
+        if (candidate.believedResident) {
+            noteWait(acquire->shard->memory, candidate.node, wait, monotonicNow());
+        }
         noteNotResident(acquire->shard->memory, acquire->hash, candidate.node);
     }
     noteRedirect(acquire->plan, candidate.node, wait);
--- a/src/controllers/grant_controller.cpp
+++ b/src/controllers/grant_controller.cpp
@@ -3,6 +3,7 @@
 #include "grant_shard.h"
 
 #include <balsamport/core/log.h>
+#include <balsamport/policy/routing.h>
 #include <balsamport/wire/convert.h>
 
 #include <algorithm>
@@ -39,13 +40,14 @@
 ServerLimits limitsOf(const BackendServerConfig &config)
 {
     return {config.slots, std::max(config.batchWidth, 1U), config.mixesAdapters,
-            config.kind == BackendServerKind::Service};
+            config.kind == BackendServerKind::Service, false};
 }
 
 /// A peer that holds a share of the weight store.
 struct ShareHolder
 {
     std::uint64_t number = 0;
+    bool far = false; ///< In another region.
     Millis askAfter;
     bool asked = false;
 };
@@ -220,10 +222,19 @@
             list.push_back(shard);
         }
     }
+    std::set<BaseModelId> bases;
+    for (const auto &[id, config] : next->backendServers) {
+        bases.insert(config.base);
+    }
+    std::set<BackendServerId> packed;
+    for (const BaseModelId &base : bases) {
+        const auto ranked = packedServers(*next, base);
+        packed.insert(ranked.begin(), ranked.end());
+    }
     for (const auto &shard : list) {
         const std::lock_guard guard(shard->lock);
         const BackendServerConfig &config = next->backendServers.at(shard->config.id);
-        applyConfig(*shard, config, next->limits, next->callerClasses);
+        applyConfig(*shard, config, next->limits, next->callerClasses, packed.contains(config.id));
         const auto found = owned.find(config.id);
         const ServerOwnership none{config.id, OwnerRight::None, {}, {}, {}};
         applyOwnership(*shard, found == owned.end() ? none : found->second, this->self);
@@ -240,15 +251,20 @@
             engines.push_back(id);
         }
     }
+    RegionId ownRegion;
+    for (const ServerOwnership &ownership : servers) {
+        const auto found = next.backendServers.find(ownership.backendServer);
+        if (ownership.right != OwnerRight::None && found != next.backendServers.end()) {
+            ownRegion = next.regionOf(found->second.dataCentre);
+        }
+    }
     const std::lock_guard guard(this->budgetLock);
     std::vector<HeldToken> held;
-    std::set<std::string> endpoints;
+    std::map<std::string, RegionId> endpoints;
     Millis confirmed = Millis(std::numeric_limits<std::int64_t>::max());
-    for (std::uint32_t token = 0; token < next.limits.storeInFlight; ++token) {
-        const auto server = tokenServer(token, engines);
-        if (!server) {
-            continue;
-        }
+    const auto tokens = tokenServers(next.limits.storeInFlight, engines);
+    for (std::uint32_t token = 0; token < tokens.size(); ++token) {
+        const BackendServerId *server = &tokens[token];
         const auto own = std::find_if(servers.begin(), servers.end(), [&server](const auto &o) {
             return o.backendServer == *server && o.right != OwnerRight::None;
         });
@@ -259,7 +275,8 @@
         } else if (fleet != nullptr) {
             for (const Owner &owner : fleet->owners) {
                 if (owner.backendServer == *server && owner.vm != this->self) {
-                    endpoints.insert(owner.controllerEndpoint);
+                    const DataCentreId &home = next.backendServers.at(*server).dataCentre;
+                    endpoints[owner.controllerEndpoint] = next.regionOf(home);
                 }
             }
         }
@@ -268,12 +285,13 @@
     this->budgetConfirmedUntil = confirmed;
     std::erase_if(this->holders,
                   [&endpoints](const auto &entry) { return !endpoints.contains(entry.first); });
-    for (const std::string &endpoint : endpoints) {
+    for (const auto &[endpoint, region] : endpoints) {
         const auto [at, added] = this->holders.try_emplace(endpoint);
         if (added) {
             at->second.number = this->nextAsk++;
             this->lenders[at->second.number] = endpoint;
         }
+        at->second.far = region != ownRegion;
     }
 }
 
@@ -543,7 +561,8 @@
             return;
         }
         for (auto &[endpoint, holder] : this->holders) {
-            if (!holder.asked && now >= holder.askAfter) {
+            const bool tooEarly = holder.far && now - *since < farBorrowDelay;
+            if (!holder.asked && now >= holder.askAfter && !tooEarly) {
                 holder.asked = true;
                 endpoints.push_back(endpoint);
             }
--- a/src/controllers/grant_shard.cpp
+++ b/src/controllers/grant_shard.cpp
@@ -145,13 +145,13 @@
 } // namespace
 
 void applyConfig(GrantShard &shard, const BackendServerConfig &config, const LimitsConfig &limits,
-                 const std::map<CallerClassId, CallerClassConfig> &classes)
+                 const std::map<CallerClassId, CallerClassConfig> &classes, bool packed)
 {
     shard.config = config;
     shard.limits = limits;
     setLimits(shard.state,
               {config.slots, std::max(config.batchWidth, 1U), config.mixesAdapters,
-               config.kind == BackendServerKind::Service});
+               config.kind == BackendServerKind::Service, packed});
     shard.classWeights.clear();
     shard.classQueueLimits.clear();
     for (const auto &[id, callerClass] : classes) {
--- a/src/controllers/grant_shard.h
+++ b/src/controllers/grant_shard.h
@@ -42,7 +42,7 @@
 };
 
 void applyConfig(GrantShard &shard, const BackendServerConfig &config, const LimitsConfig &limits,
-                 const std::map<CallerClassId, CallerClassConfig> &classes);
+                 const std::map<CallerClassId, CallerClassConfig> &classes, bool packed);
 
 /// @brief Takes in what this VM may do; a lost server answers its waiters with NotOwner.
 void applyOwnership(GrantShard &shard, const ServerOwnership &ownership, const VmId &self);
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -12,6 +12,7 @@
 constexpr Millis firstBackoff{500};
 constexpr Millis longestBackoff{30'000};
 constexpr std::uint32_t backoffDoublings = 6;
+constexpr Millis cheapTokenWait{40};
 constexpr Millis shortestRetryAfter{1'000};
 constexpr std::int64_t redirectLoadTimes = 2;
 constexpr std::int64_t learnDivisor = 8; ///< Weight of a new sample in a learnt time.
@@ -301,6 +302,14 @@
     return best;
 }
 
+/// Whether a packed server takes a load: while loads are so cheap that filling batches goes first.
+bool takesPacked(ServerState &server, Millis now)
+{
+    const Slot *slot = chooseSlot(server, now);
+    return slot != nullptr
+            && (slot->state == SlotState::Free || server.tokenWait <= cheapTokenWait);
+}
+
 OrderLoad startLoad(Slot &slot, const WantedLoad &wanted, const LoadPermit &permit, Millis now)
 {
     std::optional<AdapterRef> victim;
@@ -322,6 +331,7 @@
         if (!permit) {
             return;
         }
+        server.tokenWait = learn(server.tokenWait, now - wanted.since);
         actions.emplace_back(startLoad(*slot, wanted, *permit, now));
     }
 }
@@ -444,7 +454,12 @@
     const bool longWait = batchWait(server) > server.loadTime * redirectLoadTimes;
     const bool absent = !resident && findSlot(server, hash) == nullptr;
     const bool noLoad = absent && (!mayLoad || !hasRoom(server));
-    if (!request.lastChoice && (noLoad || longWait)) {
+    if (!server.limits.adapterless) {
+        addDemand(server.demand, hash, now);
+    }
+    const bool passedOn = server.limits.packed && context.weightPercent > 50 && absent && !noLoad
+            && !takesPacked(server, now);
+    if (!request.lastChoice && (noLoad || longWait || passedOn)) {
         return Action(RedirectPlace{ticket, wait});
     }
     if (now + wait >= request.deadline) {
@@ -459,9 +474,6 @@
         return Action(
                 RefusePlace{ticket, ErrorCode::Overloaded, std::max(wait, shortestRetryAfter)});
     }
-    if (!server.limits.adapterless) {
-        addDemand(server.demand, hash, now);
-    }
     server.waiters.push_back({ticket, std::move(request), now, !resident});
     return std::nullopt;
 }
--- a/src/policy/load_budget.cpp
+++ b/src/policy/load_budget.cpp
@@ -43,10 +43,23 @@
     return Millis((tokens * millisInThousandSeconds + rate - 1) / rate);
 }
 
-std::optional<BackendServerId> tokenServer(std::uint32_t token,
-                                           const std::vector<BackendServerId> &engines)
+std::vector<BackendServerId> tokenServers(std::uint32_t tokens,
+                                          const std::vector<BackendServerId> &engines)
 {
-    return rendezvousFirst("load-token-" + std::to_string(token), engines);
+    std::vector<BackendServerId> chosen;
+    if (engines.empty()) {
+        return chosen;
+    }
+    std::vector<BackendServerId> left = engines;
+    for (std::uint32_t token = 0; token < tokens; ++token) {
+        const auto server = rendezvousFirst("load-token-" + std::to_string(token), left);
+        chosen.push_back(*server);
+        std::erase(left, *server);
+        if (left.empty()) {
+            left = engines;
+        }
+    }
+    return chosen;
 }
 
 void setTokens(LoadBudget &budget, const std::vector<HeldToken> &held, Millis interval)
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -1,9 +1,11 @@
 #include <balsamport/policy/routing.h>
 
 #include <balsamport/core/hash.h>
+#include <balsamport/core/rendezvous.h>
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace balsamport {
 
@@ -12,6 +14,8 @@
 constexpr Millis sweepInterval{5'000};
 constexpr Millis waitLifetime{1'000}; ///< What an owner said is forgotten after this time.
 constexpr double boundedLoadFactor = 1.25;
+constexpr std::size_t enginesForOnePacked = 4;
+constexpr std::size_t packedAsked = 2;
 
 double decayed(const DecayedCount &count, Millis halfLife, Millis now) noexcept
 {
@@ -116,6 +120,25 @@
     append(candidates, group, best, false);
 }
 
+/// Few packed servers are asked in their fixed order; of many, each adapter has its own first.
+void appendPacked(Candidates &candidates, const RouteGroup &group, const RouteMemory &memory,
+                  std::uint64_t adapterHash, Millis now) noexcept
+{
+    const bool few = group.packed.size() <= packedAsked;
+    BestNodes best;
+    for (std::size_t i = 0; i < group.packed.size(); ++i) {
+        const std::uint32_t node = group.packed[i];
+        if (now < memory.loads[node].avoidUntil) {
+            continue;
+        }
+        const double score
+                = static_cast<double>(rendezvousScore(adapterHash, group.nodes[node].hash));
+        best.offer(few ? static_cast<double>(i) : -score, node);
+    }
+    best.count = std::min(best.count, packedAsked);
+    append(candidates, group, best, false);
+}
+
 } // namespace
 
 std::optional<Ask> nextAsk(AskPlan &plan, const RouteGroup &group) noexcept
@@ -142,6 +165,30 @@
     }
 }
 
+std::vector<BackendServerId> packedServers(const Snapshot &snapshot, const BaseModelId &base)
+{
+    std::set<RegionId> storeRegions;
+    for (const auto &[id, config] : snapshot.dataCentres) {
+        if (config.hasWeightStore) {
+            storeRegions.insert(config.region);
+        }
+    }
+    std::vector<BackendServerId> near;
+    std::size_t engines = 0;
+    for (const auto &[id, server] : snapshot.backendServers) {
+        if (server.kind != BackendServerKind::Engine || server.base != base || server.leaving) {
+            continue;
+        }
+        ++engines;
+        if (storeRegions.contains(snapshot.regionOf(server.dataCentre))) {
+            near.push_back(id);
+        }
+    }
+    std::vector<BackendServerId> ranked = rendezvousRank("packed-" + base.str(), near);
+    ranked.resize(std::min(ranked.size(), engines / enginesForOnePacked));
+    return ranked;
+}
+
 RoutingTable buildRoutingTable(const Snapshot &snapshot, const DataCentreId &dataCentre)
 {
     RoutingTable table;
@@ -174,6 +221,13 @@
         group.nodes.push_back({id, server.address, hash64(id.str()), distance, nearStore,
                                std::max(server.batchWidth, 1U)});
     }
+    for (auto &[base, group] : table.engines) {
+        for (const BackendServerId &id : packedServers(snapshot, base)) {
+            const auto found = std::find_if(group.nodes.begin(), group.nodes.end(),
+                                            [&id](const RouteNode &node) { return node.id == id; });
+            group.packed.push_back(static_cast<std::uint32_t>(found - group.nodes.begin()));
+        }
+    }
     return table;
 }
 
@@ -221,6 +275,9 @@
     if (wantsCopy) {
         appendHomes(candidates, group, memory, adapterHash, now, isOwn);
     }
+    if (costs.packs) {
+        appendPacked(candidates, group, memory, adapterHash, now);
+    }
     if (!costs.poolRegions) {
         appendHomes(candidates, group, memory, adapterHash, now, isNearStore);
     }
--- a/tests/include/policy_bench/fleet.h
+++ b/tests/include/policy_bench/fleet.h
@@ -62,6 +62,7 @@
         bool redirected = false;
         Millis askedAt; ///< When the first owner got the request.
         bool linkSkipped = false;
+        bool believedResident = false; ///< By the ask that is on its way.
     };
     using PendingPtr = std::shared_ptr<Pending>;
     struct Holder
@@ -125,6 +126,7 @@
             const RoutingTable table = buildRoutingTable(this->snapshot, dataCentreName(i));
             this->groups.push_back(table.engines.at(BaseModelId("base")));
         }
+        this->costs.packs = packsBatches(this->limits.weightPercent);
         this->costs.poolRegions
                 = poolsRegions(this->groups[0], this->limits, sizes::adapterBytes);
         this->vms.resize(sizes::vms);
@@ -140,8 +142,11 @@
     {
         for (std::uint32_t i = 0; i < sizes::servers; ++i) {
             auto server = std::make_unique<Server>(this->clock, this->result, this->options.warmUp);
-            server->state = makeServerState({sizes::slots, sizes::batchWidth, true, false},
-                                            GrantId(1));
+            const auto packed = packedServers(this->snapshot, BaseModelId("base"));
+            const bool isPacked
+                    = std::find(packed.begin(), packed.end(), serverName(i)) != packed.end();
+            server->state = makeServerState(
+                    {sizes::slots, sizes::batchWidth, true, false, isPacked}, GrantId(1));
             std::vector<VmId> candidates;
             for (std::uint32_t vm = 0; vm < sizes::vms; ++vm) {
                 if (dataCentreOfVm(vm) == dataCentreOf(i)) {
@@ -162,10 +167,10 @@
             engines.push_back(serverName(i));
         }
         std::vector<std::vector<HeldToken>> held(sizes::vms);
-        for (std::uint32_t token = 0; token < this->limits.storeInFlight; ++token) {
-            const auto server = tokenServer(token, engines);
+        const auto tokens = tokenServers(this->limits.storeInFlight, engines);
+        for (std::uint32_t token = 0; token < tokens.size(); ++token) {
             const auto index = static_cast<std::uint32_t>(
-                    std::find(engines.begin(), engines.end(), *server) - engines.begin());
+                    std::find(engines.begin(), engines.end(), tokens[token]) - engines.begin());
             held[this->servers[index]->owner].push_back({token, Millis(0)});
         }
         for (std::uint32_t vm = 0; vm < sizes::vms; ++vm) {
@@ -218,6 +223,7 @@
                 continue;
             }
             const std::uint32_t server = ask->candidate.node;
+            pending->believedResident = ask->candidate.believedResident;
             this->clock.after(trip(vm.dataCentre, dataCentreOf(server)),
                               [this, pending, server, last = ask->lastChoice] {
                                   this->admit(pending, server, last);
@@ -298,7 +304,9 @@
                 Vm &vm = this->vms[pending->vm];
                 pending->redirected = true;
                 noteRedirect(pending->plan, index, wait);
-                noteWait(vm.memory, index, wait, this->clock.now());
+                if (pending->believedResident) {
+                    noteWait(vm.memory, index, wait, this->clock.now());
+                }
                 noteNotResident(vm.memory, pending->hash, index);
                 this->askNext(pending);
             });
@@ -391,7 +399,9 @@
             return;
         }
         for (auto &[other, holder] : vm.holders) {
-            if (!holder.asked && now >= holder.askAfter) {
+            const Millis way = trip(vm.dataCentre, this->vms[other].dataCentre);
+            const bool tooEarly = way > Millis(1) && now - *since < farBorrowDelay;
+            if (!holder.asked && now >= holder.askAfter && !tooEarly) {
                 holder.asked = true;
                 this->borrowFrom(index, other, now - *since);
             }
