Let a learnt token wait fade, and keep askers for 50 ms only

Cause: a packed server that had once waited for a token took no loads any more and so never learnt that they were cheap again; asks whose need had passed held tokens back for 300 ms.

--- a/include/balsamport/policy/demand.h
+++ b/include/balsamport/policy/demand.h
@@ -21,7 +21,7 @@
 /// @brief Decayed demand by adapter hash. Bounded: the weakest entries are dropped.
 struct DemandTable
 {
-    Millis halfLife{300'000};
+    Millis halfLife{150'000};
     std::size_t capacity = 4'096;
     std::unordered_map<std::uint64_t, DecayedCount> counts;
 };
--- a/include/balsamport/policy/load_budget.h
+++ b/include/balsamport/policy/load_budget.h
@@ -89,7 +89,7 @@
 /// How much longer a lender waits than the lease that it gave, for drift between two clocks.
 constexpr Millis leaseMargin{200};
 /// How long a load waits for tokens of its own region before those of the other are asked for.
-constexpr Millis farBorrowDelay{15};
+constexpr Millis farBorrowDelay{0};
 /// Time within which a borrowed token must be used, counted from the sending of the request.
 constexpr Millis borrowedStartTime{100};
 
@@ -101,8 +101,8 @@
 /// @param engines all configured engines
 /// @return one for each token; empty where there are no engines
 /// @complexity O(t * n) for t tokens and n engines
-[[nodiscard]] std::vector<BackendServerId> tokenServers(std::uint32_t tokens,
-                                                        const std::vector<BackendServerId> &engines);
+[[nodiscard]] std::vector<BackendServerId>
+tokenServers(std::uint32_t tokens, const std::vector<BackendServerId> &engines);
 
 /// @brief A token that this VM holds, and since when.
 struct HeldToken
--- a/include/balsamport/policy/routing.h
+++ b/include/balsamport/policy/routing.h
@@ -41,7 +41,8 @@
     std::vector<RouteNode> nodes;
     std::size_t storeNodes = 0; ///< How many are near the weight store.
     std::size_t ownNodes = 0; ///< How many are in the gateway's region.
-    std::vector<std::uint32_t> packed; ///< Asked first for what is not resident; see packedServers().
+    std::vector<std::uint32_t>
+            packed; ///< Asked first for what is not resident; see packedServers().
 
     bool operator==(const RouteGroup &) const = default;
 };
--- a/include/balsamport/policy/server_state.h
+++ b/include/balsamport/policy/server_state.h
@@ -128,6 +128,7 @@
     std::uint64_t nextGrant = 1;
     Millis loadTime{250}; ///< Learnt from the loads of this server.
     Millis tokenWait; ///< Learnt: how long loads wait for a token of the weight store.
+    Millis tokenWaitAt; ///< When it was learnt; it fades.
     Millis serviceTime{1'000}; ///< Learnt from the grants of this server.
     std::string engineStart; ///< Tells one run of the engine from another.
     std::unordered_map<CallerClassId, double> classService; ///< For fair shares, by class.
--- a/src/controllers/grant_controller.cpp
+++ b/src/controllers/grant_controller.cpp
@@ -20,7 +20,7 @@
 constexpr Millis reportInterval{200};
 constexpr Millis keepAliveInterval{500}; ///< Between two QUEUED replies to one waiter.
 constexpr Millis shareTimeout{800};
-constexpr Millis sharePatience{300}; ///< How long a lender keeps a request before refusing it.
+constexpr Millis sharePatience{50}; ///< How long a lender keeps a request before refusing it.
 constexpr Millis shareRetry{10};
 constexpr Millis shareRetryLongest{1'000};
 constexpr Millis announceGrace{5'000}; ///< A younger grant may be missing in an announcement.
@@ -603,8 +603,8 @@
         }
         const wire::ShareReply &share = reply.value().share_reply();
         if (share.in_flight() == 0) {
-            holder.askAfter = now + std::clamp(Millis(share.lease_ms()), shareRetry,
-                                               shareRetryLongest);
+            holder.askAfter
+                    = now + std::clamp(Millis(share.lease_ms()), shareRetry, shareRetryLongest);
             return;
         }
         holder.askAfter = now;
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -12,7 +12,8 @@
 constexpr Millis firstBackoff{500};
 constexpr Millis longestBackoff{30'000};
 constexpr std::uint32_t backoffDoublings = 6;
-constexpr Millis cheapTokenWait{40};
+constexpr Millis tokenWaitHalfLife{5'000};
+constexpr Millis cheapTokenWait{20};
 constexpr Millis shortestRetryAfter{1'000};
 constexpr std::int64_t redirectLoadTimes = 2;
 constexpr std::int64_t learnDivisor = 8; ///< Weight of a new sample in a learnt time.
@@ -51,6 +52,15 @@
     return known + (sample - known) / learnDivisor;
 }
 
+/// A learnt wait halves with each interval in which nothing was learnt.
+Millis tokenWait(const ServerState &server, Millis now) noexcept
+{
+    constexpr std::int64_t mostHalvings = 62;
+    const std::int64_t age = std::max((now - server.tokenWaitAt).count(), std::int64_t{0});
+    const std::int64_t halvings = std::min(age / tokenWaitHalfLife.count(), mostHalvings);
+    return Millis(server.tokenWait.count() >> halvings);
+}
+
 std::uint32_t classWeight(const SchedulerContext &context, const CallerClassId &callerClass)
 {
     if (context.classWeights == nullptr) {
@@ -251,7 +261,8 @@
                                   [hash](const WantedLoad &w) { return w.hash == hash; });
         if (found == wanted.end()) {
             found = wanted.insert(wanted.end(),
-                                  {waiter.request.adapter, hash, waiter.request.priority, 0, waiter.request.deadline, waiter.since});
+                                  {waiter.request.adapter, hash, waiter.request.priority, 0,
+                                   waiter.request.deadline, waiter.since});
         }
         found->priority = std::max(found->priority, waiter.request.priority);
         found->deadline = std::min(found->deadline, waiter.request.deadline);
@@ -307,7 +318,7 @@
 {
     const Slot *slot = chooseSlot(server, now);
     return slot != nullptr
-            && (slot->state == SlotState::Free || server.tokenWait <= cheapTokenWait);
+            && (slot->state == SlotState::Free || tokenWait(server, now) <= cheapTokenWait);
 }
 
 OrderLoad startLoad(Slot &slot, const WantedLoad &wanted, const LoadPermit &permit, Millis now)
@@ -331,7 +342,8 @@
         if (!permit) {
             return;
         }
-        server.tokenWait = learn(server.tokenWait, now - wanted.since);
+        server.tokenWait = learn(tokenWait(server, now), now - wanted.since);
+        server.tokenWaitAt = now;
         actions.emplace_back(startLoad(*slot, wanted, *permit, now));
     }
 }
@@ -357,7 +369,10 @@
         return std::max(left, Millis(0));
     }
     const auto ready = nextTokenReady(budget, now);
-    const Millis token = ready ? *ready - now : Millis(0);
+    const bool readyNow = ready && *ready <= now;
+    const Millis token = readyNow
+            ? Millis(0)
+            : std::max(ready ? *ready - now : Millis(0), tokenWait(server, now));
     const auto queued = static_cast<std::int64_t>(wantedLoads(server, now).size());
     const auto tokens = static_cast<std::int64_t>(std::max<std::size_t>(budget.tokens.size(), 1));
     return token + budget.interval * queued / tokens + server.loadTime;
--- a/tests/include/policy_bench/fleet.h
+++ b/tests/include/policy_bench/fleet.h
@@ -127,8 +127,7 @@
             this->groups.push_back(table.engines.at(BaseModelId("base")));
         }
         this->costs.packs = packsBatches(this->limits.weightPercent);
-        this->costs.poolRegions
-                = poolsRegions(this->groups[0], this->limits, sizes::adapterBytes);
+        this->costs.poolRegions = poolsRegions(this->groups[0], this->limits, sizes::adapterBytes);
         this->vms.resize(sizes::vms);
         for (std::uint32_t i = 0; i < sizes::vms; ++i) {
             Vm &vm = this->vms[i];
@@ -249,9 +248,9 @@
         const std::uint64_t ticket = server.nextTicket++;
         server.adapters[pending->hash] = pending->arrival->adapter;
         server.waiting[ticket] = pending;
-        const auto action = admitRequest(server.state, this->vms[server.owner].loads,
-                                         this->context(), std::move(request), ticket,
-                                         this->clock.now());
+        const auto action
+                = admitRequest(server.state, this->vms[server.owner].loads, this->context(),
+                               std::move(request), ticket, this->clock.now());
         if (action) {
             this->perform(index, *action, true);
             return;
@@ -319,15 +318,14 @@
         const Millis way = trip(home, dataCentreOf(index));
         const Millis stall = this->clock.now() - pending->askedAt;
         if (way > Millis(1)) {
-            this->store.cross(sizes::promptBytes
-                              + pending->arrival->tokens * sizes::bytesPerToken);
+            this->store.cross(sizes::promptBytes + pending->arrival->tokens * sizes::bytesPerToken);
         }
         this->clock.after(way * 2, [this, index, pending, given, way, stall] {
             const Millis now = this->clock.now();
             Vm &vm = this->vms[pending->vm];
             const bool missed = given.waitedForLoad > Millis(0) || pending->redirected;
-            recordStart(this->result, this->options, *pending->arrival,
-                        missed ? stall : Millis(0), now);
+            recordStart(this->result, this->options, *pending->arrival, missed ? stall : Millis(0),
+                        now);
             const Millis queueWait = missed ? Millis(0) : stall;
             noteGranted(vm.memory, this->costs, pending->hash, index, queueWait, now);
             ++vm.memory.loads[index].inFlight;
@@ -412,7 +410,7 @@
     {
         const Millis way = trip(this->vms[index].dataCentre, this->vms[other].dataCentre);
         this->clock.after(way, [this, index, other, waited] {
-            constexpr Millis patience{300};
+            constexpr Millis patience{50};
             const Millis now = this->clock.now();
             const std::uint64_t ask = this->askNumber++;
             this->asks[ask] = index;
@@ -461,8 +459,7 @@
             this->clock.after(trip(vm.dataCentre, this->vms[lender].dataCentre),
                               [this, lender, loan] {
                                   returnLoan(this->vms[lender].loads, loan.loan,
-                                             loan.used ? std::optional(loan.started)
-                                                       : std::nullopt,
+                                             loan.used ? std::optional(loan.started) : std::nullopt,
                                              this->clock.now());
                                   this->serveAsks(lender);
                               });
