--- /dev/null
+++ b/include/balsamport/filters/answer_store.h
@@ -0,0 +1,52 @@
+#ifndef BALSAMPORT_FILTERS_ANSWER_STORE_H
+#define BALSAMPORT_FILTERS_ANSWER_STORE_H
+
+#include <balsamport/policy/answer_memory.h>
+
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief Answers of non-repeatable requests, kept for a repeat of the same key.
+///
+/// Sharded by key, each shard under its own lock. All functions may be called from any thread.
+class AnswerStore
+{
+public:
+    static constexpr std::size_t defaultBytes = std::size_t{32} * 1024 * 1024;
+
+    explicit AnswerStore(std::size_t maxBytes = defaultBytes);
+
+    /// @brief Looks a key up and marks an unknown one as in progress.
+    /// @return Unknown where the caller now runs the request
+    /// @complexity constant on average
+    [[nodiscard]] RememberedAnswer begin(const RequestKey &key, Fingerprint body);
+
+    /// @brief Keeps the answer of a key in progress.
+    void finish(const RequestKey &key, HttpAnswer answer);
+
+    /// @brief Forgets a key in progress that has no answer to keep; does nothing to others.
+    void abandon(const RequestKey &key);
+
+private:
+    struct Shard
+    {
+        explicit Shard(std::size_t maxBytes) noexcept
+            : memory(maxBytes)
+        { }
+
+        std::mutex mutex;
+        AnswerMemory memory; ///< Under the lock.
+    };
+
+    Shard &shardOf(const RequestKey &key);
+
+    std::vector<std::unique_ptr<Shard>> shards;
+};
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/filters/answer_store.cpp
@@ -0,0 +1,50 @@
+#include <balsamport/filters/answer_store.h>
+
+#include <functional>
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+constexpr std::size_t shardCount = 16;
+
+} // namespace
+
+AnswerStore::AnswerStore(std::size_t maxBytes)
+{
+    for (std::size_t i = 0; i < shardCount; ++i) {
+        this->shards.push_back(std::make_unique<Shard>(maxBytes / shardCount));
+    }
+}
+
+AnswerStore::Shard &AnswerStore::shardOf(const RequestKey &key)
+{
+    return *this->shards[std::hash<RequestKey>()(key) % shardCount];
+}
+
+RememberedAnswer AnswerStore::begin(const RequestKey &key, Fingerprint body)
+{
+    Shard &shard = this->shardOf(key);
+    const std::scoped_lock lock(shard.mutex);
+    if (shard.memory.begin(key, body)) {
+        return {AnswerLookup::Unknown, nullptr};
+    }
+    return shard.memory.find(key, body);
+}
+
+void AnswerStore::finish(const RequestKey &key, HttpAnswer answer)
+{
+    Shard &shard = this->shardOf(key);
+    const std::scoped_lock lock(shard.mutex);
+    shard.memory.finish(key, std::move(answer));
+}
+
+void AnswerStore::abandon(const RequestKey &key)
+{
+    Shard &shard = this->shardOf(key);
+    const std::scoped_lock lock(shard.mutex);
+    shard.memory.abandon(key);
+}
+
+} // namespace balsamport
