--- a/tests/include/policy_bench/baseline.h
+++ b/tests/include/policy_bench/baseline.h
@@ -145,7 +145,8 @@
             this->startWaiting(*this->servers[i]);
         }
         // The gate serves the request that has waited longest.
-        while (this->store.mayStart() && this->loadForOldest()) { }
+        while (this->store.mayStart() && this->loadForOldest()) {
+        }
         const bool anyWaiting
                 = std::any_of(this->servers.begin(), this->servers.end(),
                               [](const auto &server) { return !server->waiting.empty(); });
@@ -173,7 +174,8 @@
                 return false;
             }
             slot->used = now;
-            recordStart(this->result, this->options, arrival, waiting.missed, now);
+            const Millis stall = waiting.missed ? now - arrival.at : Millis(0);
+            recordStart(this->result, this->options, arrival, stall, now);
             server.engine.run(arrival.adapter, arrival.tokens, [this] { this->work(); });
             return true;
         });
--- a/tests/include/policy_bench/trace.h
+++ b/tests/include/policy_bench/trace.h
@@ -6,14 +6,14 @@
 namespace balsamport::bench {
 
 /// @brief Records that a request got its place.
+/// @param stall how long it waited for its adapter, without the trips of its messages
 inline void recordStart(CellResult &result, const CellOptions &options, const Arrival &arrival,
-                        bool missedAdapter, Millis now)
+                        Millis stall, Millis now)
 {
     if (arrival.at < options.warmUp) {
         return;
     }
-    const Millis waited = now - arrival.at;
-    result.stalls.push_back(missedAdapter ? waited.count() : 0);
+    result.stalls.push_back(stall.count());
     ++result.requests;
     const Millis end = now + sizes::tokenTime * arrival.tokens;
     result.missed += end - arrival.at > sizes::requestDeadline ? 1 : 0;
@@ -33,8 +33,7 @@
 }
 
 /// @brief Draws requests at a rate; `draw` gives the adapter.
-[[nodiscard]] inline std::vector<Arrival> drawTrace(const CellOptions &options,
-                                                    double ratePerSecond)
+[[nodiscard]] inline std::vector<Arrival> drawTrace(const CellOptions &options, double ratePerSecond)
 {
     std::mt19937_64 random(options.seed);
     Popularity popularity(options.skew, random);
@@ -43,8 +42,8 @@
     const auto length = static_cast<double>(options.length.count());
     bool shuffled = false;
     while (time < length) {
-        const bool peak
-                = options.fault == Fault::MonthEnd && time > length / 3 && time < length * 2 / 3;
+        const bool peak = options.fault == Fault::MonthEnd && time > length / 3
+                && time < length * 2 / 3;
         const double rate = ratePerSecond * (peak ? sizes::monthEndFactor : 1) / 1'000;
         const double unit = (static_cast<double>(random() >> 11U) + 1) * 0x1p-53;
         time += -std::log(unit) / rate;
