Add the load tool

balsamport-load plans a run ahead (Poisson arrivals, Zipf popularity with shifts, a month-end peak, repeats of bookings) and sends each request at its planned time; latency counts from that time, so that a slow system cannot slow its own measurement. Every answer is checked for adapter version, caller, order and wholeness, and bookings against the ledgers of all replicas; any violation ends it with 1.

unit-load plants each kind of bad answer; it found that a ledger which is no object ended the tool by an assertion, in the stand-ins' reader as well; both are mended.

--- a/standins/standin.h
+++ b/standins/standin.h
@@ -77,6 +77,9 @@
 template<typename T>
 T member(const rapidjson::Value &object, const char *name, T fallback)
 {
+    if (!object.IsObject()) {
+        return fallback;
+    }
     const auto found = object.FindMember(name);
     const bool fits = found != object.MemberEnd() && found->value.template Is<T>();
     return fits ? found->value.template Get<T>() : fallback;
--- /dev/null
+++ b/tests/src/unit-load.cpp
@@ -0,0 +1,255 @@
+#include <balsamport/tools/answer_check.h>
+#include <balsamport/tools/load_report.h>
+#include <balsamport/tools/workload.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace balsamport;
+
+namespace {
+
+const LoadModel model{"burn-plan", {"burn-plan@3"}};
+const ExpectedAnswer expectedStream{model, "load-7", 4, true};
+const ExpectedAnswer expectedWhole{model, "load-7", 4, false};
+
+std::string event(const std::string &word, const std::string &reason = "null")
+{
+    return R"(data: {"model":"c/burn-plan@3","choices":[{"index":0,"delta":{"content":")" + word
+            + R"( "},"finish_reason":)" + reason + "}]}\n\n";
+}
+
+ReceivedAnswer stream(const std::vector<std::string> &words, bool finished = true)
+{
+    ReceivedAnswer answer{200, {}, "", true};
+    for (const std::string &word : words) {
+        answer.body += event(word);
+    }
+    if (finished) {
+        answer.body += event("", "\"stop\"") + "data: [DONE]\n\n";
+    }
+    return answer;
+}
+
+ReceivedAnswer whole(const std::string &text)
+{
+    return {200,
+            {},
+            R"({"model":"c/burn-plan@3","choices":[{"message":{"content":")" + text
+                    + R"("},"finish_reason":"stop"}]})",
+            true};
+}
+
+const std::vector<std::string> rightWords{"c/burn-plan@3", "load-7.req-1", "t0", "t1"};
+const std::string rightText = "c/burn-plan@3 load-7.req-1 t0 t1";
+
+WorkloadSettings exampleWorkload()
+{
+    WorkloadSettings settings;
+    settings.requestsPerSecond = 200;
+    settings.duration = Millis(60'000);
+    for (int i = 0; i < 50; ++i) {
+        settings.models.push_back(LoadModel{"m" + std::to_string(i), {"m"}});
+    }
+    return settings;
+}
+
+std::size_t countModel(const std::vector<PlannedRequest> &plan, std::size_t number, Millis from,
+                       Millis to)
+{
+    return static_cast<std::size_t>(
+            std::count_if(plan.begin(), plan.end(), [=](const PlannedRequest &request) {
+                return request.kind != LoadKind::Booking && request.model == number
+                        && request.at >= from && request.at < to;
+            }));
+}
+
+} // namespace
+
+TEST_CASE("a stream")
+{
+    SECTION("that is whole and right is good")
+    {
+        REQUIRE(checkAnswer(expectedStream, stream(rightWords)) == Verdict::Good);
+    }
+
+    SECTION("of another adapter's version is wrong")
+    {
+        auto words = rightWords;
+        words[0] = "c/burn-plan@4";
+        REQUIRE(checkAnswer(expectedStream, stream(words)) == Verdict::Wrong);
+        words[0] = "c/late-burn-plan@3";
+        REQUIRE(checkAnswer(expectedStream, stream(words)) == Verdict::Wrong);
+    }
+
+    SECTION("that answers another caller is wrong")
+    {
+        auto words = rightWords;
+        words[1] = "load-8.req-1";
+        REQUIRE(checkAnswer(expectedStream, stream(words)) == Verdict::Wrong);
+    }
+
+    SECTION("with a missing word in the middle is wrong, with a doubled one doubled")
+    {
+        REQUIRE(checkAnswer(expectedStream, stream({rightWords[0], rightWords[1], "t1", "t2"}))
+                == Verdict::Wrong);
+        REQUIRE(checkAnswer(expectedStream,
+                            stream({rightWords[0], rightWords[1], "t0", "t0", "t1"}))
+                == Verdict::Doubled);
+    }
+
+    SECTION("that stops early is cut, however it ends")
+    {
+        REQUIRE(checkAnswer(expectedStream, stream({rightWords[0], rightWords[1], "t0"}))
+                == Verdict::Cut);
+        REQUIRE(checkAnswer(expectedStream, stream(rightWords, false)) == Verdict::Cut);
+        ReceivedAnswer broken = stream(rightWords);
+        broken.body.resize(broken.body.size() - 30);
+        broken.ended = false;
+        REQUIRE(checkAnswer(expectedStream, broken) == Verdict::Cut);
+    }
+
+    SECTION("that ends with a typed error has failed, and says so")
+    {
+        ReceivedAnswer answer = stream({rightWords[0]}, false);
+        answer.body += "data: {\"error\":{\"type\":\"connection_broken\"}}\n\n";
+        REQUIRE(checkAnswer(expectedStream, answer) == Verdict::Failed);
+    }
+}
+
+TEST_CASE("a whole answer")
+{
+    SECTION("is good where every word is right")
+    {
+        REQUIRE(checkAnswer(expectedWhole, whole(rightText)) == Verdict::Good);
+    }
+
+    SECTION("is cut where its text is short or its connection broke")
+    {
+        REQUIRE(checkAnswer(expectedWhole, whole("c/burn-plan@3 load-7.req-1 t0")) == Verdict::Cut);
+        ReceivedAnswer broken = whole(rightText);
+        broken.body.resize(broken.body.size() / 2);
+        broken.ended = false;
+        REQUIRE(checkAnswer(expectedWhole, broken) == Verdict::Cut);
+    }
+
+    SECTION("may be a typed error, but not an untyped one")
+    {
+        REQUIRE(checkAnswer(expectedWhole,
+                            {503, {}, R"({"error":{"type":"overloaded","code":201}})", true})
+                == Verdict::Refused);
+        REQUIRE(checkAnswer(expectedWhole, {503, {}, "oops", true}) == Verdict::Malformed);
+        REQUIRE(checkAnswer(expectedWhole, {200, {}, "oops", true}) == Verdict::Malformed);
+        REQUIRE(checkAnswer(expectedWhole, {}) == Verdict::NoAnswer);
+    }
+}
+
+TEST_CASE("bookings")
+{
+    SECTION("name the caller's own key")
+    {
+        REQUIRE(checkBooking("k1", {201, {}, R"({"booking":"b-1","key":"k1"})", true})
+                == Verdict::Good);
+        REQUIRE(checkBooking("k1", {201, {}, R"({"booking":"b-1","key":"k2"})", true})
+                == Verdict::Wrong);
+    }
+
+    SECTION("are compared with the ledgers of all replicas")
+    {
+        Ledger ledger;
+        REQUIRE(addLedger(R"({"runs":{"once":1,"both":1,"not":1}})", ledger).has_value());
+        REQUIRE(addLedger(R"({"runs":{"both":1}})", ledger).has_value());
+        REQUIRE(addLedger("[]", ledger).has_error());
+        const std::map<std::string, BookingStory> stories{
+                {"once", {true, false}}, {"both", {true, false}},    {"not", {false, true}},
+                {"lost", {true, false}}, {"refused", {false, true}},
+        };
+        REQUIRE(checkLedger(stories, ledger) == LedgerFaults{1, 1, 1});
+    }
+}
+
+TEST_CASE("a workload")
+{
+    WorkloadSettings settings = exampleWorkload();
+
+    SECTION("is the same for the same seed")
+    {
+        const auto plan = planWorkload(settings);
+        REQUIRE(plan == planWorkload(settings));
+        settings.seed = 2;
+        REQUIRE(plan != planWorkload(settings));
+    }
+
+    SECTION("has its rate, ordered by time")
+    {
+        settings.repeatShare = 0;
+        const auto plan = planWorkload(settings);
+        REQUIRE(static_cast<double>(plan.size()) == Approx(12'000).epsilon(0.05));
+        REQUIRE(std::is_sorted(plan.begin(), plan.end(),
+                               [](const auto &a, const auto &b) { return a.at < b.at; }));
+    }
+
+    SECTION("rises to its peak in the middle")
+    {
+        settings.peakFactor = 10;
+        REQUIRE(rateAt(settings, Millis(0)) == Approx(200));
+        REQUIRE(rateAt(settings, Millis(30'000)) == Approx(2'000));
+        REQUIRE(rateAt(settings, Millis(60'000)) == Approx(200));
+    }
+
+    SECTION("follows Zipf's law, and shifts")
+    {
+        settings.shiftPeriod = Millis(30'000);
+        settings.shiftStep = 10;
+        const auto plan = planWorkload(settings);
+        const std::size_t first = countModel(plan, 0, Millis(0), Millis(30'000));
+        const std::size_t second = countModel(plan, 1, Millis(0), Millis(30'000));
+        REQUIRE(static_cast<double>(first) / static_cast<double>(second)
+                == Approx(2).epsilon(0.15));
+        REQUIRE(countModel(plan, 10, Millis(30'000), Millis(60'000))
+                > 5 * countModel(plan, 10, Millis(0), Millis(30'000)));
+    }
+
+    SECTION("repeats a share of its bookings, with the same key, later")
+    {
+        settings.bookingShare = 1;
+        settings.repeatShare = 0.5;
+        const auto plan = planWorkload(settings);
+        const auto bookings = static_cast<double>(
+                std::max_element(plan.begin(), plan.end(), [](const auto &a, const auto &b) {
+                    return a.booking < b.booking;
+                })->booking);
+        REQUIRE(static_cast<double>(plan.size()) == Approx(bookings * 1.5).epsilon(0.05));
+    }
+}
+
+TEST_CASE("a load report")
+{
+    SECTION("gives exact quantiles")
+    {
+        std::vector<double> values;
+        for (int i = 1; i <= 1'000; ++i) {
+            values.push_back(i);
+        }
+        const Distribution seen = distributionOf(values);
+        REQUIRE(seen.count == 1'000);
+        REQUIRE(seen.median == Approx(500).margin(1));
+        REQUIRE(seen.p99 == Approx(990).margin(1));
+        REQUIRE(seen.maximum == Approx(1'000));
+        REQUIRE(distributionOf({}) == Distribution{});
+    }
+
+    SECTION("counts violations of answers and of the ledger")
+    {
+        LoadReport report;
+        report.samples.push_back(LoadSample{{}, Verdict::Good, "", {}, {}});
+        report.samples.push_back(LoadSample{{}, Verdict::Refused, "overloaded", {}, {}});
+        REQUIRE(report.violations() == 0);
+        report.samples.push_back(LoadSample{{}, Verdict::Cut, "", {}, {}});
+        report.ledger.ranTwice = 1;
+        REQUIRE(report.violations() == 2);
+        REQUIRE(reportAsTable(report).find("refused:overloaded") != std::string::npos);
+        REQUIRE(reportAsJson(report).find("\"violations\": 2") != std::string::npos);
+    }
+}
