Add the operators' tool

balsamportctl checks, merges and compares folders, compares a folder with what a running controller holds, prints the fleet's status as tables or JSON with warnings, explains where an adapter goes, and prints override files that drain backend servers. It changes nothing. Exit codes: 0 all is well, 1 faults, differences or warnings, 2 a wrong command or file.

--- /dev/null
+++ b/include/balsamport/tools/config_diff.h
@@ -0,0 +1,46 @@
+#ifndef BALSAMPORT_TOOLS_CONFIG_DIFF_H
+#define BALSAMPORT_TOOLS_CONFIG_DIFF_H
+
+#include <balsamport/config/merge.h>
+#include <balsamport/config/snapshot.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief One value that differs between two configurations.
+struct ConfigChange
+{
+    std::string section; ///< The text between the brackets, for example "route burn-plan".
+    std::string key; ///< Empty where the whole section is added or removed.
+    std::optional<std::string> before; ///< Nothing where it is not there.
+    std::optional<std::string> after;
+    Place origin; ///< Where the new value stands, or where the old one stood.
+
+    bool operator==(const ConfigChange &) const = default;
+};
+
+/// @brief Compares two merged configurations, value by value.
+/// @return the changes ordered by section and key
+/// @complexity linear in both
+[[nodiscard]] std::vector<ConfigChange> diffConfigs(const MergedConfig &before,
+                                                    const MergedConfig &after);
+
+/// @brief Writes one line a change, for example
+/// `~ [route burn-plan] target: burn-plan@3 -> burn-plan@4 (90-month-end.ini:3)`.
+[[nodiscard]] std::string diffAsText(const std::vector<ConfigChange> &changes);
+
+/// @brief Writes a merged configuration as one INI file, with the origin of each value beside it.
+[[nodiscard]] std::string mergeAsText(const MergedConfig &merged);
+
+/// @brief Writes an override file that makes backend servers leave, or stay.
+/// @param names backend servers, or data centres for all backend servers in them
+/// @return ConfigUnknownReference where a name is neither
+[[nodiscard]] Result<std::string>
+drainOverride(const Snapshot &snapshot, const std::vector<std::string> &names, bool leaving);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/programs/ctl/controllers.cpp
@@ -0,0 +1,155 @@
+#include "controllers.h"
+
+#include <balsamport/core/hash.h>
+#include <balsamport/wire/key_files.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <random>
+
+namespace balsamport::ctl {
+
+namespace {
+
+constexpr int mostPullRounds = 1'000;
+
+/// Collects the replies of several controllers.
+class Replies
+{
+public:
+    explicit Replies(std::size_t count)
+        : all(count, Error{ErrorCode::Timeout, "no answer", Place{}})
+    { }
+
+    void put(std::size_t index, const Result<wire::Envelope> &reply)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->all[index] = reply;
+        ++this->done;
+        if (this->all.size() > 1) {
+            std::cerr << "\rasked " << this->done << " of " << this->all.size()
+                      << (this->done == this->all.size() ? "\n" : "");
+        }
+        this->changed.notify_all();
+    }
+
+    std::vector<Result<wire::Envelope>> wait()
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait(lock, [this] { return this->done == this->all.size(); });
+        return this->all;
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::size_t done = 0;
+    std::vector<Result<wire::Envelope>> all;
+};
+
+Result<CurveKeys> keysOf(const CommandLine &line)
+{
+    return readCurveKeys(KeyFileSettings{line.publicKeyFile, line.secretKeyFile, {}});
+}
+
+VmInstanceName operatorName()
+{
+    std::random_device device;
+    return VmInstanceName{"ctl", device()};
+}
+
+wire::Envelope pullMessage(const std::map<std::string, std::string> &files)
+{
+    wire::Envelope message;
+    wire::ConfigPull &pull = *message.mutable_config_pull();
+    for (const auto &[name, content] : files) {
+        wire::FileDigest &file = *pull.add_have_files();
+        file.set_name(name);
+        file.set_digest(hash64(content));
+    }
+    return message;
+}
+
+std::vector<SourceFile> asList(const std::map<std::string, std::string> &files)
+{
+    std::vector<SourceFile> list;
+    for (const auto &[name, content] : files) {
+        list.push_back(SourceFile{name, content});
+    }
+    return list;
+}
+
+/// A reply may hold only a part of the files; asks on until the digest fits.
+Result<std::vector<SourceFile>> pullFrom(MessageClient &client, const std::string &endpoint,
+                                         Millis timeout)
+{
+    std::map<std::string, std::string> files;
+    for (int round = 0; round < mostPullRounds; ++round) {
+        const auto answer = client.call(endpoint, pullMessage(files), timeout);
+        if (answer.has_error()) {
+            return answer.error();
+        }
+        const wire::ConfigReply &reply = answer.value().config_reply();
+        if (reply.revision() == 0) {
+            return Error{ErrorCode::ConfigUnavailable, "the controller has no configuration",
+                         Place{}};
+        }
+        for (const std::string &name : reply.removed()) {
+            files.erase(name);
+        }
+        for (const wire::ConfigFile &file : reply.changed()) {
+            files[file.name()] = file.content();
+        }
+        std::vector<SourceFile> list = asList(files);
+        if (digestOf(list) == reply.digest()) {
+            return list;
+        }
+    }
+    return Error{ErrorCode::ConfigUnavailable, "the controller's files do not fit its digest",
+                 Place{}};
+}
+
+} // namespace
+
+Result<std::vector<Result<wire::Envelope>>> askControllers(const CommandLine &line,
+                                                           const wire::Envelope &message)
+{
+    const Result<CurveKeys> keys = keysOf(line);
+    if (keys.has_error()) {
+        return keys.error();
+    }
+    Replies replies(line.endpoints.size());
+    MessageClient client(operatorName(), keys.value());
+    for (std::size_t i = 0; i < line.endpoints.size(); ++i) {
+        client.request(line.endpoints[i], message, line.timeout,
+                       [&replies, i](const Result<wire::Envelope> &reply) {
+                           replies.put(i, reply);
+                           return false;
+                       });
+    }
+    return replies.wait();
+}
+
+Result<std::vector<SourceFile>> pullConfig(const CommandLine &line)
+{
+    const Result<CurveKeys> keys = keysOf(line);
+    if (keys.has_error()) {
+        return keys.error();
+    }
+    MessageClient client(operatorName(), keys.value());
+    Error last{ErrorCode::ConfigUnavailable, "no controller was named", Place{}};
+    for (const std::string &endpoint : line.endpoints) {
+        auto files = pullFrom(client, endpoint, line.timeout);
+        if (files.has_value()) {
+            return files;
+        }
+        last = files.error();
+        last.place.file = endpoint;
+    }
+    return last;
+}
+
+} // namespace balsamport::ctl
--- /dev/null
+++ b/src/programs/ctl/fleet_commands.cpp
@@ -0,0 +1,84 @@
+#include "commands.h"
+
+#include "controllers.h"
+
+#include <balsamport/tools/status_table.h>
+
+#include <iostream>
+
+namespace balsamport::ctl {
+
+namespace {
+
+Result<wire::StatusReply> statusIn(const Result<wire::Envelope> &reply)
+{
+    if (reply.has_error()) {
+        return reply.error();
+    }
+    if (!reply.value().has_status_reply()) {
+        return Error{ErrorCode::MessageInvalid, "the answer holds no status", Place{}};
+    }
+    return reply.value().status_reply();
+}
+
+/// @return true where the controller could explain
+bool printExplanation(const std::string &endpoint, const Result<wire::Envelope> &reply)
+{
+    std::cout << endpoint << "\n";
+    if (reply.has_error()) {
+        std::cout << "  no answer: " << describe(reply.error()) << "\n";
+        return false;
+    }
+    const wire::ExplainReply &explanation = reply.value().explain_reply();
+    for (const std::string &step : explanation.steps()) {
+        std::cout << "  " << step << "\n";
+    }
+    if (explanation.error_code() != 0) {
+        std::cout << "  " << errorName(static_cast<ErrorCode>(explanation.error_code())) << "\n";
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
+int status(const CommandLine &line)
+{
+    if (line.endpoints.empty() || !line.arguments.empty()) {
+        return printUsage("status --endpoint tcp://IP:PORT... [--json]");
+    }
+    wire::Envelope message;
+    message.mutable_status_request();
+    const auto replies = askControllers(line, message);
+    if (replies.has_error()) {
+        return printError(replies.error());
+    }
+    std::vector<ControllerStatus> fleet;
+    for (std::size_t i = 0; i < line.endpoints.size(); ++i) {
+        fleet.push_back(ControllerStatus{line.endpoints[i], statusIn(replies.value()[i])});
+    }
+    std::cout << (line.json ? statusAsJson(fleet) : statusAsTable(fleet));
+    return statusWarnings(fleet).empty() ? exitcode::success : exitcode::failure;
+}
+
+int explain(const CommandLine &line)
+{
+    if (line.endpoints.empty() || line.arguments.size() != 1) {
+        return printUsage("explain ADAPTER|ALIAS|REQUEST-ID --endpoint tcp://IP:PORT...");
+    }
+    wire::Envelope message;
+    wire::ExplainRequest &request = *message.mutable_explain_request();
+    request.set_adapter(line.arguments.front());
+    request.set_request_id(line.arguments.front());
+    const auto replies = askControllers(line, message);
+    if (replies.has_error()) {
+        return printError(replies.error());
+    }
+    bool explained = false;
+    for (std::size_t i = 0; i < line.endpoints.size(); ++i) {
+        explained = printExplanation(line.endpoints[i], replies.value()[i]) || explained;
+    }
+    return explained ? exitcode::success : exitcode::failure;
+}
+
+} // namespace balsamport::ctl
