Test that check names twenty planted mistakes, each once

The test found a target that cannot be read named twice: the share of an empty list was checked as well.

--- a/src/config/accept.cpp
+++ b/src/config/accept.cpp
@@ -177,7 +177,7 @@
             shares += target.share;
         }
         const bool single = key == "target" && targets.size() > 1;
-        if (single || (reader.has(key) && shares == 0)) {
+        if (single || (!targets.empty() && shares == 0)) {
             reader.report(ErrorCode::ConfigInvalidValue, key, "targets with a share above 0");
         }
         this->snapshot.routes.emplace(id, config);
--- a/src/programs/ctl/controllers.cpp
+++ b/src/programs/ctl/controllers.cpp
@@ -3,6 +3,8 @@
 #include <balsamport/core/hash.h>
 #include <balsamport/wire/key_files.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <condition_variable>
 #include <iostream>
@@ -29,7 +31,7 @@
         const std::lock_guard lock(this->mutex);
         this->all[index] = reply;
         ++this->done;
-        if (this->all.size() > 1) {
+        if (this->all.size() > 1 && isatty(STDERR_FILENO) != 0) {
             std::cerr << "\rasked " << this->done << " of " << this->all.size()
                       << (this->done == this->all.size() ? "\n" : "");
         }
--- a/src/tools/status_table.cpp
+++ b/src/tools/status_table.cpp
@@ -51,14 +51,19 @@
                        reply.loads_started());
 }
 
+/// Plain services have no slots.
+std::string slotsText(const wire::ServerStatus &server)
+{
+    return server.slots() == 0 ? "-" : fmt::format("{}/{}", server.resident(), server.slots());
+}
+
 std::string serverRow(const std::string &id, const wire::ServerStatus &server)
 {
-    return fmt::format("{:<22}{:<12}{:>10}{:>9}{:>8}{:>9}{:>8}{:>7}{:>9}{:>11}\n", id,
+    return fmt::format("{:<22}{:<12}{:>10}{:>16}{:>9}{:>9}{:>8}{:>7}{:>9}{:>11}\n", id,
                        server.owner_vm().empty() ? "none" : server.owner_vm(),
-                       yesNo(server.effective()), server.fencing(),
-                       fmt::format("{}/{}", server.resident(), server.slots()), server.running(),
-                       server.queued(), server.loads_in_flight(), yesNo(server.leaving()),
-                       yesNo(server.reachable()));
+                       yesNo(server.effective()), server.fencing(), slotsText(server),
+                       server.running(), server.queued(), server.loads_in_flight(),
+                       yesNo(server.leaving()), yesNo(server.reachable()));
 }
 
 void warnOfController(const ControllerStatus &controller, std::vector<std::string> &warnings)
@@ -146,7 +151,7 @@
     for (const ControllerStatus &controller : fleet) {
         text += vmRow(controller);
     }
-    text += fmt::format("\n{:<22}{:<12}{:>10}{:>9}{:>8}{:>9}{:>8}{:>7}{:>9}{:>11}\n",
+    text += fmt::format("\n{:<22}{:<12}{:>10}{:>16}{:>9}{:>9}{:>8}{:>7}{:>9}{:>11}\n",
                         "backend server", "owner", "effective", "fencing", "slots", "running",
                         "queued", "loads", "leaving", "reachable");
     for (const auto &[id, server] : serversOf(fleet)) {
--- /dev/null
+++ b/tests/src/unit-ctl-check.cpp
@@ -0,0 +1,276 @@
+#include <balsamport/config/accept.h>
+#include <balsamport/tools/config_diff.h>
+#include <balsamport/tools/status_table.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace balsamport;
+
+namespace {
+
+const std::string sourceDir = BALSAMPORT_SOURCE_DIR;
+
+std::vector<SourceFile> exampleFolder(const std::string &name)
+{
+    return readConfigFolder(sourceDir + "/examples/" + name).value();
+}
+
+std::vector<SourceFile> withOverride(const std::string &name)
+{
+    std::vector<SourceFile> files = exampleFolder(name);
+    const std::vector<SourceFile> more = exampleFolder(name + "/month-end");
+    files.insert(files.end(), more.begin(), more.end());
+    return files;
+}
+
+/// A mistake in a file of its own, and how it must be named.
+struct Mistake
+{
+    std::string content;
+    ErrorCode code;
+    std::uint32_t line; ///< Line of the fault.
+    std::string key; ///< A part of the place's key, or of the detail.
+    std::string detail; ///< A part of the detail: the value, or what was expected.
+};
+
+const std::string engine = "data-centre = odense\nbase = citrus-8b\n";
+
+/// Twenty mistakes that operators make.
+std::vector<Mistake> mistakes()
+{
+    using enum ErrorCode;
+    return {
+            {"[backend-servr x1]\naddress = 10.1.9.1:1\n", ConfigUnknownSection, 1, "backend-servr",
+             "no such kind"},
+            {"[route r1]\ntarget = burn-plan@3\npriorty = 1\n", ConfigUnknownKey, 3, "priorty",
+             "expected one of"},
+            {"[route r2]\ntarget = burn-plan@9\n", ConfigUnknownReference, 2, "target",
+             "burn-plan@9"},
+            {"[route r3]\ntarget = burnplan@3\n", ConfigUnknownReference, 2, "target",
+             "burnplan@3"},
+            {"[route r4]\ntarget = burn-plan\n", ConfigInvalidValue, 2, "target",
+             "ADAPTER@VERSION"},
+            {"[route r5]\npriority = 1\n", ConfigMissingKey, 1, "target", "either"},
+            {"[route r6]\ntargets = burn-plan@3:0\n", ConfigInvalidValue, 2, "targets", "above 0"},
+            {"[route r7]\ntarget = burn-plan@3\npriority = high\n", ConfigInvalidValue, 3,
+             "priority", "\"high\""},
+            {"[adapter a1]\nversions = 1\n", ConfigMissingKey, 1, "base", "must be given"},
+            {"[adapter a2]\nbase = citrus-8b\nversions = 2,1\n", ConfigInvalidValue, 3, "versions",
+             "\"2,1\""},
+            {"[adapter a3]\nbase = citrus-8b\nversions = 1\nbytes = 50M\n", ConfigInvalidValue, 4,
+             "bytes", "\"50M\""},
+            {"[adapter-range kit-]\nfirst = 9\nlast = 3\nbase = citrus-8b\nversions = 1\n",
+             ConfigInvalidValue, 3, "last", "\"3\""},
+            {"[backend-server x2]\naddress = engine.example\n" + engine, ConfigInvalidValue, 2,
+             "address", "IP:PORT"},
+            {"[backend-server x3]\naddress = 10.1.1.10:8000\n" + engine, ConfigDuplicate, 2,
+             "address", "no other backend server"},
+            {"[backend-server x4]\naddress = 10.1.9.4:1\ndata-centre = nowhere\nbase = citrus-8b\n",
+             ConfigUnknownReference, 3, "data-centre", "\"nowhere\""},
+            {"[backend-server x5]\naddress = 10.1.9.5:1\n" + engine + "slots = 0\n",
+             ConfigInvalidValue, 5, "slots", "from 1"},
+            {"[backend-server x6]\naddress = 10.1.9.6:1\n" + engine + "leaving = yes\n",
+             ConfigInvalidValue, 5, "leaving", "true or false"},
+            {"[service s1]\nnon-repeatable = post /bookings\n", ConfigInvalidValue, 2,
+             "non-repeatable", "METHOD"},
+            {"[caller c1]\nclass = member\nkey-sha256 = secret\n", ConfigInvalidValue, 3,
+             "key-sha256", "64 hexadecimal digits"},
+            {"[limits]\nweight-percent = 120\n", ConfigInvalidValue, 2, "weight-percent",
+             "from 0 to 100"},
+    };
+}
+
+std::string fileName(std::size_t index)
+{
+    return "80-mistake-" + std::to_string(index) + ".ini";
+}
+
+bool names(const Error &error, const Mistake &mistake, const std::string &file)
+{
+    const std::string text = error.place.key + " " + error.detail;
+    return error.code == mistake.code && error.place.file == file
+            && error.place.line == mistake.line && text.find(mistake.key) != std::string::npos
+            && text.find(mistake.detail) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("the example folders")
+{
+    for (const std::string name : {"frostlys", "torrent", "demo/config"}) {
+        SECTION("are accepted: " + name)
+        {
+            REQUIRE(acceptRevision(ConfigRevision(1), exampleFolder(name)).errors.empty());
+        }
+    }
+
+    SECTION("are accepted with their month-end overrides, which change something")
+    {
+        for (const std::string name : {"frostlys", "torrent"}) {
+            REQUIRE(acceptRevision(ConfigRevision(1), withOverride(name)).errors.empty());
+            REQUIRE_FALSE(
+                    diffConfigs(mergeFiles(exampleFolder(name)), mergeFiles(withOverride(name)))
+                            .empty());
+        }
+    }
+
+    SECTION("have the sizes of today: 9 engines, 3 booking replicas, about 3,000 adapters")
+    {
+        for (const std::string name : {"frostlys", "torrent"}) {
+            const auto accepted = acceptRevision(ConfigRevision(1), exampleFolder(name));
+            std::size_t engines = 0;
+            for (const auto &[id, server] : accepted.snapshot->backendServers) {
+                engines += server.kind == BackendServerKind::Engine ? 1 : 0;
+            }
+            REQUIRE(engines == 9);
+            REQUIRE(accepted.snapshot->backendServers.size() == 12);
+            std::uint32_t adapters = static_cast<std::uint32_t>(accepted.snapshot->adapters.size());
+            for (const auto &[prefix, range] : accepted.snapshot->adapterRanges) {
+                adapters += range.last - range.first + 1;
+            }
+            REQUIRE(adapters >= 2'900);
+            REQUIRE(adapters <= 3'100);
+        }
+    }
+}
+
+TEST_CASE("a folder with twenty mistakes")
+{
+    std::vector<SourceFile> files = exampleFolder("frostlys");
+    const std::vector<Mistake> planted = mistakes();
+    REQUIRE(planted.size() == 20);
+    for (std::size_t i = 0; i < planted.size(); ++i) {
+        files.push_back(SourceFile{fileName(i), planted[i].content});
+    }
+    const Acceptance acceptance = acceptRevision(ConfigRevision(1), files);
+
+    SECTION("is refused")
+    {
+        REQUIRE_FALSE(acceptance.accepted());
+    }
+
+    SECTION("has each of them named, at once, with file, line, key and value")
+    {
+        for (std::size_t i = 0; i < planted.size(); ++i) {
+            INFO(planted[i].content);
+            const bool named = std::any_of(
+                    acceptance.errors.begin(), acceptance.errors.end(),
+                    [&](const Error &error) { return names(error, planted[i], fileName(i)); });
+            CHECK(named);
+        }
+    }
+
+    SECTION("has nothing else named")
+    {
+        for (const Error &error : acceptance.errors) {
+            INFO(describe(error));
+            CHECK(error.place.file.starts_with("80-mistake-"));
+        }
+        CHECK(acceptance.errors.size() == planted.size());
+    }
+}
+
+TEST_CASE("comparing two folders")
+{
+    const MergedConfig before = mergeFiles({{"1.ini",
+                                             "[route a]\ntarget = x@1\npriority = 1\n"
+                                             "[service s]\ntimeout-ms = 5\n"}});
+
+    SECTION("finds nothing where they say the same in other files")
+    {
+        const MergedConfig after = mergeFiles({{"1.ini", "[service s]\ntimeout-ms = 5\n"},
+                                               {"2.ini", "[route a]\npriority = 1\n"},
+                                               {"3.ini", "[route a]\ntarget = x@1\n"}});
+        REQUIRE(diffConfigs(before, after).empty());
+    }
+
+    SECTION("names changed, added and removed values with their places")
+    {
+        const MergedConfig after
+                = mergeFiles({{"1.ini", "[route a]\ntarget = x@1\n"},
+                              {"9.ini", "[route a]\ntarget = x@2\n[route b]\ntarget = y@1\n"}});
+        REQUIRE(diffAsText(diffConfigs(before, after))
+                == "- [route a] priority: 1 (1.ini:3)\n"
+                   "~ [route a] target: x@1 -> x@2 (9.ini:2)\n"
+                   "+ [route b] (9.ini:3)\n"
+                   "+ [route b] target: y@1 (9.ini:4)\n"
+                   "- [service s] (1.ini:4)\n");
+    }
+}
+
+TEST_CASE("draining")
+{
+    const Acceptance before = acceptRevision(ConfigRevision(1), exampleFolder("frostlys"));
+
+    SECTION("a data centre gives an override that empties all its backend servers, and no other")
+    {
+        const auto text = drainOverride(*before.snapshot, {"aalborg"}, true);
+        REQUIRE(text.has_value());
+        std::vector<SourceFile> files = exampleFolder("frostlys");
+        files.push_back(SourceFile{"95-drain.ini", text.value()});
+        const Acceptance after = acceptRevision(ConfigRevision(2), files);
+        REQUIRE(after.errors.empty());
+        for (const auto &[id, server] : after.snapshot->backendServers) {
+            REQUIRE(server.leaving == (server.dataCentre == DataCentreId("aalborg")));
+        }
+    }
+
+    SECTION("something unknown is refused")
+    {
+        const auto text = drainOverride(*before.snapshot, {"aalborg", "engine-x"}, true);
+        REQUIRE(text.has_error());
+        REQUIRE(text.error().code == ErrorCode::ConfigUnknownReference);
+        REQUIRE(text.error().detail.find("engine-x") != std::string::npos);
+    }
+}
+
+TEST_CASE("the fleet's status")
+{
+    wire::StatusReply reply;
+    reply.mutable_instance()->set_vm("vm1");
+    reply.set_config_revision(7);
+    reply.set_view_confirmed(true);
+    reply.set_platform_reachable(true);
+    wire::ServerStatus &server = *reply.add_servers();
+    server.set_backend_server("e1");
+    server.set_owner_vm("vm1");
+    server.set_effective(true);
+    std::vector<ControllerStatus> fleet{{"tcp://1", reply}, {"tcp://2", reply}};
+    fleet[1].reply.value().mutable_instance()->set_vm("vm2");
+    fleet[1].reply.value().mutable_servers(0)->set_effective(false);
+
+    SECTION("has no warning where all is well")
+    {
+        REQUIRE(statusWarnings(fleet).empty());
+        REQUIRE(statusAsTable(fleet).find("vm2") != std::string::npos);
+    }
+
+    SECTION("warns of two owners, and of none")
+    {
+        fleet[1].reply.value().mutable_servers(0)->set_effective(true);
+        REQUIRE(statusWarnings(fleet)
+                == std::vector<std::string>{"2 controllers say that they own e1"});
+        for (ControllerStatus &controller : fleet) {
+            controller.reply.value().mutable_servers(0)->set_effective(false);
+        }
+        REQUIRE(statusWarnings(fleet)
+                == std::vector<std::string>{"no controller may give orders to e1 now"});
+    }
+
+    SECTION("warns of revisions that differ")
+    {
+        fleet[1].reply.value().set_config_revision(6);
+        REQUIRE(statusWarnings(fleet)
+                == std::vector<std::string>{"the controllers hold 2 different configurations"});
+    }
+
+    SECTION("warns of a controller that does not answer, in JSON as well")
+    {
+        fleet[1].reply = Error{ErrorCode::Timeout, "no answer", Place{}};
+        REQUIRE(statusWarnings(fleet).size() == 1);
+        REQUIRE(statusAsJson(fleet).find(R"("endpoint":"tcp://2","error":"timeout")")
+                != std::string::npos);
+    }
+}
