--- a/include/balsamport/policy/routing.h
+++ b/include/balsamport/policy/routing.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +41,8 @@
     std::vector<RouteNode> nodes;
     std::size_t storeNodes = 0; ///< How many are near the weight store.
     std::size_t ownNodes = 0; ///< How many are in the gateway's region.
+    std::vector<std::uint32_t>
+            packed; ///< Asked first for what is not resident; see packedServers().
 
     bool operator==(const RouteGroup &) const = default;
 };
@@ -103,6 +106,8 @@
     Millis shrinkAfter{30'000}; ///< Calm time after which a replica is given up.
     double copyDemand = 3; ///< Decayed requests that pay for a copy across the link.
     Millis demandHalfLife{60'000};
+    bool packs = false; ///< Batch fill weighs more than load stalls: packed servers go first.
+    bool poolRegions = false; ///< Homes lie in both regions; see poolsRegions().
 
     bool operator==(const RouteCosts &) const = default;
 };
@@ -126,11 +131,65 @@
     bool operator==(const Candidates &) const = default;
 };
 
+/// @brief A server that said what waiting there would cost.
+struct Redirect
+{
+    std::uint32_t node = 0;
+    Millis wait;
+
+    bool operator==(const Redirect &) const = default;
+};
+
+/// @brief How far a request has come with its candidates.
+struct AskPlan
+{
+    Candidates candidates;
+    std::size_t next = 0;
+    std::uint32_t asked = 0;
+    std::optional<Redirect> cheapest;
+
+    bool operator==(const AskPlan &) const = default;
+};
+
+/// @brief Whom to ask next, and whether to queue there rather than be sent on.
+struct Ask
+{
+    Candidate candidate;
+    bool lastChoice = false;
+
+    bool operator==(const Ask &) const = default;
+};
+
+/// @brief Gives the next candidate; after the last, the one whose wait was the shortest.
+/// @return nothing where all have been asked
+[[nodiscard]] std::optional<Ask> nextAsk(AskPlan &plan, const RouteGroup &group) noexcept;
+
+/// @brief Records that a server sent the request on.
+void noteRedirect(AskPlan &plan, std::uint32_t node, Millis wait) noexcept;
+
+/// @brief Names the engines of a base model that are asked first for adapters that are not known to
+/// be resident, where batch fill weighs more than load stalls. While loads are cheap they take as
+/// many requests as fit, so that batches fill; the rest lies on the other engines by rendezvous.
+/// @return in the order of asking; the same on every VM
+[[nodiscard]] std::vector<BackendServerId> packedServers(const Snapshot &snapshot,
+                                                         const BaseModelId &base);
+
 /// @brief Builds the routing table of a data centre.
 /// @complexity O(n log n) for n backend servers
 [[nodiscard]] RoutingTable buildRoutingTable(const Snapshot &snapshot,
                                              const DataCentreId &dataCentre);
 
+/// @return whether batch fill weighs more than load stalls
+[[nodiscard]] constexpr bool packsBatches(std::uint32_t weightPercent) noexcept
+{
+    return weightPercent > 50;
+}
+
+/// @brief Tells whether the regions' slots may be one pool: all loads that the store allows, as far
+/// as they go to servers of the other region, fit into the link's budget.
+[[nodiscard]] bool poolsRegions(const RouteGroup &group, const LimitsConfig &limits,
+                                std::uint64_t adapterBytes) noexcept;
+
 /// @brief Chooses where to ask for a place on an adapter.
 ///
 /// Replicas that are believed resident go first, the cheapest first: distance, then load. Then the
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -51,13 +51,6 @@
 
 using HeldKey = std::pair<BackendServerId, GrantId>;
 
-/// A server that said what waiting there would cost.
-struct Redirect
-{
-    std::uint32_t node = 0;
-    Millis wait;
-};
-
 /// One call of acquire() on its way. Only one reply at a time works on it.
 struct Acquire
 {
@@ -66,10 +59,7 @@
     std::uint64_t hash = 0;
     Millis started;
     RouteShardPtr shard;
-    Candidates candidates;
-    std::size_t next = 0;
-    std::uint32_t asked = 0;
-    std::optional<Redirect> cheapest;
+    AskPlan plan;
     Millis linkWait; ///< Until the link's budget would allow a skipped candidate.
     bool ownersMissing = false;
     std::atomic<bool> done{false};
@@ -122,7 +112,7 @@
     request.mutable_prefix_hashes()->Add(query.prefixHashes.begin(), query.prefixHashes.end());
     request.set_fingerprint(query.fingerprint.number());
     request.set_repeatable(query.repeatable);
-    request.set_tried_servers(acquire.asked);
+    request.set_tried_servers(acquire.plan.asked - 1);
     request.set_last_choice(lastChoice);
     request.set_across_link(candidate.distance == Distance::AcrossLink);
     return message;
@@ -153,6 +143,7 @@
     std::map<BaseModelId, RouteShardPtr> engines;
     std::map<ServiceId, RouteShardPtr> services;
     std::unordered_map<BackendServerId, std::string> owners; ///< Controllers' endpoints.
+    SnapshotPtr snapshot;
 
     mutable std::mutex heldLock; ///< Guards the four below.
     std::map<HeldKey, HeldPlace> heldPlaces;
@@ -173,6 +164,7 @@
     }
 
     [[nodiscard]] RouteShardPtr findShard(const GrantQuery &query) const;
+    [[nodiscard]] RouteCosts costsFor(const Acquire &acquire) const;
     void begin(const AcquirePtr &acquire);
     void grantService(const AcquirePtr &acquire);
     void askNext(const AcquirePtr &acquire);
@@ -228,7 +220,7 @@
 
 } // namespace
 
-void GrantClient::update(SnapshotPtr snapshot, std::shared_ptr<const FleetView> fleet)
+void GrantClient::update(const SnapshotPtr &snapshot, const std::shared_ptr<const FleetView> &fleet)
 {
     if (snapshot == nullptr || fleet == nullptr) {
         return;
@@ -246,6 +238,7 @@
         this->core->services = rebuild(table.services, this->core->services);
         moved = this->core->owners != owners;
         this->core->owners = std::move(owners);
+        this->core->snapshot = snapshot;
     }
     {
         const std::lock_guard guard(this->core->linkLock);
@@ -377,6 +370,17 @@
     return found == this->engines.end() ? nullptr : found->second;
 }
 
+RouteCosts GrantClient::Core::costsFor(const Acquire &acquire) const
+{
+    RouteCosts weighed = this->costs;
+    const std::lock_guard guard(this->routesLock);
+    const auto adapter = this->snapshot->findAdapter(acquire.query.adapter.adapter);
+    weighed.packs = packsBatches(this->snapshot->limits.weightPercent);
+    weighed.poolRegions = poolsRegions(acquire.shard->group, this->snapshot->limits,
+                                       adapter ? adapter->bytes : 0);
+    return weighed;
+}
+
 void GrantClient::Core::begin(const AcquirePtr &acquire)
 {
     const Millis now = monotonicNow();
@@ -399,18 +403,18 @@
         this->grantService(acquire);
         return;
     }
+    const RouteCosts weighed = this->costsFor(*acquire);
     {
         const std::lock_guard guard(acquire->shard->lock);
         RouteMemory &memory = acquire->shard->memory;
-        if (acquire->asked == 0) {
+        if (acquire->plan.asked == 0) {
             noteRequest(memory, this->costs, acquire->hash, now);
         }
-        acquire->candidates
-                = chooseCandidates(acquire->shard->group, memory, this->costs, acquire->hash, now);
+        acquire->plan = AskPlan{
+                chooseCandidates(acquire->shard->group, memory, weighed, acquire->hash, now), 0,
+                acquire->plan.asked, std::nullopt};
     }
-    acquire->ownersMissing = acquire->candidates.count == 0;
-    acquire->next = 0;
-    acquire->cheapest.reset();
+    acquire->ownersMissing = acquire->plan.candidates.count == 0;
     this->askNext(acquire);
 }
 
@@ -464,19 +468,16 @@
 void GrantClient::Core::askNext(const AcquirePtr &acquire)
 {
     const Millis now = monotonicNow();
-    while (acquire->next < acquire->candidates.count) {
-        const Candidate candidate = acquire->candidates.list[acquire->next++];
-        const RouteNode &node = acquire->shard->group.nodes[candidate.node];
+    while (const auto ask = nextAsk(acquire->plan, acquire->shard->group)) {
+        const RouteNode &node = acquire->shard->group.nodes[ask->candidate.node];
         const auto &exclude = acquire->query.exclude;
         if (std::find(exclude.begin(), exclude.end(), node.id) != exclude.end()) {
             continue;
         }
-        if (candidate.distance == Distance::AcrossLink && !this->takeLink(acquire, now)) {
+        if (ask->candidate.distance == Distance::AcrossLink && !this->takeLink(acquire, now)) {
             continue;
         }
-        const bool last
-                = acquire->next == acquire->candidates.count && !acquire->cheapest.has_value();
-        this->ask(acquire, candidate, last);
+        this->ask(acquire, ask->candidate, ask->lastChoice);
         return;
     }
     this->exhausted(acquire);
@@ -485,12 +486,6 @@
 void GrantClient::Core::exhausted(const AcquirePtr &acquire)
 {
     const Millis now = monotonicNow();
-    if (acquire->cheapest) {
-        const std::uint32_t node = acquire->cheapest->node;
-        acquire->cheapest.reset();
-        this->ask(acquire, {node, acquire->shard->group.nodes[node].distance, false}, true);
-        return;
-    }
     if (acquire->linkWait > Millis(0)) {
         this->fail(acquire, {ErrorCode::LinkBudgetSpent, "the link between the regions is full"},
                    acquire->linkWait);
@@ -521,7 +516,6 @@
         this->askNext(acquire);
         return;
     }
-    ++acquire->asked;
     {
         const std::lock_guard guard(acquire->endpointLock);
         acquire->endpoint = endpoint;
@@ -628,12 +622,12 @@
     }
     {
         const std::lock_guard guard(acquire->shard->lock);
-        noteWait(acquire->shard->memory, candidate.node, wait, monotonicNow());
+        if (candidate.believedResident) {
+            noteWait(acquire->shard->memory, candidate.node, wait, monotonicNow());
+        }
         noteNotResident(acquire->shard->memory, acquire->hash, candidate.node);
     }
-    if (!acquire->cheapest || wait < acquire->cheapest->wait) {
-        acquire->cheapest = Redirect{candidate.node, wait};
-    }
+    noteRedirect(acquire->plan, candidate.node, wait);
     this->askNext(acquire);
 }
 
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -12,6 +12,8 @@
 constexpr Millis firstBackoff{500};
 constexpr Millis longestBackoff{30'000};
 constexpr std::uint32_t backoffDoublings = 6;
+constexpr Millis tokenWaitHalfLife{5'000};
+constexpr Millis cheapTokenWait{20};
 constexpr Millis shortestRetryAfter{1'000};
 constexpr std::int64_t redirectLoadTimes = 2;
 constexpr std::int64_t learnDivisor = 8; ///< Weight of a new sample in a learnt time.
@@ -50,6 +52,15 @@
     return known + (sample - known) / learnDivisor;
 }
 
+/// A learnt wait halves with each interval in which nothing was learnt.
+Millis tokenWait(const ServerState &server, Millis now) noexcept
+{
+    constexpr std::int64_t mostHalvings = 62;
+    const std::int64_t age = std::max((now - server.tokenWaitAt).count(), std::int64_t{0});
+    const std::int64_t halvings = std::min(age / tokenWaitHalfLife.count(), mostHalvings);
+    return Millis(server.tokenWait.count() >> halvings);
+}
+
 std::uint32_t classWeight(const SchedulerContext &context, const CallerClassId &callerClass)
 {
     if (context.classWeights == nullptr) {
@@ -232,6 +243,7 @@
     std::int32_t priority = 0;
     std::int64_t urgency = 0;
     Millis deadline;
+    Millis since; ///< When the oldest of the callers came.
 };
 
 std::vector<WantedLoad> wantedLoads(const ServerState &server, Millis now)
@@ -250,10 +262,11 @@
         if (found == wanted.end()) {
             found = wanted.insert(wanted.end(),
                                   {waiter.request.adapter, hash, waiter.request.priority, 0,
-                                   waiter.request.deadline});
+                                   waiter.request.deadline, waiter.since});
         }
         found->priority = std::max(found->priority, waiter.request.priority);
         found->deadline = std::min(found->deadline, waiter.request.deadline);
+        found->since = std::min(found->since, waiter.since);
         found->urgency += (now - waiter.since).count() + 1;
     }
     std::sort(wanted.begin(), wanted.end(), [](const WantedLoad &a, const WantedLoad &b) {
@@ -271,6 +284,14 @@
             && !isWaitedFor(server, slot.hash);
 }
 
+/// Whether a slot is free or could be made free.
+bool hasRoom(const ServerState &server)
+{
+    return std::any_of(server.slots.begin(), server.slots.end(), [&server](const Slot &slot) {
+        return slot.state == SlotState::Free || mayEvict(server, slot);
+    });
+}
+
 Slot *chooseSlot(ServerState &server, Millis now)
 {
     Slot *best = nullptr;
@@ -292,6 +313,14 @@
     return best;
 }
 
+/// Whether a packed server takes a load: while loads are so cheap that filling batches goes first.
+bool takesPacked(ServerState &server, Millis now)
+{
+    const Slot *slot = chooseSlot(server, now);
+    return slot != nullptr
+            && (slot->state == SlotState::Free || tokenWait(server, now) <= cheapTokenWait);
+}
+
 OrderLoad startLoad(Slot &slot, const WantedLoad &wanted, const LoadPermit &permit, Millis now)
 {
     std::optional<AdapterRef> victim;
@@ -309,10 +338,12 @@
         if (slot == nullptr) {
             return;
         }
-        const auto permit = takeToken(budget, now);
+        const auto permit = takeToken(budget, wanted.since, now);
         if (!permit) {
             return;
         }
+        server.tokenWait = learn(tokenWait(server, now), now - wanted.since);
+        server.tokenWaitAt = now;
         actions.emplace_back(startLoad(*slot, wanted, *permit, now));
     }
 }
@@ -338,7 +369,10 @@
         return std::max(left, Millis(0));
     }
     const auto ready = nextTokenReady(budget, now);
-    const Millis token = ready ? *ready - now : Millis(0);
+    const bool readyNow = ready && *ready <= now;
+    const Millis token = readyNow
+            ? Millis(0)
+            : std::max(ready ? *ready - now : Millis(0), tokenWait(server, now));
     const auto queued = static_cast<std::int64_t>(wantedLoads(server, now).size());
     const auto tokens = static_cast<std::int64_t>(std::max<std::size_t>(budget.tokens.size(), 1));
     return token + budget.interval * queued / tokens + server.loadTime;
@@ -431,9 +465,16 @@
     const Millis wait = expectedWait(server, budget, hash, now);
     const bool resident = server.limits.adapterless || isResident(server, hash);
     const bool mayLoad = context.right == OwnerRight::Full && !isBackingOff(server, hash, now);
-    const bool longWait = wait > server.loadTime * redirectLoadTimes;
-    const bool noLoad = !resident && findSlot(server, hash) == nullptr && !mayLoad;
-    if (!request.lastChoice && (noLoad || longWait)) {
+    // The store is shared by all: waiting for a token would be no shorter elsewhere.
+    const bool longWait = batchWait(server) > server.loadTime * redirectLoadTimes;
+    const bool absent = !resident && findSlot(server, hash) == nullptr;
+    const bool noLoad = absent && (!mayLoad || !hasRoom(server));
+    if (!server.limits.adapterless) {
+        addDemand(server.demand, hash, now);
+    }
+    const bool passedOn = server.limits.packed && context.weightPercent > 50 && absent && !noLoad
+            && !takesPacked(server, now);
+    if (!request.lastChoice && (noLoad || longWait || passedOn)) {
         return Action(RedirectPlace{ticket, wait});
     }
     if (now + wait >= request.deadline) {
@@ -448,9 +489,6 @@
         return Action(
                 RefusePlace{ticket, ErrorCode::Overloaded, std::max(wait, shortestRetryAfter)});
     }
-    if (!server.limits.adapterless) {
-        addDemand(server.demand, hash, now);
-    }
     server.waiters.push_back({ticket, std::move(request), now, !resident});
     return std::nullopt;
 }
@@ -626,17 +664,19 @@
     return slot != nullptr && slot->state == SlotState::Resident;
 }
 
-bool needsToken(const ServerState &server, const SchedulerContext &context, Millis now) noexcept
+std::optional<Millis> needsToken(const ServerState &server, const SchedulerContext &context,
+                                 Millis now) noexcept
 {
     if (context.right != OwnerRight::Full || context.leaving || !server.reported) {
-        return false;
+        return std::nullopt;
     }
-    if (wantedLoads(server, now).empty()) {
-        return false;
+    const std::vector<WantedLoad> wanted = wantedLoads(server, now);
+    if (wanted.empty() || !hasRoom(server)) {
+        return std::nullopt;
     }
-    return std::any_of(server.slots.begin(), server.slots.end(), [&server](const Slot &slot) {
-        return slot.state == SlotState::Free || mayEvict(server, slot);
-    });
+    return std::min_element(wanted.begin(), wanted.end(),
+                            [](const auto &a, const auto &b) { return a.since < b.since; })
+            ->since;
 }
 
 Millis expectedWait(const ServerState &server, const LoadBudget &budget, std::uint64_t adapterHash,
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -1,9 +1,11 @@
 #include <balsamport/policy/routing.h>
 
 #include <balsamport/core/hash.h>
+#include <balsamport/core/rendezvous.h>
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace balsamport {
 
@@ -12,6 +14,8 @@
 constexpr Millis sweepInterval{5'000};
 constexpr Millis waitLifetime{1'000}; ///< What an owner said is forgotten after this time.
 constexpr double boundedLoadFactor = 1.25;
+constexpr std::size_t enginesForOnePacked = 4;
+constexpr std::size_t packedAsked = 2;
 
 double decayed(const DecayedCount &count, Millis halfLife, Millis now) noexcept
 {
@@ -116,8 +120,75 @@
     append(candidates, group, best, false);
 }
 
+/// Few packed servers are asked in their fixed order; of many, each adapter has its own first.
+void appendPacked(Candidates &candidates, const RouteGroup &group, const RouteMemory &memory,
+                  std::uint64_t adapterHash, Millis now) noexcept
+{
+    const bool few = group.packed.size() <= packedAsked;
+    BestNodes best;
+    for (std::size_t i = 0; i < group.packed.size(); ++i) {
+        const std::uint32_t node = group.packed[i];
+        if (now < memory.loads[node].avoidUntil) {
+            continue;
+        }
+        const double score
+                = static_cast<double>(rendezvousScore(adapterHash, group.nodes[node].hash));
+        best.offer(few ? static_cast<double>(i) : -score, node);
+    }
+    best.count = std::min(best.count, packedAsked);
+    append(candidates, group, best, false);
+}
+
 } // namespace
 
+std::optional<Ask> nextAsk(AskPlan &plan, const RouteGroup &group) noexcept
+{
+    if (plan.next < plan.candidates.count) {
+        const Candidate candidate = plan.candidates.list[plan.next++];
+        ++plan.asked;
+        const bool last = plan.next == plan.candidates.count && !plan.cheapest.has_value();
+        return Ask{candidate, last};
+    }
+    if (!plan.cheapest) {
+        return std::nullopt;
+    }
+    const std::uint32_t node = plan.cheapest->node;
+    plan.cheapest.reset();
+    ++plan.asked;
+    return Ask{{node, group.nodes[node].distance, false}, true};
+}
+
+void noteRedirect(AskPlan &plan, std::uint32_t node, Millis wait) noexcept
+{
+    if (!plan.cheapest || wait < plan.cheapest->wait) {
+        plan.cheapest = Redirect{node, wait};
+    }
+}
+
+std::vector<BackendServerId> packedServers(const Snapshot &snapshot, const BaseModelId &base)
+{
+    std::set<RegionId> storeRegions;
+    for (const auto &[id, config] : snapshot.dataCentres) {
+        if (config.hasWeightStore) {
+            storeRegions.insert(config.region);
+        }
+    }
+    std::vector<BackendServerId> near;
+    std::size_t engines = 0;
+    for (const auto &[id, server] : snapshot.backendServers) {
+        if (server.kind != BackendServerKind::Engine || server.base != base || server.leaving) {
+            continue;
+        }
+        ++engines;
+        if (storeRegions.contains(snapshot.regionOf(server.dataCentre))) {
+            near.push_back(id);
+        }
+    }
+    std::vector<BackendServerId> ranked = rendezvousRank("packed-" + base.str(), near);
+    ranked.resize(std::min(ranked.size(), engines / enginesForOnePacked));
+    return ranked;
+}
+
 RoutingTable buildRoutingTable(const Snapshot &snapshot, const DataCentreId &dataCentre)
 {
     RoutingTable table;
@@ -150,9 +221,30 @@
         group.nodes.push_back({id, server.address, hash64(id.str()), distance, nearStore,
                                std::max(server.batchWidth, 1U)});
     }
+    for (auto &[base, group] : table.engines) {
+        for (const BackendServerId &id : packedServers(snapshot, base)) {
+            const auto found = std::find_if(group.nodes.begin(), group.nodes.end(),
+                                            [&id](const RouteNode &node) { return node.id == id; });
+            group.packed.push_back(static_cast<std::uint32_t>(found - group.nodes.begin()));
+        }
+    }
     return table;
 }
 
+bool poolsRegions(const RouteGroup &group, const LimitsConfig &limits,
+                  std::uint64_t adapterBytes) noexcept
+{
+    if (group.nodes.empty()) {
+        return false;
+    }
+    constexpr double perThousandSeconds = 1'000;
+    const auto nodes = static_cast<double>(group.nodes.size());
+    const double farShare = 1 - static_cast<double>(group.storeNodes) / nodes;
+    const double bytesPerSecond = limits.storeLoadsPerThousandSeconds / perThousandSeconds
+            * farShare * static_cast<double>(adapterBytes);
+    return bytesPerSecond <= static_cast<double>(limits.linkBytesPerSecond);
+}
+
 Candidates chooseCandidates(const RouteGroup &group, const RouteMemory &memory,
                             const RouteCosts &costs, std::uint64_t adapterHash, Millis now) noexcept
 {
@@ -162,7 +254,8 @@
     const auto found = memory.places.find(adapterHash);
     if (found != memory.places.end()) {
         const AdapterPlaces &places = found->second;
-        wantsCopy = decayed(places.demand, costs.demandHalfLife, now) >= costs.copyDemand;
+        wantsCopy = !costs.poolRegions
+                && decayed(places.demand, costs.demandHalfLife, now) >= costs.copyDemand;
         wantsReplica = places.count < places.replicas;
         BestNodes best;
         for (std::size_t i = 0; i < places.count; ++i) {
@@ -182,7 +275,12 @@
     if (wantsCopy) {
         appendHomes(candidates, group, memory, adapterHash, now, isOwn);
     }
-    appendHomes(candidates, group, memory, adapterHash, now, isNearStore);
+    if (costs.packs) {
+        appendPacked(candidates, group, memory, adapterHash, now);
+    }
+    if (!costs.poolRegions) {
+        appendHomes(candidates, group, memory, adapterHash, now, isNearStore);
+    }
     const auto any = [](const RouteNode &) { return true; };
     appendHomes(candidates, group, memory, adapterHash, now, any);
     return candidates;
