Give a repeat the first answer through any gateway, and count requests

Cause: a repeat at another gateway than the first was told unknown though the answer was held. Ruled out: passing on answers by message; the gateways' own HTTP does, marked so that it runs nothing. Conclusion: the loser of a claim asks the winner's gateway; metrics cover requests, outcomes, refusals, retries, first token and waits.

--- a/include/balsamport/filters/answer.h
+++ b/include/balsamport/filters/answer.h
@@ -19,6 +19,7 @@
 constexpr std::string_view model = "Balsamport-Model";
 constexpr std::string_view repeatable = "Balsamport-Repeatable";
 constexpr std::string_view timeout = "Balsamport-Timeout-Ms";
+constexpr std::string_view answerQuery = "Balsamport-Answer-Query";
 constexpr std::string_view idempotencyKey = "Idempotency-Key";
 constexpr std::string_view firstSent = "Repeatability-First-Sent";
 constexpr std::string_view contentType = "Content-Type";
--- a/include/balsamport/filters/answer_store.h
+++ b/include/balsamport/filters/answer_store.h
@@ -25,6 +25,9 @@
     /// @complexity constant on average
     [[nodiscard]] RememberedAnswer begin(const RequestKey &key, Fingerprint body);
 
+    /// @brief Looks a key up and changes nothing.
+    [[nodiscard]] RememberedAnswer find(const RequestKey &key, Fingerprint body);
+
     /// @brief Keeps the answer of a key in progress.
     void finish(const RequestKey &key, HttpAnswer answer);
 
--- a/include/balsamport/filters/idempotency.h
+++ b/include/balsamport/filters/idempotency.h
@@ -4,12 +4,17 @@
 #include <balsamport/filters/answer_store.h>
 #include <balsamport/filters/filter.h>
 
+#include <memory>
+
 namespace balsamport {
 
 /// @brief Finds out whether a request may be repeated, and claims the key of one that may not.
+///
+/// A repeat of a finished key gets the first answer, from here or from the gateway that ran it.
 /// Fails with KeyMissing, KeyInvalid, KeyInProgress, KeyBodyMismatch or what the claim gave.
-[[nodiscard]] Filter makeIdempotencyFilter(ClaimSource claims,
-                                           std::shared_ptr<AnswerStore> answers);
+/// @param gateways asks other gateways
+[[nodiscard]] Filter makeIdempotencyFilter(ClaimSource claims, std::shared_ptr<AnswerStore> answers,
+                                           BackendClient gateways);
 
 } // namespace balsamport
 
--- a/include/balsamport/filters/sources.h
+++ b/include/balsamport/filters/sources.h
@@ -98,6 +98,7 @@
 {
     Error error;
     bool provenNotRun = false; ///< No attempt with this key has run or ever will.
+    std::string winnerAddress; ///< IP:PORT of the gateway that may hold the answer; or empty.
 
     bool operator==(const KeyRefusal &) const = default;
 };
--- a/src/filters/answer.cpp
+++ b/src/filters/answer.cpp
@@ -1,6 +1,7 @@
 #include <balsamport/filters/answer.h>
 
 #include <balsamport/core/log.h>
+#include <balsamport/core/metric_names.h>
 #include <balsamport/filters/outcome.h>
 
 #include <rapidjson/stringbuffer.h>
@@ -68,6 +69,7 @@
               << " error=" << errorName(error.code)
               << " outcome=" << outcomeName(outcomeOf(endOf(*context, error.code)));
     context->failure = error.code;
+    processMetrics().counter(metric::refusals, errorName(error.code)).add();
     if (context->failStream) {
         context->failStream(error);
         return;
--- a/src/filters/answer_store.cpp
+++ b/src/filters/answer_store.cpp
@@ -33,6 +33,13 @@
     return shard.memory.find(key, body);
 }
 
+RememberedAnswer AnswerStore::find(const RequestKey &key, Fingerprint body)
+{
+    Shard &shard = this->shardOf(key);
+    const std::scoped_lock lock(shard.mutex);
+    return shard.memory.find(key, body);
+}
+
 void AnswerStore::finish(const RequestKey &key, HttpAnswer answer)
 {
     Shard &shard = this->shardOf(key);
--- a/src/filters/dispatch.cpp
+++ b/src/filters/dispatch.cpp
@@ -1,6 +1,7 @@
 #include <balsamport/filters/dispatch.h>
 
 #include <balsamport/core/log.h>
+#include <balsamport/core/metric_names.h>
 #include <balsamport/filters/answer.h>
 #include <balsamport/filters/backend_request.h>
 #include <balsamport/filters/ordering.h>
@@ -94,6 +95,7 @@
     void takeDone(const Result<void> &result);
     void takeWholeAnswer();
     void startStreamOnce();
+    void observeFirstPiece() const;
     void finishStream();
     void failStream(const Error &error);
     void endStream();
@@ -104,7 +106,7 @@
     void retryOrFail(const Error &error);
     [[nodiscard]] FailedAttempt failedAttempt(const Error &error) const;
     void resumeStream();
-    void retryElsewhere(Millis delay);
+    void retryElsewhere(Millis delay, ErrorCode reason);
     void giveUp(const Error &error);
     void release(PlacementEnd end);
 
@@ -249,6 +251,18 @@
     return true;
 }
 
+void BackendCall::observeFirstPiece() const
+{
+    if (this->context->endpoint == Endpoint::Service) {
+        return;
+    }
+    static Summary &firstToken = processMetrics().summary(metric::firstToken);
+    constexpr double millisPerSecond = 1'000;
+    const Millis now = monotonicNow();
+    firstToken.observe(
+            static_cast<double>((now - this->context->arrived).count()) / millisPerSecond, now);
+}
+
 void BackendCall::startStreamOnce()
 {
     if (this->streamStarted) {
@@ -265,6 +279,7 @@
                     self->sources->backend.resume(number);
                 }
             });
+    this->observeFirstPiece();
     this->context->failStream = [weak](const Error &error) {
         if (const auto self = weak.lock()) {
             self->failStream(error);
@@ -316,6 +331,7 @@
         return;
     }
     this->context->run = RunState::Ran;
+    this->observeFirstPiece();
     this->release(PlacementEnd::Finished);
     HttpAnswer answer{status, callerHeadersOf(this->incoming.head.headers),
                       std::move(this->incoming.body)};
@@ -431,7 +447,7 @@
         this->release(notRun ? PlacementEnd::Returned : PlacementEnd::Broken);
     }
     if (decision.action == RetryAction::TryAnother) {
-        this->retryElsewhere(decision.delay);
+        this->retryElsewhere(decision.delay, error.code);
         return;
     }
     this->giveUp({decision.failure.value_or(error.code), error.detail});
@@ -446,8 +462,9 @@
     this->send(resumeRequestOf(*this->context, this->stream.next(), monotonicNow()));
 }
 
-void BackendCall::retryElsewhere(Millis delay)
+void BackendCall::retryElsewhere(Millis delay, ErrorCode reason)
 {
+    processMetrics().counter(metric::retries, errorName(reason)).add();
     const auto self = this->shared_from_this();
     this->sources->timer(delay,
                          [self] { self->place(self->context, [self] { self->attempt(); }); });
--- a/src/filters/gateway.cpp
+++ b/src/filters/gateway.cpp
@@ -1,6 +1,6 @@
 #include <balsamport/filters/gateway.h>
 
-#include <balsamport/core/log.h>
+#include <balsamport/core/metric_names.h>
 #include <balsamport/filters/alias_resolution.h>
 #include <balsamport/filters/answer.h>
 #include <balsamport/filters/authentication.h>
@@ -35,7 +35,7 @@
     return FilterChain({makeRequestIdFilter(), makeAuthenticationFilter(), makeSizeLimitsFilter(),
                         makeBodyCheckFilter(), makeAliasResolutionFilter(),
                         makeAdmissionFilter(std::move(progress)),
-                        makeIdempotencyFilter(sources.claims, answers), place,
+                        makeIdempotencyFilter(sources.claims, answers, sources.backend), place,
                         makeDispatchFilter(dispatch, place)});
 }
 
@@ -66,6 +66,24 @@
     return std::nullopt;
 }
 
+/// The path as a metric's label; service names are left out, as callers choose them.
+std::string_view nameOf(Endpoint endpoint) noexcept
+{
+    switch (endpoint) {
+    case Endpoint::ChatCompletions:
+        return "/v1/chat/completions";
+    case Endpoint::Completions:
+        return "/v1/completions";
+    case Endpoint::Service:
+        return "/v1/services";
+    case Endpoint::Models:
+        return "/v1/models";
+    case Endpoint::Tickets:
+        break;
+    }
+    return "/v1/tickets";
+}
+
 HttpAnswer probeAnswer(bool good)
 {
     return {good ? okStatus : unavailableStatus,
@@ -136,6 +154,7 @@
                {ErrorCode::ConfigUnavailable, "no configuration has come in yet"});
         return;
     }
+    processMetrics().counter(metric::requests, nameOf(endpoint)).add();
     const auto context = std::make_shared<RequestContext>(request, writer, std::move(snapshot),
                                                           endpoint, monotonicNow());
     switch (endpoint) {
--- a/src/filters/idempotency.cpp
+++ b/src/filters/idempotency.cpp
@@ -2,6 +2,7 @@
 
 #include <balsamport/core/hash.h>
 #include <balsamport/filters/answer.h>
+#include <balsamport/filters/first_answer.h>
 #include <balsamport/filters/service_path.h>
 #include <balsamport/policy/claim_key.h>
 
@@ -75,10 +76,9 @@
                          context.deadline};
 }
 
-/// Answers from what is kept here; false where the key is new.
-bool answerFromStore(const ContextPtr &context, AnswerStore &answers, Fingerprint body)
+/// Answers from what is kept here; false where the key is unknown.
+bool answerFromStore(const ContextPtr &context, const RememberedAnswer &found)
 {
-    const RememberedAnswer found = answers.begin(scopedKey(context->caller, context->key), body);
     switch (found.lookup) {
     case AnswerLookup::Unknown:
         return false;
@@ -96,52 +96,110 @@
     return true;
 }
 
-void claimKey(const ContextPtr &context, const ClaimSource &claims, const KeyClaimQuery &query,
-              Next next)
+/// Answers a claim that was not won, with the first answer where its gateway still holds it.
+void answerLostClaim(const ContextPtr &context, const BackendClient &gateways,
+                     const KeyRefusal &refusal)
 {
-    claims.claim(query, [context, next = std::move(next)](const KeyClaimAnswer &answer) {
-        if (answer.won) {
-            context->claim = answer.won;
-            context->provenNotRun = answer.won->provenNotRun;
-            next();
-            return;
-        }
-        context->claimLost = true;
-        context->provenNotRun = answer.refusal.provenNotRun;
-        failRequest(context, answer.refusal.error);
-    });
+    context->claimLost = true;
+    context->provenNotRun = refusal.provenNotRun;
+    const bool mayBeHeld = refusal.error.code == ErrorCode::KeyUsed
+            || refusal.error.code == ErrorCode::KeyInProgress;
+    if (!mayBeHeld || refusal.winnerAddress.empty()) {
+        failRequest(context, refusal.error);
+        return;
+    }
+    fetchFirstAnswer(context, gateways, refusal.winnerAddress,
+                     [context, error = refusal.error](std::optional<HttpAnswer> answer) {
+                         if (!answer) {
+                             failRequest(context, error);
+                             return;
+                         }
+                         context->run = RunState::Ran;
+                         answerRequest(context, std::move(*answer));
+                     });
+}
+
+/// Checks mark, key and dates.
+/// @return nothing where the request may be repeated
+Result<std::optional<KeyClaimQuery>> readClaim(RequestContext &context)
+{
+    auto error = readMark(context);
+    if (!error) {
+        error = readKey(context);
+    }
+    if (error) {
+        return *error;
+    }
+    if (context.repeatable) {
+        return std::optional<KeyClaimQuery>();
+    }
+    const auto query = claimQueryOf(context);
+    if (!query) {
+        return query.error();
+    }
+    return std::optional<KeyClaimQuery>(query.value());
+}
+
+/// What the filter works with.
+struct Parts
+{
+    ClaimSource claims;
+    std::shared_ptr<AnswerStore> answers;
+    BackendClient gateways;
+};
+
+void claimKey(const ContextPtr &context, const std::shared_ptr<const Parts> &parts,
+              const KeyClaimQuery &query, Next next)
+{
+    parts->claims.claim(query,
+                        [context, parts, next = std::move(next)](const KeyClaimAnswer &answer) {
+                            if (!answer.won) {
+                                answerLostClaim(context, parts->gateways, answer.refusal);
+                                return;
+                            }
+                            context->claim = answer.won;
+                            context->provenNotRun = answer.won->provenNotRun;
+                            next();
+                        });
+}
+
+/// Tells another gateway what is kept here; claims and runs nothing.
+void answerOtherGateway(const ContextPtr &context, AnswerStore &answers, Fingerprint body)
+{
+    const auto found = answers.find(scopedKey(context->caller, context->key), body);
+    if (!answerFromStore(context, found)) {
+        failRequest(context, {ErrorCode::KeyUsed, "the answer is not held any more"});
+    }
 }
 
 } // namespace
 
-Filter makeIdempotencyFilter(ClaimSource claims, std::shared_ptr<AnswerStore> answers)
+Filter makeIdempotencyFilter(ClaimSource claims, std::shared_ptr<AnswerStore> answers,
+                             BackendClient gateways)
 {
-    return [claims = std::move(claims), answers = std::move(answers)](const ContextPtr &context,
-                                                                      Next next) {
-        auto error = readMark(*context);
-        if (!error) {
-            error = readKey(*context);
-        }
-        if (error) {
-            failRequest(context, *error);
+    const auto parts = std::make_shared<const Parts>(
+            Parts{std::move(claims), std::move(answers), std::move(gateways)});
+    return [parts](const ContextPtr &context, Next next) {
+        const auto query = readClaim(*context);
+        if (!query) {
+            failRequest(context, query.error());
             return;
         }
-        if (context->repeatable) {
+        if (!query.value()) {
             next();
             return;
         }
-        const auto query = claimQueryOf(*context);
-        if (!query) {
-            failRequest(context, query.error());
+        const Fingerprint body = query.value()->body;
+        if (isAnswerQuery(*context->request)) {
+            answerOtherGateway(context, *parts->answers, body);
             return;
         }
-        if (answerFromStore(context, *answers, query.value().body)) {
+        const RequestKey key = scopedKey(context->caller, context->key);
+        if (answerFromStore(context, parts->answers->begin(key, body))) {
             return;
         }
-        context->onEnd([answers, key = scopedKey(context->caller, context->key)] {
-            answers->abandon(key);
-        });
-        claimKey(context, claims, query.value(), std::move(next));
+        context->onEnd([answers = parts->answers, key] { answers->abandon(key); });
+        claimKey(context, parts, *query.value(), std::move(next));
     };
 }
 
--- a/src/filters/outcome.cpp
+++ b/src/filters/outcome.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/filters/outcome.h>
 
+#include <balsamport/core/metric_names.h>
 #include <balsamport/filters/answer.h>
 
 namespace balsamport {
@@ -45,6 +46,7 @@
 void addOutcomeHeaders(const RequestContext &context, HttpHeaders &headers)
 {
     const Outcome outcome = outcomeOf(endOf(context, context.failure));
+    processMetrics().counter(metric::outcomes, outcomeName(outcome)).add();
     headers.push_back({std::string(headername::requestId), context.id.str()});
     headers.push_back({std::string(headername::outcome), std::string(outcomeName(outcome))});
 }
--- a/src/programs/gateway/bindings.cpp
+++ b/src/programs/gateway/bindings.cpp
@@ -59,13 +59,30 @@
     loadStall.observe(static_cast<double>(place.waitedForLoad.count()) / millisPerSecond, now);
 }
 
-KeyClaimAnswer toAnswer(const ClaimOutcome &outcome)
+/// IP:PORT of a VM's gateway; empty where it is not known.
+std::string gatewayAddressOf(const FleetClient &fleet, const VmId &vm)
+{
+    const auto view = fleet.fleet();
+    if (!view) {
+        return {};
+    }
+    for (const Member &member : view->members) {
+        if (member.instance.vm == vm) {
+            return member.gatewayAddress;
+        }
+    }
+    return {};
+}
+
+KeyClaimAnswer toAnswer(const ClaimOutcome &outcome, const FleetClient &fleet)
 {
     if (outcome.standing == ClaimStanding::Won) {
         return {KeyClaim{outcome.dispatchDeadline, outcome.provenNotRun}, {}};
     }
     const ErrorCode code = outcome.failure.value_or(ErrorCode::WitnessUnavailable);
-    return {std::nullopt, {{code, "the key was not granted"}, outcome.provenNotRun}};
+    const std::string winner
+            = outcome.winnerGateway ? gatewayAddressOf(fleet, outcome.winnerGateway->vm) : "";
+    return {std::nullopt, {{code, "the key was not granted"}, outcome.provenNotRun, winner}};
 }
 
 } // namespace
@@ -92,19 +109,22 @@
     return source;
 }
 
-ClaimSource claimSourceOver(ClaimClient &client)
+ClaimSource claimSourceOver(ClaimClient &client, const FleetClient &fleet)
 {
     ClaimSource source;
-    source.claim = [&client](const KeyClaimQuery &query, auto handler) {
+    source.claim = [&client, &fleet](const KeyClaimQuery &query, auto handler) {
         const Millis started = monotonicNow();
         const ClaimQuery claim{query.key,           query.caller,  query.body,    newAttemptId(),
                                query.firstSentWall, query.arrived, query.deadline};
-        client.claim(claim, [handler = std::move(handler), started](const ClaimOutcome &outcome) {
-            static Summary &latency = processMetrics().summary(metric::claimLatency);
-            const Millis now = monotonicNow();
-            latency.observe(static_cast<double>((now - started).count()) / millisPerSecond, now);
-            handler(toAnswer(outcome));
-        });
+        client.claim(claim,
+                     [&fleet, handler = std::move(handler), started](const ClaimOutcome &outcome) {
+                         static Summary &latency = processMetrics().summary(metric::claimLatency);
+                         const Millis now = monotonicNow();
+                         latency.observe(static_cast<double>((now - started).count())
+                                                 / millisPerSecond,
+                                         now);
+                         handler(toAnswer(outcome, fleet));
+                     });
     };
     source.ticket = [&client](auto handler) { client.ticket(std::move(handler)); };
     return source;
--- a/src/programs/gateway/bindings.h
+++ b/src/programs/gateway/bindings.h
@@ -2,6 +2,7 @@
 #define BALSAMPORT_PROGRAMS_GATEWAY_BINDINGS_H
 
 #include <balsamport/controllers/claim_client.h>
+#include <balsamport/controllers/fleet_client.h>
 #include <balsamport/controllers/grant_client.h>
 #include <balsamport/controllers/suspect_client.h>
 #include <balsamport/filters/sources.h>
@@ -13,7 +14,7 @@
 namespace balsamport {
 
 [[nodiscard]] GrantSource grantSourceOver(GrantClient &client);
-[[nodiscard]] ClaimSource claimSourceOver(ClaimClient &client);
+[[nodiscard]] ClaimSource claimSourceOver(ClaimClient &client, const FleetClient &fleet);
 [[nodiscard]] SuspectSource suspectSourceOver(SuspectClient &client);
 [[nodiscard]] BackendClient backendClientOver(HttpClient &client);
 
--- a/src/programs/gateway/gateway_daemon.cpp
+++ b/src/programs/gateway/gateway_daemon.cpp
@@ -54,7 +54,7 @@
         GatewaySources all;
         all.snapshot = [this] { return this->fleet.snapshot(); };
         all.grants = grantSourceOver(this->grants);
-        all.claims = claimSourceOver(this->claims);
+        all.claims = claimSourceOver(this->claims, this->fleet);
         all.suspects = suspectSourceOver(this->suspects);
         all.backend = backendClientOver(this->http);
         all.retries = std::make_shared<RetryKeeper>(randomSeed());
--- a/tests/src/unit-filters.cpp
+++ b/tests/src/unit-filters.cpp
@@ -371,14 +371,50 @@
 
     SECTION("a lost claim is unknown unless the witnesses exclude that it ran")
     {
-        fake.refuseClaims = KeyRefusal{{ErrorCode::KeyUsed, "used"}, false};
+        fake.refuseClaims = KeyRefusal{{ErrorCode::KeyUsed, "used"}, false, ""};
         const auto caller = fake.request("POST", path, "{}", key);
         REQUIRE(caller->answer.status == 409);
         REQUIRE(caller->header("Balsamport-Outcome") == "unknown");
-        fake.refuseClaims = KeyRefusal{{ErrorCode::WitnessUnavailable, "closed"}, true};
+        fake.refuseClaims = KeyRefusal{{ErrorCode::WitnessUnavailable, "closed"}, true, ""};
         REQUIRE(fake.request("POST", path, "{}", key)->header("Balsamport-Outcome") == "not-run");
     }
 
+    SECTION("a repeat through another gateway gets the first answer from the one that ran it")
+    {
+        fake.refuseClaims = KeyRefusal{{ErrorCode::KeyUsed, "used"}, false, "10.0.9.1:80"};
+        const auto caller = fake.request("POST", path, "{}", key);
+        REQUIRE(fake.exchange(0).request.url == "http://10.0.9.1:80" + path);
+        REQUIRE(findHeader(fake.exchange(0).request.headers, "Balsamport-Answer-Query"));
+
+        SECTION("where it is held")
+        {
+            fake.exchange(0).head(201, {{"Balsamport-Outcome", "ran"}});
+            REQUIRE(fake.exchange(0).piece("booked"));
+            fake.exchange(0).succeed();
+            REQUIRE(caller->answer.status == 201);
+            REQUIRE(caller->answer.body == "booked");
+            REQUIRE(caller->header("Balsamport-Outcome") == "ran");
+        }
+        SECTION("and is told unknown where it is not")
+        {
+            fake.exchange(0).head(409, {{"Balsamport-Outcome", "unknown"}});
+            fake.exchange(0).succeed();
+            REQUIRE(caller->answer.status == 409);
+            REQUIRE(caller->header("Balsamport-Outcome") == "unknown");
+        }
+    }
+
+    SECTION("a query of another gateway claims and runs nothing")
+    {
+        const HttpHeaders query{{"Idempotency-Key", "k1"}, {"Balsamport-Answer-Query", "1"}};
+        const auto asked = fake.request("POST", path, "{}", query);
+        REQUIRE(asked->answer.status == 409);
+        REQUIRE(fake.claimed.empty());
+        REQUIRE(fake.exchanges.empty());
+        fake.request("POST", path, "{}", key);
+        REQUIRE(fake.claimed.size() == 1);
+    }
+
     SECTION("a caller that leaves does not stop it, and its repeat gets the answer")
     {
         const auto caller = fake.request("POST", path, "{}", key);
