Preload declared versions and rising adapters; prefer replicas that hold the prompt's prefix

An owner loads ahead only on a token that was idle for a whole interval, and only for four decayed requests and three times the victim's.

--- a/include/balsamport/policy/grant_scheduler.h
+++ b/include/balsamport/policy/grant_scheduler.h
@@ -129,7 +129,8 @@
                               const std::string &gateway);
 
 /// @brief Asks for an adapter to be loaded when the budget has room to spare.
-void wantPreload(ServerState &server, const AdapterRef &adapter, Millis now);
+/// @param declared by a route, ahead of its switch
+void wantPreload(ServerState &server, const AdapterRef &adapter, bool declared, Millis now);
 
 /// @brief Records that an adapter may not be loaded after all; the next load report tells.
 void noteNotLoaded(ServerState &server, std::uint64_t adapterHash, Millis now);
--- a/include/balsamport/policy/routing.h
+++ b/include/balsamport/policy/routing.h
@@ -5,6 +5,7 @@
 #include <balsamport/core/clock.h>
 #include <balsamport/core/ids.h>
 #include <balsamport/policy/demand.h>
+#include <balsamport/policy/prefix_index.h>
 
 #include <array>
 #include <cstdint>
@@ -91,6 +92,7 @@
 {
     std::vector<NodeLoad> loads; ///< Same order as RouteGroup::nodes.
     std::unordered_map<std::uint64_t, AdapterPlaces> places; ///< By adapter hash.
+    PrefixIndex prefixes;
     std::size_t capacity = 65'536;
     Millis sweptAt;
 };
@@ -104,6 +106,7 @@
     Millis placeLifetime{120'000}; ///< How long a place is remembered unused.
     Millis growWait{100}; ///< A longer wait for a resident adapter asks for one replica more.
     Millis shrinkAfter{30'000}; ///< Calm time after which a replica is given up.
+    Millis prefixGain{20}; ///< Time to the first token that one cached prefix saves.
     double copyDemand = 3; ///< Decayed requests that pay for a copy across the link.
     Millis demandHalfLife{60'000};
     bool packs = false; ///< Batch fill weighs more than load stalls: packed servers go first.
@@ -197,10 +200,20 @@
 /// store, since a load elsewhere carries a whole adapter over the link; once its demand pays for
 /// the copy, homes in the gateway's own region go first.
 /// @param adapterHash hashOf the adapter version
+/// @param prefixes hashes of the prompt's prefixes, the shortest first: a replica that is believed
+/// to hold them goes first where that saves more than its queue and distance cost
 /// @complexity O(n) for n nodes of the group
 [[nodiscard]] Candidates chooseCandidates(const RouteGroup &group, const RouteMemory &memory,
                                           const RouteCosts &costs, std::uint64_t adapterHash,
-                                          Millis now) noexcept;
+                                          Millis now,
+                                          const std::vector<std::uint64_t> &prefixes = {}) noexcept;
+
+/// @brief Gives the first home of an adapter, as a gateway sees it that knows no more than the
+/// configuration: where a preload belongs.
+/// @return nothing where no engine runs its base model
+/// @complexity O(n log n) for n backend servers
+[[nodiscard]] std::optional<BackendServerId> homeOf(const Snapshot &snapshot,
+                                                    const AdapterRef &adapter);
 
 /// @brief Chooses a replica of a plain service: near ones first, the least loaded first.
 /// @complexity O(n) for n nodes of the group
--- a/include/balsamport/policy/server_state.h
+++ b/include/balsamport/policy/server_state.h
@@ -108,6 +108,7 @@
     AdapterRef adapter;
     std::uint64_t hash = 0; ///< hashOf(adapter)
     Millis until; ///< Forgotten after.
+    bool declared = false; ///< By a route, ahead of its switch: goes before measured demand.
 
     bool operator==(const Preload &) const = default;
 };
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -410,9 +410,9 @@
         if (acquire->plan.asked == 0) {
             noteRequest(memory, this->costs, acquire->hash, now);
         }
-        acquire->plan = AskPlan{
-                chooseCandidates(acquire->shard->group, memory, weighed, acquire->hash, now), 0,
-                acquire->plan.asked, std::nullopt};
+        acquire->plan = AskPlan{chooseCandidates(acquire->shard->group, memory, weighed,
+                                                 acquire->hash, now, acquire->query.prefixHashes),
+                                0, acquire->plan.asked, std::nullopt};
     }
     acquire->ownersMissing = acquire->plan.candidates.count == 0;
     this->askNext(acquire);
@@ -606,6 +606,9 @@
         const Millis queueWait = loadWait > Millis(0) ? Millis(0) : waited;
         noteGranted(acquire->shard->memory, this->costs, acquire->hash, candidate.node, queueWait,
                     now);
+        for (const std::uint64_t prefix : acquire->query.prefixHashes) {
+            notePrefix(acquire->shard->memory.prefixes, prefix, candidate.node, now);
+        }
     }
     this->hold(acquire, candidate.node, grant, false);
     acquire->handler(GrantedPlace{node.id, node.address, grant, FencingNumber(reply.fencing()),
--- a/src/controllers/grant_controller.cpp
+++ b/src/controllers/grant_controller.cpp
@@ -94,6 +94,7 @@
     }
 
     void updateShards(const SnapshotPtr &next, const std::vector<ServerOwnership> &servers);
+    void preloadRoutes(const Snapshot &next);
     void updateBudget(const Snapshot &next, const std::vector<ServerOwnership> &servers,
                       const FleetView *fleet);
     void noteGateway(const wire::VmInstance &sender);
@@ -152,6 +153,7 @@
         return;
     }
     this->core->updateShards(snapshot, servers);
+    this->core->preloadRoutes(*snapshot);
     this->core->updateBudget(*snapshot, servers, fleet.get());
 }
 
@@ -241,6 +243,24 @@
     }
 }
 
+void GrantController::Core::preloadRoutes(const Snapshot &next)
+{
+    const Millis now = monotonicNow();
+    for (const auto &[alias, route] : next.routes) {
+        for (const AdapterRef &adapter : route.preload) {
+            const auto home = homeOf(next, adapter);
+            const auto shard = home ? this->findShard(home->str()) : nullptr;
+            if (shard == nullptr) {
+                continue;
+            }
+            const std::lock_guard guard(shard->lock);
+            if (shard->ownership.right != OwnerRight::None) {
+                wantPreload(shard->state, adapter, true, now);
+            }
+        }
+    }
+}
+
 void GrantController::Core::updateBudget(const Snapshot &next,
                                          const std::vector<ServerOwnership> &servers,
                                          const FleetView *fleet)
@@ -337,7 +357,7 @@
             return;
         }
         if (request.deadline_ms() == 0) {
-            wantPreload(shard->state, fromWire(request.adapter()), now);
+            wantPreload(shard->state, fromWire(request.adapter()), false, now);
             return;
         }
         const std::lock_guard budgetGuard(this->budgetLock);
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t redirectLoadTimes = 2;
 constexpr std::int64_t learnDivisor = 8; ///< Weight of a new sample in a learnt time.
 constexpr Millis preloadLifetime{60'000};
+constexpr double preloadDemand = 4; ///< Decayed requests.
+constexpr double preloadAdvantage = 3; ///< Hysteresis between a preload and its victim.
 constexpr std::size_t maxPreloads = 64;
 constexpr std::int64_t switchServiceTimes = 2;
 
@@ -321,6 +323,22 @@
             && (slot->state == SlotState::Free || tokenWait(server, now) <= cheapTokenWait);
 }
 
+void notePreload(ServerState &server, const AdapterRef &adapter, bool declared, Millis now)
+{
+    const std::uint64_t hash = hashOf(adapter);
+    const Millis until = now + preloadLifetime;
+    for (Preload &preload : server.preloads) {
+        if (preload.hash == hash) {
+            preload.until = until;
+            preload.declared = preload.declared || declared;
+            return;
+        }
+    }
+    if (server.preloads.size() < maxPreloads) {
+        server.preloads.push_back({adapter, hash, until, declared});
+    }
+}
+
 OrderLoad startLoad(Slot &slot, const WantedLoad &wanted, const LoadPermit &permit, Millis now)
 {
     std::optional<AdapterRef> victim;
@@ -344,6 +362,59 @@
         }
         server.tokenWait = learn(tokenWait(server, now), now - wanted.since);
         server.tokenWaitAt = now;
+        // A victim that is still asked for comes back when the budget has room to spare.
+        if (slot->state == SlotState::Resident
+            && demandOf(server.demand, slot->hash, now) >= preloadDemand) {
+            notePreload(server, slot->adapter, false, now);
+        }
+        actions.emplace_back(startLoad(*slot, wanted, *permit, now));
+    }
+}
+
+/// A token that has been ready for a whole interval is not about to be needed.
+bool hasIdleToken(const LoadBudget &budget, Millis now)
+{
+    return budget.asks.empty()
+            && std::any_of(budget.tokens.begin(), budget.tokens.end(),
+                           [&budget, now](const LoadToken &token) {
+                               return now >= token.readyAt + budget.interval
+                                       && now >= token.busyUntil;
+                           });
+}
+
+/// What a preload is worth against the slot's present adapter.
+bool isWorthLoading(const ServerState &server, const Preload &preload, const Slot &slot, Millis now)
+{
+    if (slot.state == SlotState::Free || preload.declared) {
+        return true;
+    }
+    return demandOf(server.demand, preload.hash, now)
+            > preloadAdvantage * demandOf(server.demand, slot.hash, now);
+}
+
+void orderPreload(ServerState &server, LoadBudget &budget, Millis now, std::vector<Action> &actions)
+{
+    std::erase_if(server.preloads, [&server, now](const Preload &preload) {
+        return now >= preload.until || findSlot(server, preload.hash) != nullptr;
+    });
+    if (server.preloads.empty() || !hasIdleToken(budget, now)) {
+        return;
+    }
+    const auto best = std::max_element(server.preloads.begin(), server.preloads.end(),
+                                       [&server, now](const Preload &a, const Preload &b) {
+                                           if (a.declared != b.declared) {
+                                               return b.declared;
+                                           }
+                                           return demandOf(server.demand, a.hash, now)
+                                                   < demandOf(server.demand, b.hash, now);
+                                       });
+    Slot *slot = chooseSlot(server, now);
+    if (slot == nullptr || isBackingOff(server, best->hash, now)
+        || !isWorthLoading(server, *best, *slot, now)) {
+        return;
+    }
+    if (const auto permit = takeToken(budget, now, now)) {
+        const WantedLoad wanted{best->adapter, best->hash, 0, 0, Millis(), now};
         actions.emplace_back(startLoad(*slot, wanted, *permit, now));
     }
 }
@@ -505,6 +576,9 @@
     givePlaces(server, context, now, actions);
     if (context.right == OwnerRight::Full && server.reported && !context.leaving) {
         orderLoads(server, budget, now, actions);
+        if (wantedLoads(server, now).empty()) {
+            orderPreload(server, budget, now, actions);
+        }
     }
     return actions;
 }
@@ -569,19 +643,9 @@
     });
 }
 
-void wantPreload(ServerState &server, const AdapterRef &adapter, Millis now)
+void wantPreload(ServerState &server, const AdapterRef &adapter, bool declared, Millis now)
 {
-    const std::uint64_t hash = hashOf(adapter);
-    const Millis until = now + preloadLifetime;
-    for (Preload &preload : server.preloads) {
-        if (preload.hash == hash) {
-            preload.until = until;
-            return;
-        }
-    }
-    if (server.preloads.size() < maxPreloads) {
-        server.preloads.push_back({adapter, hash, until});
-    }
+    notePreload(server, adapter, declared, now);
 }
 
 void noteNotLoaded(ServerState &server, std::uint64_t adapterHash, Millis now)
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -246,7 +246,8 @@
 }
 
 Candidates chooseCandidates(const RouteGroup &group, const RouteMemory &memory,
-                            const RouteCosts &costs, std::uint64_t adapterHash, Millis now) noexcept
+                            const RouteCosts &costs, std::uint64_t adapterHash, Millis now,
+                            const std::vector<std::uint64_t> &prefixes) noexcept
 {
     Candidates candidates;
     bool wantsCopy = false;
@@ -261,7 +262,11 @@
         for (std::size_t i = 0; i < places.count; ++i) {
             const std::uint32_t node = places.nodes[i];
             if (now >= memory.loads[node].avoidUntil) {
-                best.offer(residentCost(group.nodes[node], memory.loads[node], costs, now), node);
+                const std::size_t held = prefixMatch(memory.prefixes, prefixes, node, now);
+                const auto gain
+                        = static_cast<double>(costs.prefixGain.count()) * static_cast<double>(held);
+                best.offer(residentCost(group.nodes[node], memory.loads[node], costs, now) - gain,
+                           node);
             }
         }
         const bool near
@@ -286,6 +291,27 @@
     return candidates;
 }
 
+std::optional<BackendServerId> homeOf(const Snapshot &snapshot, const AdapterRef &adapter)
+{
+    const RoutingTable table = buildRoutingTable(snapshot, DataCentreId());
+    const auto group = table.engines.find(adapter.base);
+    if (group == table.engines.end()) {
+        return std::nullopt;
+    }
+    RouteMemory memory;
+    memory.loads.resize(group->second.nodes.size());
+    RouteCosts costs;
+    const auto config = snapshot.findAdapter(adapter.adapter);
+    costs.packs = packsBatches(snapshot.limits.weightPercent);
+    costs.poolRegions = poolsRegions(group->second, snapshot.limits, config ? config->bytes : 0);
+    const Candidates candidates
+            = chooseCandidates(group->second, memory, costs, hashOf(adapter), Millis(0));
+    if (candidates.count == 0) {
+        return std::nullopt;
+    }
+    return group->second.nodes[candidates.list[0].node].id;
+}
+
 Candidates chooseServiceNodes(const RouteGroup &group, const RouteMemory &memory,
                               Millis now) noexcept
 {
