--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -6,8 +6,8 @@
 #include <array>
 #include <atomic>
 #include <fstream>
-#include <iostream>
 #include <iomanip>
+#include <iostream>
 #include <list>
 #include <mutex>
 #include <sstream>
@@ -156,10 +156,10 @@
         }
         checks.push_back({name, "fill at least 1.5 x random", ours.fill(),
                           cell.baselines[0].fill() * fillBoundFactor, true});
-        checks.push_back({name, "store never exceeded", static_cast<double>(ours.storeExceeded),
-                          0});
-        checks.push_back({name, "no pinned eviction", static_cast<double>(ours.pinnedEvictions),
-                          0});
+        checks.push_back(
+                {name, "store never exceeded", static_cast<double>(ours.storeExceeded), 0});
+        checks.push_back(
+                {name, "no pinned eviction", static_cast<double>(ours.pinnedEvictions), 0});
     }
     return checks;
 }
@@ -210,8 +210,8 @@
     out << "# demand skew p95_ms and fill of random, least-loaded, rendezvous, ours-w0, "
            "ours-w100\n";
     for (Cell &cell : cells) {
-        const bool shown = cell.options.fault == Fault::None
-                && cell.options.reading == StoreReading::Shared;
+        const bool shown
+                = cell.options.fault == Fault::None && cell.options.reading == StoreReading::Shared;
         if (!shown) {
             continue;
         }
@@ -232,7 +232,8 @@
               << "policy" << std::right << std::setw(7) << "reqs" << std::setw(7) << "p50"
               << std::setw(7) << "p95" << std::setw(7) << "p99" << std::setw(7) << "fill"
               << std::setw(7) << "loads" << std::setw(8) << "link-MB" << std::setw(7) << "refus"
-              << std::setw(7) << "missed" << "\n";
+              << std::setw(7) << "missed"
+              << "\n";
     std::size_t count = 0;
     std::vector<Check> misses;
     for (Cell &cell : cells) {
--- a/include/balsamport/controllers/grant_controller.h
+++ b/include/balsamport/controllers/grant_controller.h
@@ -66,8 +66,8 @@
     /// A grant request whose `deadline_ms` is 0 asks for no place: the adapter is loaded when the
     /// budget for loads has room to spare. A share_borrow with `in_flight` 1 asks for a token of
     /// the weight store, with how long its oldest request has waited in `millitokens`; with
-    /// `in_flight` 0 it returns loan `millitokens`; `lease_ms` is then 0 where it was not used, or 1
-    /// more than how long ago its load started.
+    /// `in_flight` 0 it returns loan `millitokens`; `lease_ms` is then 0 where it was not used, or
+    /// 1 more than how long ago its load started.
     void handle(const wire::Envelope &message, const Replier &reply);
 
     /// @brief Runs what is due: queues, deadlines, load reports, borrowing.
--- a/include/balsamport/policy/grant_scheduler.h
+++ b/include/balsamport/policy/grant_scheduler.h
@@ -146,9 +146,8 @@
 [[nodiscard]] bool isResident(const ServerState &server, std::uint64_t adapterHash) noexcept;
 
 /// @return since when a load waits that only lacks a token; nothing where there is none
-[[nodiscard]] std::optional<Millis> needsToken(const ServerState &server,
-                                               const SchedulerContext &context,
-                                               Millis now) noexcept;
+[[nodiscard]] std::optional<Millis>
+needsToken(const ServerState &server, const SchedulerContext &context, Millis now) noexcept;
 
 /// @brief Estimates the wait of a further request.
 /// @return for the adapter's load and a place in the batch together
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -220,8 +220,7 @@
 
 } // namespace
 
-void GrantClient::update(const SnapshotPtr &snapshot,
-                         const std::shared_ptr<const FleetView> &fleet)
+void GrantClient::update(const SnapshotPtr &snapshot, const std::shared_ptr<const FleetView> &fleet)
 {
     if (snapshot == nullptr || fleet == nullptr) {
         return;
--- a/src/controllers/grant_controller.cpp
+++ b/src/controllers/grant_controller.cpp
@@ -584,8 +584,8 @@
         }
         const wire::ShareReply &share = reply.value().share_reply();
         if (share.in_flight() == 0) {
-            holder.askAfter = now + std::clamp(Millis(share.lease_ms()), shareRetry,
-                                               shareRetryLongest);
+            holder.askAfter
+                    = now + std::clamp(Millis(share.lease_ms()), shareRetry, shareRetryLongest);
             return;
         }
         holder.askAfter = now;
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -250,7 +250,8 @@
                                   [hash](const WantedLoad &w) { return w.hash == hash; });
         if (found == wanted.end()) {
             found = wanted.insert(wanted.end(),
-                                  {waiter.request.adapter, hash, waiter.request.priority, 0, waiter.request.deadline, waiter.since});
+                                  {waiter.request.adapter, hash, waiter.request.priority, 0,
+                                   waiter.request.deadline, waiter.since});
         }
         found->priority = std::max(found->priority, waiter.request.priority);
         found->deadline = std::min(found->deadline, waiter.request.deadline);
--- a/src/policy/load_budget.cpp
+++ b/src/policy/load_budget.cpp
@@ -131,8 +131,7 @@
             return false;
         }
         const auto ready = nextTokenReady(budget, now);
-        answers.push_back({ask.ask, 0, ready ? *ready - now : loadOrderTime,
-                           now - ask.came});
+        answers.push_back({ask.ask, 0, ready ? *ready - now : loadOrderTime, now - ask.came});
         return true;
     });
     return answers;
--- /dev/null
+++ b/tests/e2e/e2e-rolling.cpp
@@ -0,0 +1,219 @@
+#include "process_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <mutex>
+
+using namespace balsamport;
+using namespace balsamport::testing;
+
+namespace {
+
+constexpr std::uint16_t firstPort = 24200;
+constexpr Millis startLimit{20'000};
+constexpr Millis exitLimit{30'000};
+constexpr int workers = 4;
+
+const std::string configText = "[data-centre a]\nregion = r1\n"
+                               "[backend-server e1]\naddress = 127.0.0.1:24290\n"
+                               "data-centre = a\nbase = citrus\n"
+                               "[backend-server e2]\naddress = 127.0.0.1:24291\n"
+                               "data-centre = a\nbase = citrus\n"
+                               "[adapter-range member-]\nfirst = 1\nlast = 6\nbase = citrus\n"
+                               "versions = 1\n"
+                               "[limits]\nhandover-wait = 1000\nview-lifetime = 600\n";
+
+const std::vector<std::string> vmIds = {"a1", "a2", "a3"};
+
+/// Stands for the platform's balancer: sends callers only to gateways whose /health is 200.
+class Balancer
+{
+public:
+    Balancer(HttpClient &httpClient, std::vector<std::string> gatewayAddresses)
+        : client(httpClient)
+        , addresses(std::move(gatewayAddresses))
+        , thread([this] { this->run(); })
+    { }
+    ~Balancer()
+    {
+        this->stopping = true;
+        this->thread.join();
+    }
+    Balancer(const Balancer &) = delete;
+    Balancer &operator=(const Balancer &) = delete;
+
+    std::string pick(std::size_t number)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->healthy.empty() ? std::string() : this->healthy[number % this->healthy.size()];
+    }
+
+private:
+    void run()
+    {
+        while (!this->stopping) {
+            std::vector<std::string> next;
+            for (const std::string &address : this->addresses) {
+                OutgoingRequest request;
+                request.url = "http://" + address + "/ready";
+                request.timeout = Millis(500);
+                const auto answer = this->client.fetch(std::move(request));
+                if (answer.has_value() && answer.value().status == 200) {
+                    next.push_back(address);
+                }
+            }
+            {
+                const std::lock_guard lock(this->mutex);
+                this->healthy = next;
+            }
+            sleepFor(Millis(100));
+        }
+    }
+
+    HttpClient &client;
+    const std::vector<std::string> addresses;
+    std::mutex mutex;
+    std::vector<std::string> healthy;
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
+struct Tally
+{
+    std::atomic<int> sent{0};
+    std::atomic<int> whole{0};
+    std::mutex mutex;
+    std::vector<std::string> faults;
+
+    void fault(const std::string &text)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->faults.push_back(text);
+    }
+};
+
+/// Tells what is wrong with a streamed answer; empty where it is whole and of the right adapter.
+std::string faultOf(const Result<HttpAnswer> &answer, const std::string &adapter)
+{
+    if (answer.has_error()) {
+        return describe(answer.error());
+    }
+    const std::string &body = answer.value().body;
+    if (answer.value().status != 200) {
+        return "status " + std::to_string(answer.value().status) + " " + body;
+    }
+    if (body.find("data: [DONE]") == std::string::npos) {
+        return "cut: " + body.substr(body.size() > 200 ? body.size() - 200 : 0);
+    }
+    return body.find("citrus/" + adapter + "@1") == std::string::npos ? "wrong adapter" : "";
+}
+
+void callAgainAndAgain(Balancer &balancer, std::size_t worker, const std::atomic<bool> &stop,
+                       Tally &tally)
+{
+    HttpClient client;
+    std::size_t number = worker;
+    while (!stop) {
+        const std::string gateway = balancer.pick(number);
+        const std::string adapter = "member-" + std::to_string(number % 6 + 1);
+        OutgoingRequest request;
+        request.method = "POST";
+        request.url = "http://" + gateway + "/v1/chat/completions";
+        request.headers = {{"Content-Type", "application/json"}};
+        request.body = R"({"model":"citrus/)" + adapter
+                + R"(@1","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]})";
+        request.timeout = Millis(20'000);
+        ++tally.sent;
+        const std::string fault = faultOf(client.fetch(std::move(request)), adapter);
+        if (fault.empty()) {
+            ++tally.whole;
+        } else {
+            tally.fault(gateway + " " + adapter + ": " + fault);
+            sleepFor(Millis(100));
+        }
+        number += workers;
+    }
+}
+
+void startVm(FleetFixture &fleet, const std::string &vm)
+{
+    fleet.startController(vm, {"controller.leave-wait-ms=3000"});
+    fleet.startGateway(vm);
+}
+
+/// Replaces a VM as operators do: list it as leaving, stop its gateway, then its controller.
+void replaceVm(FleetFixture &fleet, const std::string &vm)
+{
+    fleet.list(vmIds, {vm});
+    fleet.gateway(vm).terminate();
+    const auto gatewayExit = fleet.gateway(vm).waitForExit(exitLimit);
+    CHECK(gatewayExit == 0);
+    fleet.controller(vm).terminate();
+    const auto controllerExit = fleet.controller(vm).waitForExit(exitLimit);
+    CHECK(controllerExit == 0);
+    fleet.list(vmIds);
+    startVm(fleet, vm);
+}
+
+bool hasOwners(FleetFixture &fleet, const std::string &seenBy)
+{
+    return !fleet.ownerOf("e1", seenBy).empty() && !fleet.ownerOf("e2", seenBy).empty();
+}
+
+} // namespace
+
+TEST_CASE("all VMs are replaced one after another under load")
+{
+    FleetFixture fleet(firstPort);
+    fleet.writeConfig("10-base.ini", configText);
+    std::uint16_t port = firstPort + 1;
+    std::vector<std::string> addresses;
+    for (const std::string &id : vmIds) {
+        const VmSpec vm{id, "a", port, static_cast<std::uint16_t>(port + 20)};
+        fleet.addVm(vm);
+        addresses.push_back(vm.gatewayAddress());
+        ++port;
+    }
+    fleet.list(vmIds);
+    fleet.startPlatform();
+    fleet.startBackendServer("engine", "e1", 24290);
+    fleet.startBackendServer("engine", "e2", 24291);
+    for (const std::string &vm : vmIds) {
+        startVm(fleet, vm);
+    }
+    Balancer balancer(fleet.http(), addresses);
+    REQUIRE(eventually(startLimit, [&] {
+        return !balancer.pick(0).empty() && hasOwners(fleet, "a1") && hasOwners(fleet, "a2")
+                && hasOwners(fleet, "a3");
+    }));
+    sleepFor(Millis(4'000)); // Owners gather their votes and wait out the handover.
+
+    Tally tally;
+    std::atomic<bool> stop{false};
+    std::vector<std::thread> callers;
+    for (std::size_t worker = 0; worker < workers; ++worker) {
+        callers.emplace_back([&, worker] { callAgainAndAgain(balancer, worker, stop, tally); });
+    }
+    sleepFor(Millis(3'000));
+
+    const bool works = tally.whole > 0;
+    for (const std::string &vm : works ? vmIds : std::vector<std::string>()) {
+        replaceVm(fleet, vm);
+        CHECK(eventually(startLimit, [&] { return hasOwners(fleet, vm); }));
+        sleepFor(Millis(3'000));
+    }
+    stop = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    constexpr std::size_t mostPrinted = 20;
+    for (std::size_t i = 0; i < std::min(tally.faults.size(), mostPrinted); ++i) {
+        WARN(tally.faults[i]);
+    }
+    WARN("requests sent=" << tally.sent << " whole=" << tally.whole
+                          << " cut or refused=" << tally.faults.size());
+    CHECK(tally.sent > 50);
+    REQUIRE(tally.faults.empty());
+    REQUIRE(tally.whole == tally.sent);
+}
--- a/tests/include/policy_bench/baseline.h
+++ b/tests/include/policy_bench/baseline.h
@@ -145,8 +145,7 @@
             this->startWaiting(*this->servers[i]);
         }
         // The gate serves the request that has waited longest.
-        while (this->store.mayStart() && this->loadForOldest()) {
-        }
+        while (this->store.mayStart() && this->loadForOldest()) { }
         const bool anyWaiting
                 = std::any_of(this->servers.begin(), this->servers.end(),
                               [](const auto &server) { return !server->waiting.empty(); });
--- a/tests/include/policy_bench/fleet.h
+++ b/tests/include/policy_bench/fleet.h
@@ -125,8 +125,7 @@
             const RoutingTable table = buildRoutingTable(this->snapshot, dataCentreName(i));
             this->groups.push_back(table.engines.at(BaseModelId("base")));
         }
-        this->costs.poolRegions
-                = poolsRegions(this->groups[0], this->limits, sizes::adapterBytes);
+        this->costs.poolRegions = poolsRegions(this->groups[0], this->limits, sizes::adapterBytes);
         this->vms.resize(sizes::vms);
         for (std::uint32_t i = 0; i < sizes::vms; ++i) {
             Vm &vm = this->vms[i];
@@ -140,8 +139,8 @@
     {
         for (std::uint32_t i = 0; i < sizes::servers; ++i) {
             auto server = std::make_unique<Server>(this->clock, this->result, this->options.warmUp);
-            server->state = makeServerState({sizes::slots, sizes::batchWidth, true, false},
-                                            GrantId(1));
+            server->state
+                    = makeServerState({sizes::slots, sizes::batchWidth, true, false}, GrantId(1));
             std::vector<VmId> candidates;
             for (std::uint32_t vm = 0; vm < sizes::vms; ++vm) {
                 if (dataCentreOfVm(vm) == dataCentreOf(i)) {
@@ -243,9 +242,9 @@
         const std::uint64_t ticket = server.nextTicket++;
         server.adapters[pending->hash] = pending->arrival->adapter;
         server.waiting[ticket] = pending;
-        const auto action = admitRequest(server.state, this->vms[server.owner].loads,
-                                         this->context(), std::move(request), ticket,
-                                         this->clock.now());
+        const auto action
+                = admitRequest(server.state, this->vms[server.owner].loads, this->context(),
+                               std::move(request), ticket, this->clock.now());
         if (action) {
             this->perform(index, *action, true);
             return;
@@ -311,15 +310,14 @@
         const Millis way = trip(home, dataCentreOf(index));
         const Millis stall = this->clock.now() - pending->askedAt;
         if (way > Millis(1)) {
-            this->store.cross(sizes::promptBytes
-                              + pending->arrival->tokens * sizes::bytesPerToken);
+            this->store.cross(sizes::promptBytes + pending->arrival->tokens * sizes::bytesPerToken);
         }
         this->clock.after(way * 2, [this, index, pending, given, way, stall] {
             const Millis now = this->clock.now();
             Vm &vm = this->vms[pending->vm];
             const bool missed = given.waitedForLoad > Millis(0) || pending->redirected;
-            recordStart(this->result, this->options, *pending->arrival,
-                        missed ? stall : Millis(0), now);
+            recordStart(this->result, this->options, *pending->arrival, missed ? stall : Millis(0),
+                        now);
             const Millis queueWait = missed ? Millis(0) : stall;
             noteGranted(vm.memory, this->costs, pending->hash, index, queueWait, now);
             ++vm.memory.loads[index].inFlight;
@@ -451,8 +449,7 @@
             this->clock.after(trip(vm.dataCentre, this->vms[lender].dataCentre),
                               [this, lender, loan] {
                                   returnLoan(this->vms[lender].loads, loan.loan,
-                                             loan.used ? std::optional(loan.started)
-                                                       : std::nullopt,
+                                             loan.used ? std::optional(loan.started) : std::nullopt,
                                              this->clock.now());
                                   this->serveAsks(lender);
                               });
--- a/tests/include/policy_bench/trace.h
+++ b/tests/include/policy_bench/trace.h
@@ -33,7 +33,8 @@
 }
 
 /// @brief Draws requests at a rate; `draw` gives the adapter.
-[[nodiscard]] inline std::vector<Arrival> drawTrace(const CellOptions &options, double ratePerSecond)
+[[nodiscard]] inline std::vector<Arrival> drawTrace(const CellOptions &options,
+                                                    double ratePerSecond)
 {
     std::mt19937_64 random(options.seed);
     Popularity popularity(options.skew, random);
@@ -42,8 +43,8 @@
     const auto length = static_cast<double>(options.length.count());
     bool shuffled = false;
     while (time < length) {
-        const bool peak = options.fault == Fault::MonthEnd && time > length / 3
-                && time < length * 2 / 3;
+        const bool peak
+                = options.fault == Fault::MonthEnd && time > length / 3 && time < length * 2 / 3;
         const double rate = ratePerSecond * (peak ? sizes::monthEndFactor : 1) / 1'000;
         const double unit = (static_cast<double>(random() >> 11U) + 1) * 0x1p-53;
         time += -std::log(unit) / rate;
--- a/tests/include/policy_bench/world.h
+++ b/tests/include/policy_bench/world.h
@@ -243,8 +243,8 @@
         if (this->stalls.empty()) {
             return 0;
         }
-        const auto index = static_cast<std::size_t>(
-                quantile * static_cast<double>(this->stalls.size() - 1));
+        const auto index
+                = static_cast<std::size_t>(quantile * static_cast<double>(this->stalls.size() - 1));
         const auto at = this->stalls.begin() + static_cast<std::ptrdiff_t>(index);
         std::nth_element(this->stalls.begin(), at, this->stalls.end());
         return *at;
