--- a/include/balsamport/filters/gateway.h
+++ b/include/balsamport/filters/gateway.h
@@ -37,8 +37,10 @@
     void handle(const std::shared_ptr<const IncomingRequest> &request,
                 const std::shared_ptr<ResponseWriter> &writer);
 
-    /// @brief Refuses new work from now on; /health answers 503.
-    void startLeaving() noexcept;
+    /// @brief Answers /health with 503 from now on, and refuses new work from a time on. Until then
+    /// requests that the balancer still sends are served.
+    /// @param refuseFrom monotonic; later calls do not put it off
+    void startLeaving(Millis refuseFrom = Millis()) noexcept;
     [[nodiscard]] bool isLeaving() const noexcept;
 
     /// @return requests that are not finished yet
@@ -53,6 +55,7 @@
     const std::shared_ptr<InProgress> progress;
     const std::shared_ptr<AnswerStore> answers;
     std::atomic<bool> leaving{false};
+    std::atomic<std::int64_t> refuseFrom{0}; ///< Counts while `leaving` is set.
     const FilterChain requests; ///< Model requests and plain services.
     const FilterChain models;
     const FilterChain tickets;
--- a/src/filters/gateway.cpp
+++ b/src/filters/gateway.cpp
@@ -104,7 +104,7 @@
         refuse(*request, *writer, {ErrorCode::UnknownPath, "there is nothing at this path"});
         return;
     }
-    if (this->leaving) {
+    if (this->leaving && monotonicNow() >= Millis(this->refuseFrom)) {
         refuse(*request, *writer, {ErrorCode::Leaving, "this VM is leaving"});
         return;
     }
@@ -151,8 +151,11 @@
     }
 }
 
-void Gateway::startLeaving() noexcept
+void Gateway::startLeaving(Millis refuseTime) noexcept
 {
+    if (!this->leaving || refuseTime < Millis(this->refuseFrom)) {
+        this->refuseFrom = refuseTime.count();
+    }
     this->leaving = true;
 }
 
--- a/src/programs/ctl/folder_commands.cpp
+++ b/src/programs/ctl/folder_commands.cpp
@@ -97,7 +97,8 @@
 {
     const bool againstFleet = line.arguments.size() == 1 && !line.endpoints.empty();
     if (!againstFleet && line.arguments.size() != 2) {
-        return printUsage("diff DIR1 DIR2, or diff DIR --endpoint tcp://IP:PORT for the running fleet");
+        return printUsage(
+                "diff DIR1 DIR2, or diff DIR --endpoint tcp://IP:PORT for the running fleet");
     }
     const auto before = againstFleet ? pullConfig(line) : readConfigFolder(line.arguments.front());
     const auto after = readConfigFolder(line.arguments.back());
--- a/src/programs/gateway/gateway_daemon.cpp
+++ b/src/programs/gateway/gateway_daemon.cpp
@@ -84,7 +84,7 @@
                     this->suspects.update(view);
                     if (view && view->leaving && !this->gateway->isLeaving()) {
                         LOG(INFO) << logprefix::daemon << "This VM is listed as leaving.";
-                        this->gateway->startLeaving();
+                        this->gateway->startLeaving(monotonicNow() + this->settings.leaveDelay);
                     }
                 });
         this->suspects.start();
@@ -140,7 +140,7 @@
 bool GatewayDaemon::leave()
 {
     Gateway &gateway = *this->parts->gateway;
-    gateway.startLeaving();
+    gateway.startLeaving(monotonicNow() + this->parts->settings.leaveDelay);
     LOG(INFO) << logprefix::daemon << "Stopping. in-progress=" << gateway.inProgress();
     const Millis start = monotonicNow();
     sleepFor(this->parts->settings.leaveDelay);
--- a/tests/src/unit-filters.cpp
+++ b/tests/src/unit-filters.cpp
@@ -434,6 +434,19 @@
         REQUIRE(fake.request("POST", "/v1/chat/completions", chatBody)->answer.status == 503);
     }
 
+    SECTION("leaving, while the balancer has not seen it yet: requests are still served")
+    {
+        fake.gateway.startLeaving(monotonicNow() + Millis(600'000));
+        REQUIRE(fake.request("GET", "/health", "")->answer.status == 503);
+        const auto served = fake.request("POST", "/v1/chat/completions", chatBody);
+        REQUIRE(fake.exchange(0).connect());
+        fake.exchange(0).head(200, jsonAnswer);
+        fake.exchange(0).succeed();
+        REQUIRE(served->answer.status == 200);
+        fake.gateway.startLeaving();
+        REQUIRE(fake.request("POST", "/v1/chat/completions", chatBody)->answer.status == 503);
+    }
+
     SECTION("leaving: no new work, but requests in progress end")
     {
         const auto running = fake.request("POST", "/v1/chat/completions", chatBody);
