--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -124,7 +124,9 @@
     || { echo "   FAILED: the change is not in force"; failures=$((failures + 1)); }
 
 title "Status as operators see it"
-"$bin/balsamportctl" status --endpoint tcp://127.0.0.1:19401 --endpoint tcp://127.0.0.1:19402
+"$bin/balsamportctl" status --endpoint tcp://127.0.0.1:19401 --endpoint tcp://127.0.0.1:19402 \
+    | tee "$work/status.txt"
+expect 'e2' "$work/status.txt" "the status lists the backend servers"
 
 title "Stop"
 if [ -n "${DEMO_KEEP_LOGS:-}" ]; then cp "$work"/*.log "$DEMO_KEEP_LOGS"/; fi
