--- a/tests/e2e/e2e-bookings.cpp
+++ b/tests/e2e/e2e-bookings.cpp
@@ -108,8 +108,9 @@
             rapidjson::Document document;
             document.Parse(this->fleet.get(address, "/ledger").c_str());
             REQUIRE_FALSE(document.HasParseError());
-            for (const auto &entry : document["runs"].GetObject()) {
-                runs[entry.name.GetString()] += entry.value.GetUint64();
+            const auto &entries = document["runs"];
+            for (auto entry = entries.MemberBegin(); entries.MemberEnd() - entry > 0; ++entry) {
+                runs[entry->name.GetString()] += entry->value.GetUint64();
             }
         }
         return runs;
--- /dev/null
+++ b/tests/e2e/e2e-crashers.cpp
@@ -0,0 +1,182 @@
+#include "process_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <iostream>
+#include <mutex>
+
+using namespace balsamport;
+using namespace balsamport::testing;
+
+namespace {
+
+constexpr std::uint16_t firstPort = 23700;
+constexpr Millis settling{60'000};
+constexpr int engineCount = 4;
+constexpr int crasherSends = 8;
+constexpr int innocentCallers = 4;
+constexpr int crashExitCode = 70;
+const std::vector<std::string> allVms = {"a1", "a2"};
+
+std::string configText()
+{
+    std::string text = "[data-centre a]\nregion = r1\nhas-weight-store = true\n"
+                       "[adapter burn-plan]\nbase = citrus\nversions = 1\n"
+                       "[route burn-plan]\ntarget = burn-plan@1\n"
+                       "[limits]\nhandover-wait = 1000\nview-lifetime = 600\n";
+    for (int i = 0; i < engineCount; ++i) {
+        text += "[backend-server e" + std::to_string(i) + "]\naddress = 127.0.0.1:"
+                + std::to_string(firstPort + 90 + i) + "\ndata-centre = a\nbase = citrus\n";
+    }
+    return text;
+}
+
+/// Two VMs and four engines, each of which is started again when it dies.
+class CrashFleet
+{
+public:
+    CrashFleet()
+        : fleet(firstPort)
+    {
+        std::uint16_t port = firstPort + 1;
+        for (const std::string &id : allVms) {
+            this->fleet.addVm({id, "a", port, static_cast<std::uint16_t>(port + 20)});
+            this->gateways.push_back("127.0.0.1:" + std::to_string(port + 20));
+            ++port;
+        }
+        this->fleet.list(allVms);
+        this->fleet.writeConfig("10-base.ini", configText());
+        this->fleet.startPlatform();
+        for (int i = 0; i < engineCount; ++i) {
+            this->startEngine(i);
+        }
+        for (const std::string &id : allVms) {
+            this->fleet.startController(id);
+            this->fleet.startGateway(id);
+        }
+    }
+
+    void startEngine(int number)
+    {
+        this->fleet.startBackendServer("engine", "e" + std::to_string(number),
+                                       static_cast<std::uint16_t>(firstPort + 90 + number),
+                                       {"--load-ms", "20", "--token-ms", "5"});
+    }
+
+    /// Starts engines that died again, until told to stop. Counts those that crashed.
+    void keepEnginesUp(const std::atomic<bool> &stop)
+    {
+        while (!stop) {
+            for (int i = 0; i < engineCount; ++i) {
+                Process &engine = this->fleet.backendServer("e" + std::to_string(i));
+                if (engine.ended()) {
+                    this->crashes += engine.waitForExit(Millis(0)) == crashExitCode ? 1 : 0;
+                    sleepFor(Millis(300));
+                    this->startEngine(i);
+                }
+            }
+            sleepFor(Millis(50));
+        }
+    }
+
+    HttpAnswer ask(const std::string &content, std::size_t gateway)
+    {
+        OutgoingRequest request;
+        request.method = "POST";
+        request.url = "http://" + this->gateways[gateway % this->gateways.size()]
+                + "/v1/chat/completions";
+        request.headers = {{"Content-Type", "application/json"}};
+        request.body = R"({"model":"burn-plan","max_tokens":40,"messages":[)"
+                       R"({"role":"user","content":")"
+                + content + R"("}]})";
+        request.timeout = Millis(60'000);
+        const auto answer = this->fleet.http().fetch(std::move(request));
+        return answer.has_value() ? answer.value() : HttpAnswer{};
+    }
+
+    FleetFixture fleet;
+    std::vector<std::string> gateways;
+    std::atomic<int> crashes{0};
+};
+
+/// Innocent callers, each request with a text of its own.
+class Innocents
+{
+public:
+    Innocents(CrashFleet &fleet, const std::atomic<bool> &stop)
+    {
+        for (int caller = 0; caller < innocentCallers; ++caller) {
+            this->threads.emplace_back([this, &fleet, &stop, caller] {
+                for (int i = 0; !stop; ++i) {
+                    const HttpAnswer answer = fleet.ask(
+                            "frost " + std::to_string(caller) + "-" + std::to_string(i), i);
+                    this->note(answer);
+                }
+            });
+        }
+    }
+    void join()
+    {
+        for (std::thread &thread : this->threads) {
+            thread.join();
+        }
+    }
+
+    std::mutex mutex; ///< Guards the two below.
+    int answered = 0;
+    std::vector<std::string> failed;
+
+private:
+    void note(const HttpAnswer &answer)
+    {
+        const std::scoped_lock lock(this->mutex);
+        if (answer.status == 200) {
+            ++this->answered;
+        } else {
+            this->failed.push_back(std::to_string(answer.status) + " " + answer.body);
+        }
+    }
+
+    std::vector<std::thread> threads;
+};
+
+} // namespace
+
+TEST_CASE("a request that kills every engine that runs it")
+{
+    CrashFleet fleet;
+    for (std::size_t gateway = 0; gateway < allVms.size(); ++gateway) {
+        REQUIRE(eventually(settling, [&] { return fleet.ask("hello", gateway).status == 200; }));
+    }
+    std::atomic<bool> stop{false};
+    std::atomic<bool> stopEngines{false};
+    std::thread keeper([&] { fleet.keepEnginesUp(stopEngines); });
+    Innocents innocents(fleet, stop);
+    sleepFor(Millis(500));
+
+    std::vector<int> statuses;
+    for (int i = 0; i < crasherSends; ++i) {
+        statuses.push_back(fleet.ask("CRASH-ENGINE now", static_cast<std::size_t>(i)).status);
+        sleepFor(Millis(300));
+    }
+    sleepFor(Millis(2'000));
+    stop = true;
+    innocents.join();
+    stopEngines = true;
+    keeper.join();
+
+    std::cout << "crasher: sends=" << crasherSends << " crashes=" << fleet.crashes
+              << " innocents-answered=" << innocents.answered
+              << " innocents-failed=" << innocents.failed.size() << "\n";
+    for (const std::string &text : innocents.failed) {
+        UNSCOPED_INFO(text);
+    }
+    REQUIRE(fleet.crashes >= 1);
+    REQUIRE(fleet.crashes <= 2);
+    REQUIRE(statuses.back() == 422);
+    REQUIRE(innocents.answered > innocentCallers);
+    REQUIRE(innocents.failed.empty());
+}
--- a/tests/include/claim_world.h
+++ b/tests/include/claim_world.h
@@ -635,7 +635,7 @@
         if (this->plantIs(Plant::WitnessGrantsTwice)) {
             return {ask.claimant, std::nullopt};
         }
-        const ClaimVerdict verdict = memory.table->decide(ask, state, used);
+        ClaimVerdict verdict = memory.table->decide(ask, state, used);
         const bool full = before >= used.capacity && memory.table->size() == before;
         this->count(Fault::KeyForgotten,
                     full && verdict.holder && verdict.holder->attempt == ask.claimant.attempt);
