--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -27,33 +27,34 @@
                                "Running requests by places of the batch"};
 constexpr MetricInfo queueDepth{"balsamport_queue_depth", MetricKind::Gauge, "backend_server",
                                 "Requests that wait for a grant"};
-constexpr MetricInfo loads{"balsamport_loads_total", MetricKind::Counter, "result",
-                           "Adapter loads that were ordered: loaded, failed, refused"};
-constexpr MetricInfo unloads{"balsamport_unloads_total", MetricKind::Counter, "",
-                             "Adapters that were unloaded"};
+constexpr MetricInfo loads{"balsamport_loads_total", MetricKind::Counter, "",
+                           "Adapter loads that this VM's controller ordered"};
 constexpr MetricInfo linkBytes{"balsamport_link_bytes_total", MetricKind::Counter, "",
-                               "Bytes sent over the link between regions"};
+                               "Bytes taken from the budget of the link between regions"};
 constexpr MetricInfo revision{"balsamport_config_revision", MetricKind::Gauge, "",
                               "Revision of the configuration in force"};
 constexpr MetricInfo revisionAge{"balsamport_config_age_seconds", MetricKind::Gauge, "",
-                                 "Time since the configuration was last confirmed"};
+                                 "Time since the configuration in force was accepted"};
+constexpr MetricInfo platformReachable{"balsamport_platform_reachable", MetricKind::Gauge, "",
+                                       "1 where the controller hears from the platform, else 0"};
 constexpr MetricInfo platformCalls{"balsamport_platform_calls_total", MetricKind::Counter, "",
                                    "Calls to the configuration service"};
 constexpr MetricInfo viewConfirmed{"balsamport_view_confirmed", MetricKind::Gauge, "",
                                    "1 where the view of the members is confirmed, else 0"};
 constexpr MetricInfo quarantined{"balsamport_quarantined_fingerprints", MetricKind::Gauge, "",
                                  "Requests that are refused because they crash backend servers"};
-constexpr MetricInfo wireBytes{"balsamport_wire_bytes_total", MetricKind::Counter, "direction",
-                               "Bytes between the system's own processes: sent, received"};
+constexpr MetricInfo wireBytes{
+        "balsamport_wire_bytes_total", MetricKind::Counter, "direction",
+        "Bytes of this VM's controller to and from other daemons: sent, received"};
 constexpr MetricInfo connections{"balsamport_connections", MetricKind::Gauge, "",
                                  "Callers' connections that are open"};
 
 /// Every metric; docs/METRICS.md lists the same.
 inline constexpr std::array all{
-        requests,      outcomes,      refusals,    firstToken, loadStall,
-        queueWait,     claimLatency,  retries,     batchFill,  queueDepth,
-        loads,         unloads,       linkBytes,   revision,   revisionAge,
-        platformCalls, viewConfirmed, quarantined, wireBytes,  connections,
+        requests,      outcomes,      refusals,    firstToken,  loadStall,
+        queueWait,     claimLatency,  retries,     batchFill,   queueDepth,
+        loads,         linkBytes,     revision,    revisionAge, platformReachable,
+        platformCalls, viewConfirmed, quarantined, wireBytes,   connections,
 };
 
 } // namespace balsamport::metric
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -2,6 +2,7 @@
 
 #include <balsamport/core/hash.h>
 #include <balsamport/core/log.h>
+#include <balsamport/core/metric_names.h>
 #include <balsamport/policy/link_budget.h>
 #include <balsamport/policy/routing.h>
 #include <balsamport/wire/convert.h>
@@ -220,8 +221,7 @@
 
 } // namespace
 
-void GrantClient::update(const SnapshotPtr &snapshot,
-                         const std::shared_ptr<const FleetView> &fleet)
+void GrantClient::update(const SnapshotPtr &snapshot, const std::shared_ptr<const FleetView> &fleet)
 {
     if (snapshot == nullptr || fleet == nullptr) {
         return;
@@ -459,6 +459,7 @@
     const std::lock_guard guard(this->linkLock);
     const std::uint64_t bytes = linkBytesOf(acquire->query);
     if (takeLinkBytes(this->link, bytes, now)) {
+        processMetrics().counter(metric::linkBytes).add(bytes);
         return true;
     }
     acquire->linkWait = linkWait(this->link, bytes, now);
--- a/src/filters/gateway.cpp
+++ b/src/filters/gateway.cpp
@@ -1,6 +1,7 @@
 #include <balsamport/filters/gateway.h>
 
 #include <balsamport/core/log.h>
+#include <balsamport/core/metric_names.h>
 #include <balsamport/filters/alias_resolution.h>
 #include <balsamport/filters/answer.h>
 #include <balsamport/filters/authentication.h>
@@ -66,6 +67,23 @@
     return std::nullopt;
 }
 
+std::string_view endpointName(Endpoint endpoint) noexcept
+{
+    switch (endpoint) {
+    case Endpoint::ChatCompletions:
+        return "chat";
+    case Endpoint::Completions:
+        return "completions";
+    case Endpoint::Models:
+        return "models";
+    case Endpoint::Tickets:
+        return "tickets";
+    case Endpoint::Service:
+        break;
+    }
+    return "service";
+}
+
 HttpAnswer probeAnswer(bool good)
 {
     return {good ? okStatus : unavailableStatus,
@@ -130,6 +148,7 @@
 void Gateway::handleRequest(const std::shared_ptr<const IncomingRequest> &request,
                             const std::shared_ptr<ResponseWriter> &writer, Endpoint endpoint)
 {
+    processMetrics().counter(metric::requests, endpointName(endpoint)).add();
     SnapshotPtr snapshot = this->sources.snapshot();
     if (!snapshot) {
         refuse(*request, *writer,
--- a/src/filters/outcome.cpp
+++ b/src/filters/outcome.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/filters/outcome.h>
 
+#include <balsamport/core/metric_names.h>
 #include <balsamport/filters/answer.h>
 
 namespace balsamport {
@@ -22,6 +23,23 @@
     return context.claimLost ? AttemptStage::ClaimFailed : AttemptStage::Refused;
 }
 
+/// Counts an answer whose head is about to leave.
+void countAnswer(const RequestContext &context, Outcome outcome)
+{
+    constexpr double millisPerSecond = 1'000;
+    processMetrics().counter(metric::outcomes, outcomeName(outcome)).add();
+    const bool isModelRequest = context.endpoint == Endpoint::ChatCompletions
+            || context.endpoint == Endpoint::Completions;
+    if (context.failure) {
+        processMetrics().counter(metric::refusals, errorName(*context.failure)).add();
+    } else if (isModelRequest) {
+        static Summary &firstToken = processMetrics().summary(metric::firstToken);
+        const Millis now = monotonicNow();
+        const Millis wait = now - context.arrived;
+        firstToken.observe(static_cast<double>(wait.count()) / millisPerSecond, now);
+    }
+}
+
 } // namespace
 
 AttemptEnd endOf(const RequestContext &context, std::optional<ErrorCode> failure)
@@ -45,6 +63,7 @@
 void addOutcomeHeaders(const RequestContext &context, HttpHeaders &headers)
 {
     const Outcome outcome = outcomeOf(endOf(context, context.failure));
+    countAnswer(context, outcome);
     headers.push_back({std::string(headername::requestId), context.id.str()});
     headers.push_back({std::string(headername::outcome), std::string(outcomeName(outcome))});
 }
--- a/src/filters/retry_keeper.cpp
+++ b/src/filters/retry_keeper.cpp
@@ -1,5 +1,7 @@
 #include <balsamport/filters/retry_keeper.h>
 
+#include <balsamport/core/metric_names.h>
+
 #include <algorithm>
 
 namespace balsamport {
@@ -11,6 +13,7 @@
     const RetryDecision decision = decideRetry(failed, this->budget, jitter);
     if (decision.action != RetryAction::GiveUp) {
         this->budget = afterRetry(this->budget);
+        processMetrics().counter(metric::retries, errorName(failed.failure)).add();
     }
     return decision;
 }
--- a/src/programs/gateway/gateway_daemon.cpp
+++ b/src/programs/gateway/gateway_daemon.cpp
@@ -3,6 +3,7 @@
 #include "bindings.h"
 
 #include <balsamport/controllers/fleet_client.h>
+#include <balsamport/controllers/status_metrics.h>
 #include <balsamport/core/log.h>
 #include <balsamport/core/metric_names.h>
 #include <balsamport/filters/gateway.h>
@@ -18,6 +19,8 @@
 namespace {
 
 constexpr Millis tickInterval{50};
+constexpr Millis statusInterval{2'000};
+constexpr Millis statusTimeout{1'000};
 constexpr Millis leavePoll{20};
 /// Time for the last answers to leave the sockets once no request is in progress.
 constexpr Millis flushTime{500};
@@ -75,6 +78,21 @@
         return registry.prometheusText(monotonicNow());
     }
 
+    /// Asks the VM's controller for its state, for the metrics.
+    void readStatus()
+    {
+        wire::Envelope message;
+        message.mutable_status_request();
+        this->messages.request(this->settings.controllerEndpoint, std::move(message), statusTimeout,
+                               [this](const Result<wire::Envelope> &reply) {
+                                   const SnapshotPtr snapshot = this->fleet.snapshot();
+                                   if (reply.has_value() && snapshot) {
+                                       this->status.record(reply.value().status_reply(), *snapshot);
+                                   }
+                                   return false;
+                               });
+    }
+
     void startClients()
     {
         this->fleet.onChange(
@@ -90,9 +108,11 @@
         this->suspects.start();
         this->fleet.start();
         this->timer.every(tickInterval, [this] { this->grants.tick(monotonicNow()); });
+        this->timer.every(statusInterval, [this] { this->readStatus(); });
     }
 
     const GatewaySettings settings;
+    StatusRecorder status{processMetrics()};
     MessageClient messages;
     GrantClient grants;
     ClaimClient claims;
--- a/src/tools/status_table.cpp
+++ b/src/tools/status_table.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr double bytesPerMegabyte = 1'000'000;
-
 std::string yesNo(bool value)
 {
     return value ? "yes" : "no";
@@ -161,12 +159,9 @@
     for (const ControllerStatus &controller : fleet) {
         if (controller.reply.has_value()) {
             const wire::StatusReply &reply = controller.reply.value();
-            text += fmt::format("{}: {:.1f} MB left of the link's budget, {} platform calls, "
-                                "{} bytes sent, {} received\n",
-                                reply.instance().vm(),
-                                static_cast<double>(reply.link_bytes_left()) / bytesPerMegabyte,
-                                reply.platform_calls(), reply.wire_bytes_sent(),
-                                reply.wire_bytes_received());
+            text += fmt::format("{}: {} platform calls, {} bytes sent, {} received\n",
+                                reply.instance().vm(), reply.platform_calls(),
+                                reply.wire_bytes_sent(), reply.wire_bytes_received());
         }
     }
     for (const std::string &warning : statusWarnings(fleet)) {
--- a/tests/src/unit-metrics.cpp
+++ b/tests/src/unit-metrics.cpp
@@ -1,3 +1,4 @@
+#include <balsamport/controllers/status_metrics.h>
 #include <balsamport/core/metric_names.h>
 #include <balsamport/core/metrics.h>
 
@@ -190,3 +191,44 @@
         REQUIRE(found > metric::all.size());
     }
 }
+
+TEST_CASE("a controller's state in metrics")
+{
+    Snapshot snapshot;
+    BackendServerConfig engine;
+    engine.id = BackendServerId("e1");
+    engine.batchWidth = 8;
+    snapshot.backendServers.emplace(engine.id, engine);
+    engine.id = BackendServerId("e2");
+    snapshot.backendServers.emplace(engine.id, engine);
+    wire::StatusReply status;
+    status.set_loads_started(5);
+    for (const char *id : {"e1", "e2", "unknown"}) {
+        wire::ServerStatus &server = *status.add_servers();
+        server.set_backend_server(id);
+        server.set_running(2);
+        server.set_effective(std::string(id) != "e2");
+    }
+    MetricsRegistry metrics;
+    StatusRecorder recorder(metrics);
+    recorder.record(status, snapshot);
+
+    SECTION("shows only backend servers that it owns and that are declared")
+    {
+        const std::string text = metrics.prometheusText(start);
+        REQUIRE(text.find("balsamport_batch_fill_ratio{backend_server=\"e1\"} 0.25")
+                != std::string::npos);
+        REQUIRE(text.find("e2") == std::string::npos);
+        REQUIRE(text.find("unknown") == std::string::npos);
+    }
+
+    SECTION("keeps counters rising when the controller restarts")
+    {
+        status.set_loads_started(7);
+        recorder.record(status, snapshot);
+        REQUIRE(metrics.counter(metric::loads).value() == 7);
+        status.set_loads_started(1);
+        recorder.record(status, snapshot);
+        REQUIRE(metrics.counter(metric::loads).value() == 8);
+    }
+}
