--- a/src/filters/dispatch.cpp
+++ b/src/filters/dispatch.cpp
@@ -106,7 +106,7 @@
     void retryOrFail(const Error &error);
     [[nodiscard]] FailedAttempt failedAttempt(const Error &error) const;
     void resumeStream();
-    void retryElsewhere(Millis delay, ErrorCode reason);
+    void retryElsewhere(Millis delay);
     void giveUp(const Error &error);
     void release(PlacementEnd end);
 
@@ -447,7 +447,7 @@
         this->release(notRun ? PlacementEnd::Returned : PlacementEnd::Broken);
     }
     if (decision.action == RetryAction::TryAnother) {
-        this->retryElsewhere(decision.delay, error.code);
+        this->retryElsewhere(decision.delay);
         return;
     }
     this->giveUp({decision.failure.value_or(error.code), error.detail});
@@ -462,9 +462,8 @@
     this->send(resumeRequestOf(*this->context, this->stream.next(), monotonicNow()));
 }
 
-void BackendCall::retryElsewhere(Millis delay, ErrorCode reason)
+void BackendCall::retryElsewhere(Millis delay)
 {
-    processMetrics().counter(metric::retries, errorName(reason)).add();
     const auto self = this->shared_from_this();
     this->sources->timer(delay,
                          [self] { self->place(self->context, [self] { self->attempt(); }); });
