--- a/include/balsamport/policy/grant_scheduler.h
+++ b/include/balsamport/policy/grant_scheduler.h
@@ -129,7 +129,8 @@
                               const std::string &gateway);
 
 /// @brief Asks for an adapter to be loaded when the budget has room to spare.
-void wantPreload(ServerState &server, const AdapterRef &adapter, Millis now);
+/// @param declared by a route, ahead of its switch
+void wantPreload(ServerState &server, const AdapterRef &adapter, bool declared, Millis now);
 
 /// @brief Records that an adapter may not be loaded after all; the next load report tells.
 void noteNotLoaded(ServerState &server, std::uint64_t adapterHash, Millis now);
@@ -146,9 +147,8 @@
 [[nodiscard]] bool isResident(const ServerState &server, std::uint64_t adapterHash) noexcept;
 
 /// @return since when a load waits that only lacks a token; nothing where there is none
-[[nodiscard]] std::optional<Millis> needsToken(const ServerState &server,
-                                               const SchedulerContext &context,
-                                               Millis now) noexcept;
+[[nodiscard]] std::optional<Millis>
+needsToken(const ServerState &server, const SchedulerContext &context, Millis now) noexcept;
 
 /// @brief Estimates the wait of a further request.
 /// @return for the adapter's load and a place in the batch together
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -376,6 +376,7 @@
     RouteCosts weighed = this->costs;
     const std::lock_guard guard(this->routesLock);
     const auto adapter = this->snapshot->findAdapter(acquire.query.adapter.adapter);
+    weighed.packs = packsBatches(this->snapshot->limits.weightPercent);
     weighed.poolRegions = poolsRegions(acquire.shard->group, this->snapshot->limits,
                                        adapter ? adapter->bytes : 0);
     return weighed;
@@ -410,9 +411,9 @@
         if (acquire->plan.asked == 0) {
             noteRequest(memory, this->costs, acquire->hash, now);
         }
-        acquire->plan = AskPlan{
-                chooseCandidates(acquire->shard->group, memory, weighed, acquire->hash, now), 0,
-                acquire->plan.asked, std::nullopt};
+        acquire->plan = AskPlan{chooseCandidates(acquire->shard->group, memory, weighed,
+                                                 acquire->hash, now, acquire->query.prefixHashes),
+                                0, acquire->plan.asked, std::nullopt};
     }
     acquire->ownersMissing = acquire->plan.candidates.count == 0;
     this->askNext(acquire);
@@ -607,6 +608,9 @@
         const Millis queueWait = loadWait > Millis(0) ? Millis(0) : waited;
         noteGranted(acquire->shard->memory, this->costs, acquire->hash, candidate.node, queueWait,
                     now);
+        for (const std::uint64_t prefix : acquire->query.prefixHashes) {
+            notePrefix(acquire->shard->memory.prefixes, prefix, candidate.node, now);
+        }
     }
     this->hold(acquire, candidate.node, grant, false);
     acquire->handler(GrantedPlace{node.id, node.address, grant, FencingNumber(reply.fencing()),
@@ -623,7 +627,9 @@
     }
     {
         const std::lock_guard guard(acquire->shard->lock);
-        noteWait(acquire->shard->memory, candidate.node, wait, monotonicNow());
+        if (candidate.believedResident) {
+            noteWait(acquire->shard->memory, candidate.node, wait, monotonicNow());
+        }
         noteNotResident(acquire->shard->memory, acquire->hash, candidate.node);
     }
     noteRedirect(acquire->plan, candidate.node, wait);
--- a/src/filters/gateway.cpp
+++ b/src/filters/gateway.cpp
@@ -1,6 +1,5 @@
 #include <balsamport/filters/gateway.h>
 
-#include <balsamport/core/log.h>
 #include <balsamport/core/metric_names.h>
 #include <balsamport/filters/alias_resolution.h>
 #include <balsamport/filters/answer.h>
@@ -36,7 +35,7 @@
     return FilterChain({makeRequestIdFilter(), makeAuthenticationFilter(), makeSizeLimitsFilter(),
                         makeBodyCheckFilter(), makeAliasResolutionFilter(),
                         makeAdmissionFilter(std::move(progress)),
-                        makeIdempotencyFilter(sources.claims, answers), place,
+                        makeIdempotencyFilter(sources.claims, answers, sources.backend), place,
                         makeDispatchFilter(dispatch, place)});
 }
 
@@ -67,21 +66,22 @@
     return std::nullopt;
 }
 
-std::string_view endpointName(Endpoint endpoint) noexcept
+/// The path as a metric's label; service names are left out, as callers choose them.
+std::string_view nameOf(Endpoint endpoint) noexcept
 {
     switch (endpoint) {
     case Endpoint::ChatCompletions:
-        return "chat";
+        return "/v1/chat/completions";
     case Endpoint::Completions:
-        return "completions";
+        return "/v1/completions";
+    case Endpoint::Service:
+        return "/v1/services";
     case Endpoint::Models:
-        return "models";
+        return "/v1/models";
     case Endpoint::Tickets:
-        return "tickets";
-    case Endpoint::Service:
         break;
     }
-    return "service";
+    return "/v1/tickets";
 }
 
 HttpAnswer probeAnswer(bool good)
@@ -122,7 +122,7 @@
         refuse(*request, *writer, {ErrorCode::UnknownPath, "there is nothing at this path"});
         return;
     }
-    if (this->leaving) {
+    if (this->leaving && monotonicNow() >= Millis(this->refuseFrom)) {
         refuse(*request, *writer, {ErrorCode::Leaving, "this VM is leaving"});
         return;
     }
@@ -148,13 +148,13 @@
 void Gateway::handleRequest(const std::shared_ptr<const IncomingRequest> &request,
                             const std::shared_ptr<ResponseWriter> &writer, Endpoint endpoint)
 {
-    processMetrics().counter(metric::requests, endpointName(endpoint)).add();
     SnapshotPtr snapshot = this->sources.snapshot();
     if (!snapshot) {
         refuse(*request, *writer,
                {ErrorCode::ConfigUnavailable, "no configuration has come in yet"});
         return;
     }
+    processMetrics().counter(metric::requests, nameOf(endpoint)).add();
     const auto context = std::make_shared<RequestContext>(request, writer, std::move(snapshot),
                                                           endpoint, monotonicNow());
     switch (endpoint) {
@@ -170,8 +170,11 @@
     }
 }
 
-void Gateway::startLeaving() noexcept
+void Gateway::startLeaving(Millis refuseTime) noexcept
 {
+    if (!this->leaving || refuseTime < Millis(this->refuseFrom)) {
+        this->refuseFrom = refuseTime.count();
+    }
     this->leaving = true;
 }
 
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -12,10 +12,14 @@
 constexpr Millis firstBackoff{500};
 constexpr Millis longestBackoff{30'000};
 constexpr std::uint32_t backoffDoublings = 6;
+constexpr Millis tokenWaitHalfLife{5'000};
+constexpr Millis cheapTokenWait{20};
 constexpr Millis shortestRetryAfter{1'000};
 constexpr std::int64_t redirectLoadTimes = 2;
 constexpr std::int64_t learnDivisor = 8; ///< Weight of a new sample in a learnt time.
 constexpr Millis preloadLifetime{60'000};
+constexpr double preloadDemand = 4; ///< Decayed requests.
+constexpr double preloadAdvantage = 3; ///< Hysteresis between a preload and its victim.
 constexpr std::size_t maxPreloads = 64;
 constexpr std::int64_t switchServiceTimes = 2;
 
@@ -50,6 +54,15 @@
     return known + (sample - known) / learnDivisor;
 }
 
+/// A learnt wait halves with each interval in which nothing was learnt.
+Millis tokenWait(const ServerState &server, Millis now) noexcept
+{
+    constexpr std::int64_t mostHalvings = 62;
+    const std::int64_t age = std::max((now - server.tokenWaitAt).count(), std::int64_t{0});
+    const std::int64_t halvings = std::min(age / tokenWaitHalfLife.count(), mostHalvings);
+    return Millis(server.tokenWait.count() >> halvings);
+}
+
 std::uint32_t classWeight(const SchedulerContext &context, const CallerClassId &callerClass)
 {
     if (context.classWeights == nullptr) {
@@ -250,7 +263,8 @@
                                   [hash](const WantedLoad &w) { return w.hash == hash; });
         if (found == wanted.end()) {
             found = wanted.insert(wanted.end(),
-                                  {waiter.request.adapter, hash, waiter.request.priority, 0, waiter.request.deadline, waiter.since});
+                                  {waiter.request.adapter, hash, waiter.request.priority, 0,
+                                   waiter.request.deadline, waiter.since});
         }
         found->priority = std::max(found->priority, waiter.request.priority);
         found->deadline = std::min(found->deadline, waiter.request.deadline);
@@ -301,6 +315,30 @@
     return best;
 }
 
+/// Whether a packed server takes a load: while loads are so cheap that filling batches goes first.
+bool takesPacked(ServerState &server, Millis now)
+{
+    const Slot *slot = chooseSlot(server, now);
+    return slot != nullptr
+            && (slot->state == SlotState::Free || tokenWait(server, now) <= cheapTokenWait);
+}
+
+void notePreload(ServerState &server, const AdapterRef &adapter, bool declared, Millis now)
+{
+    const std::uint64_t hash = hashOf(adapter);
+    const Millis until = now + preloadLifetime;
+    for (Preload &preload : server.preloads) {
+        if (preload.hash == hash) {
+            preload.until = until;
+            preload.declared = preload.declared || declared;
+            return;
+        }
+    }
+    if (server.preloads.size() < maxPreloads) {
+        server.preloads.push_back({adapter, hash, until, declared});
+    }
+}
+
 OrderLoad startLoad(Slot &slot, const WantedLoad &wanted, const LoadPermit &permit, Millis now)
 {
     std::optional<AdapterRef> victim;
@@ -322,6 +360,61 @@
         if (!permit) {
             return;
         }
+        server.tokenWait = learn(tokenWait(server, now), now - wanted.since);
+        server.tokenWaitAt = now;
+        // A victim that is still asked for comes back when the budget has room to spare.
+        if (slot->state == SlotState::Resident
+            && demandOf(server.demand, slot->hash, now) >= preloadDemand) {
+            notePreload(server, slot->adapter, false, now);
+        }
+        actions.emplace_back(startLoad(*slot, wanted, *permit, now));
+    }
+}
+
+/// A token that has been ready for a whole interval is not about to be needed.
+bool hasIdleToken(const LoadBudget &budget, Millis now)
+{
+    return budget.asks.empty()
+            && std::any_of(budget.tokens.begin(), budget.tokens.end(),
+                           [&budget, now](const LoadToken &token) {
+                               return now >= token.readyAt + budget.interval
+                                       && now >= token.busyUntil;
+                           });
+}
+
+/// What a preload is worth against the slot's present adapter.
+bool isWorthLoading(const ServerState &server, const Preload &preload, const Slot &slot, Millis now)
+{
+    if (slot.state == SlotState::Free || preload.declared) {
+        return true;
+    }
+    return demandOf(server.demand, preload.hash, now)
+            > preloadAdvantage * demandOf(server.demand, slot.hash, now);
+}
+
+void orderPreload(ServerState &server, LoadBudget &budget, Millis now, std::vector<Action> &actions)
+{
+    std::erase_if(server.preloads, [&server, now](const Preload &preload) {
+        return now >= preload.until || findSlot(server, preload.hash) != nullptr;
+    });
+    if (server.preloads.empty() || !hasIdleToken(budget, now)) {
+        return;
+    }
+    const auto best = std::max_element(server.preloads.begin(), server.preloads.end(),
+                                       [&server, now](const Preload &a, const Preload &b) {
+                                           if (a.declared != b.declared) {
+                                               return b.declared;
+                                           }
+                                           return demandOf(server.demand, a.hash, now)
+                                                   < demandOf(server.demand, b.hash, now);
+                                       });
+    Slot *slot = chooseSlot(server, now);
+    if (slot == nullptr || isBackingOff(server, best->hash, now)
+        || !isWorthLoading(server, *best, *slot, now)) {
+        return;
+    }
+    if (const auto permit = takeToken(budget, now, now)) {
+        const WantedLoad wanted{best->adapter, best->hash, 0, 0, Millis(), now};
         actions.emplace_back(startLoad(*slot, wanted, *permit, now));
     }
 }
@@ -347,7 +440,10 @@
         return std::max(left, Millis(0));
     }
     const auto ready = nextTokenReady(budget, now);
-    const Millis token = ready ? *ready - now : Millis(0);
+    const bool readyNow = ready && *ready <= now;
+    const Millis token = readyNow
+            ? Millis(0)
+            : std::max(ready ? *ready - now : Millis(0), tokenWait(server, now));
     const auto queued = static_cast<std::int64_t>(wantedLoads(server, now).size());
     const auto tokens = static_cast<std::int64_t>(std::max<std::size_t>(budget.tokens.size(), 1));
     return token + budget.interval * queued / tokens + server.loadTime;
@@ -444,7 +540,12 @@
     const bool longWait = batchWait(server) > server.loadTime * redirectLoadTimes;
     const bool absent = !resident && findSlot(server, hash) == nullptr;
     const bool noLoad = absent && (!mayLoad || !hasRoom(server));
-    if (!request.lastChoice && (noLoad || longWait)) {
+    if (!server.limits.adapterless) {
+        addDemand(server.demand, hash, now);
+    }
+    const bool passedOn = server.limits.packed && context.weightPercent > 50 && absent && !noLoad
+            && !takesPacked(server, now);
+    if (!request.lastChoice && (noLoad || longWait || passedOn)) {
         return Action(RedirectPlace{ticket, wait});
     }
     if (now + wait >= request.deadline) {
@@ -459,9 +560,6 @@
         return Action(
                 RefusePlace{ticket, ErrorCode::Overloaded, std::max(wait, shortestRetryAfter)});
     }
-    if (!server.limits.adapterless) {
-        addDemand(server.demand, hash, now);
-    }
     server.waiters.push_back({ticket, std::move(request), now, !resident});
     return std::nullopt;
 }
@@ -478,6 +576,9 @@
     givePlaces(server, context, now, actions);
     if (context.right == OwnerRight::Full && server.reported && !context.leaving) {
         orderLoads(server, budget, now, actions);
+        if (wantedLoads(server, now).empty()) {
+            orderPreload(server, budget, now, actions);
+        }
     }
     return actions;
 }
@@ -542,19 +643,9 @@
     });
 }
 
-void wantPreload(ServerState &server, const AdapterRef &adapter, Millis now)
+void wantPreload(ServerState &server, const AdapterRef &adapter, bool declared, Millis now)
 {
-    const std::uint64_t hash = hashOf(adapter);
-    const Millis until = now + preloadLifetime;
-    for (Preload &preload : server.preloads) {
-        if (preload.hash == hash) {
-            preload.until = until;
-            return;
-        }
-    }
-    if (server.preloads.size() < maxPreloads) {
-        server.preloads.push_back({adapter, hash, until});
-    }
+    notePreload(server, adapter, declared, now);
 }
 
 void noteNotLoaded(ServerState &server, std::uint64_t adapterHash, Millis now)
