Keep inner addresses from callers, and spare a timer for each request

Cause: transport errors named backend servers' addresses; curl's zero timeout went through a timer. Ruled out: a kept connection for non-repeatable requests, as it may break under them.

--- a/src/filters/backend_request.cpp
+++ b/src/filters/backend_request.cpp
@@ -110,6 +110,7 @@
         OutgoingRequest request
                 = engineRequest(context, context.backendPath, timeLeft(context, now));
         request.idleTimeout = idleTimeout;
+        request.freshConnection = !context.repeatable;
         request.body = withModel(context.request->body, context.model, context.adapter->str());
         return request;
     }
@@ -125,6 +126,7 @@
         request.timeout = std::min(request.timeout, service->second.timeout);
     }
     request.connectTimeout = std::min(connectTimeout, request.timeout);
+    request.freshConnection = !context.repeatable;
     return request;
 }
 
--- a/src/filters/dispatch.cpp
+++ b/src/filters/dispatch.cpp
@@ -46,6 +46,18 @@
                 || isIdempotentMethod(context.request->method));
 }
 
+/// What the caller reads; the details of a transport's failure name inner addresses.
+std::string callerText(const Error &error)
+{
+    constexpr std::uint16_t firstTransportNumber = 600;
+    constexpr std::uint16_t pastTransportNumber = 700;
+    const std::uint16_t number = errorNumber(error.code);
+    const bool transport = number >= firstTransportNumber && number < pastTransportNumber;
+    return transport || error.code == ErrorCode::ClaimExpired
+            ? "the backend server did not answer the request"
+            : error.detail;
+}
+
 /// Sends one request to backend servers, over retries and resumed streams, until it is answered.
 class BackendCall : public std::enable_shared_from_this<BackendCall>
 {
@@ -366,7 +378,7 @@
     }
     const BackendServerId server = this->context->placement->backendServer;
     LOG(INFO) << logprefix::retry << "Attempt failed. request=" << this->context->id
-              << " server=" << server << " error=" << errorName(error.code)
+              << " server=" << server << " error=" << describe(error)
               << " chunks=" << this->stream.next();
     if (error.code != ErrorCode::AdapterNotLoaded && error.code != ErrorCode::ClaimExpired) {
         this->sources->retries->noteFailure(server, monotonicNow());
@@ -479,7 +491,8 @@
         this->release(PlacementEnd::Cancelled);
     }
     const bool late = error.code == ErrorCode::ClaimExpired && !this->context->claim;
-    failRequest(this->context, {late ? ErrorCode::DeadlineExceeded : error.code, error.detail});
+    failRequest(this->context,
+                {late ? ErrorCode::DeadlineExceeded : error.code, callerText(error)});
 }
 
 /// The caller sees a typed error instead of the last event.
--- a/src/filters/ordering.cpp
+++ b/src/filters/ordering.cpp
@@ -2,8 +2,6 @@
 
 #include <balsamport/filters/chunk_reader.h>
 
-#include <utility>
-
 namespace balsamport {
 
 namespace {
@@ -48,7 +46,7 @@
         chunk.textHash = hash.value();
     }
     chunk.payload = formatSseEvent(event);
-    const auto ready = this->order.take(std::move(chunk));
+    const auto ready = this->order.take(chunk);
     if (!ready) {
         return ready.error();
     }
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -158,6 +158,11 @@
         if (timeoutMs < 0) {
             return;
         }
+        if (timeoutMs == 0) {
+            // Curl wants to be called as soon as it has returned, which needs no timer.
+            this->actSoon();
+            return;
+        }
         this->timer.expires_after(std::chrono::milliseconds(timeoutMs));
         this->timer.async_wait([this](const asio::error_code &error) {
             if (!error) {
@@ -166,6 +171,18 @@
         });
     }
 
+    void actSoon()
+    {
+        if (this->actPosted) {
+            return;
+        }
+        this->actPosted = true;
+        asio::post(this->context, [this] {
+            this->actPosted = false;
+            this->act(CURL_SOCKET_TIMEOUT, 0);
+        });
+    }
+
     void act(curl_socket_t fd, int events)
     {
         int running = 0;
@@ -248,6 +265,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work;
     asio::steady_timer timer;
     CURLM *multi = nullptr;
+    bool actPosted = false; ///< actSoon() is under way.
     std::map<curl_socket_t, std::shared_ptr<Watch>> watches;
     std::unordered_map<std::uint64_t, std::unique_ptr<CurlExchange>> exchanges;
     std::unordered_map<CURL *, std::uint64_t> numbers;
