--- a/src/filters/grant.cpp
+++ b/src/filters/grant.cpp
@@ -41,6 +41,10 @@
         return;
     }
     context->placement = placement;
+    if (context->endpoint == Endpoint::Service) {
+        next(); // The choice of a replica has its own line.
+        return;
+    }
     LOG(INFO) << logprefix::grant << "Placed. request=" << context->id
               << " server=" << placement.backendServer << " grant=" << placement.grant
               << " fencing=" << placement.fencing << " alone=" << context->alone;
