--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -2,6 +2,7 @@
 
 #include <balsamport/core/hash.h>
 #include <balsamport/core/log.h>
+#include <balsamport/core/metric_names.h>
 #include <balsamport/policy/link_budget.h>
 #include <balsamport/policy/routing.h>
 #include <balsamport/wire/convert.h>
@@ -304,7 +305,7 @@
     {
         const std::lock_guard guard(place.shard->lock);
         NodeLoad &load = place.shard->memory.loads[place.node];
-        load.inFlight -= load.inFlight > 0 ? 1 : 0;
+        noteEnded(place.shard->memory, place.node);
         if (how == ReleaseHow::Returned && !place.service) {
             noteNotResident(place.shard->memory, hashOf(place.adapter), place.node);
         }
@@ -459,6 +460,7 @@
     const std::lock_guard guard(this->linkLock);
     const std::uint64_t bytes = linkBytesOf(acquire->query);
     if (takeLinkBytes(this->link, bytes, now)) {
+        processMetrics().counter(metric::linkBytes).add(bytes);
         return true;
     }
     acquire->linkWait = linkWait(this->link, bytes, now);
@@ -639,7 +641,7 @@
 {
     {
         const std::lock_guard guard(acquire->shard->lock);
-        ++acquire->shard->memory.loads[node].inFlight;
+        noteStarted(acquire->shard->memory, node);
     }
     const GrantQuery &query = acquire->query;
     const std::lock_guard guard(this->heldLock);
