--- a/include/balsamport/controllers/ownership_controller.h
+++ b/include/balsamport/controllers/ownership_controller.h
@@ -61,6 +61,10 @@
     [[nodiscard]] bool isHeldBySelf(const Succession &succession) const;
     void voteForSelf(Millis now);
     void askVoters(Millis now);
+    /// Few voters while they answer, all of them after a vote was missed.
+    [[nodiscard]] std::vector<VmId>
+    votersToAsk(const VmId &subject, const std::map<VmId, std::map<VmId, Millis>> &ballot,
+                Millis now) const;
     void takeVotes(const VmId &voter, const wire::ViewConfirmReply &votes, Millis until);
     [[nodiscard]] bool believesGone(const VmId &vm) const;
     [[nodiscard]] Millis viewLifetime() const;
--- a/src/config/merge.cpp
+++ b/src/config/merge.cpp
@@ -63,6 +63,14 @@
     std::unordered_map<std::string, std::uint32_t> lines;
 };
 
+/// Name of a key with its section, for messages.
+std::string keyName(const std::string &title, const std::string &key)
+{
+    std::string name = "[";
+    name.append(title).append("] ").append(key);
+    return name;
+}
+
 MergedSection newSection(const std::string &title, const Place &origin)
 {
     const std::size_t blank = title.find(' ');
@@ -89,7 +97,7 @@
         const auto section = merged.sections.emplace(title, newSection(title, origin)).first;
         for (const auto &[key, value] : child) {
             section->second.values[key] = MergedValue{
-                    value.data(), Place{file, lines.lineOf(title, key), "[" + title + "] " + key}};
+                    value.data(), Place{file, lines.lineOf(title, key), keyName(title, key)}};
         }
     }
 }
--- a/src/controllers/membership_controller.cpp
+++ b/src/controllers/membership_controller.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr Millis seedPeriod{1000};
-constexpr Millis seedTimeout{1000};
 constexpr Millis pullTimeout{1000};
 constexpr Millis relayTimeout{400};
 constexpr Millis ackTimeout{2000};
--- a/src/controllers/ownership_controller.cpp
+++ b/src/controllers/ownership_controller.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr Millis evaluatePeriod{100};
-constexpr std::int64_t asksPerLifetime = 4;
+constexpr std::int64_t asksPerLifetime = 3;
 
 std::string_view rightName(OwnerRight right)
 {
@@ -253,14 +253,35 @@
     }
 }
 
+std::vector<VmId> OwnershipController::votersToAsk(
+        const VmId &subject, const std::map<VmId, std::map<VmId, Millis>> &ballot, Millis now) const
+{
+    std::vector<VmId> voters = votersOn(subject, this->inputs.list);
+    std::size_t needed = goneQuorum(voters.size());
+    needed -= std::erase(voters, this->self.instance.vm);
+    const auto votes = ballot.find(subject);
+    if (votes == ballot.end() || needed == 0 || voters.size() <= needed) {
+        return voters;
+    }
+    // A vote of the last round lasts longer than this.
+    const Millis renewed = now + this->viewLifetime() / 2;
+    const auto answered = [&votes, renewed](const VmId &vm) {
+        const auto vote = votes->second.find(vm);
+        return vote != votes->second.end() && vote->second >= renewed;
+    };
+    std::stable_partition(voters.begin(), voters.end(), answered);
+    if (answered(voters[needed - 1])) {
+        voters.resize(needed);
+    }
+    return voters;
+}
+
 void OwnershipController::askVoters(Millis now)
 {
     std::map<VmId, wire::Envelope> asks;
-    const auto add = [this, &asks](const VmId &subject, bool gone) {
-        for (const VmId &voterVm : votersOn(subject, this->inputs.list)) {
-            if (voterVm == this->self.instance.vm) {
-                continue;
-            }
+    const auto add = [this, &asks, now](const VmId &subject, bool gone) {
+        const auto &votes = gone ? this->ballots.gone : this->ballots.present;
+        for (const VmId &voterVm : this->votersToAsk(subject, votes, now)) {
             wire::ViewConfirm &ask = *asks[voterVm].mutable_view_confirm();
             if (gone) {
                 ask.add_gone_vms(subject.str());
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t newsFactor = 3;
+constexpr std::uint32_t newsFactor = 2;
 
 /// Rank of a state at the same incarnation and refutation; the higher one is believed.
 int gravity(MemberState state) noexcept
--- a/src/wire/message_client.cpp
+++ b/src/wire/message_client.cpp
@@ -36,6 +36,13 @@
     wire::Envelope envelope;
 };
 
+/// Spells the same endpoint in another way: ZeroMQ ignores a second connection to equal text.
+std::string withPaddedPort(std::string endpoint)
+{
+    const std::size_t colon = endpoint.rfind(':');
+    return colon == std::string::npos ? endpoint : endpoint.insert(colon + 1, 1, '0');
+}
+
 } // namespace
 
 struct MessageClient::Loop
@@ -51,6 +58,7 @@
         while (!this->stopping) {
             this->wait();
             this->wakeup.drain();
+            this->sendUnsent();
             this->sendAll();
             for (auto &[endpoint, socket] : this->sockets) {
                 this->receiveAll(socket);
@@ -65,7 +73,9 @@
         std::vector<zmq::pollitem_t> items;
         items.push_back({this->wakeup.receiver(), 0, ZMQ_POLLIN, 0});
         for (auto &[endpoint, socket] : this->sockets) {
-            items.push_back({socket.handle(), 0, ZMQ_POLLIN, 0});
+            const bool blocked = this->unsent.count(endpoint) != 0;
+            const int events = blocked ? ZMQ_POLLIN | ZMQ_POLLOUT : ZMQ_POLLIN;
+            items.push_back({socket.handle(), 0, static_cast<short>(events), 0});
         }
         zmq::poll(items, std::chrono::milliseconds(this->timeToNextDeadline().count()));
     }
@@ -90,19 +100,46 @@
         for (OutgoingMessage &message : batch) {
             message.envelope.mutable_sender()->set_vm(this->self.vm);
             message.envelope.mutable_sender()->set_incarnation(this->self.incarnation);
-            zmq::message_t body = serialize(message.envelope);
-            this->sent += body.size();
-            try {
-                // A full queue drops the message; a request then ends by its timeout.
-                static_cast<void>(
-                        this->socketFor(message.endpoint).send(body, zmq::send_flags::dontwait));
-            } catch (const zmq::error_t &error) {
-                LOG(WARNING) << logprefix::wire << "Could not send. endpoint=" << message.endpoint
-                             << " reason=" << error.what();
+            this->sendTo(message.endpoint, serialize(message.envelope));
+        }
+    }
+
+    /// Sends what waits for a connection to stand; used while keys are rotated.
+    void sendUnsent()
+    {
+        std::map<std::string, std::deque<zmq::message_t>> waiting;
+        waiting.swap(this->unsent);
+        for (auto &[endpoint, bodies] : waiting) {
+            for (zmq::message_t &body : bodies) {
+                this->sendTo(endpoint, std::move(body));
             }
         }
     }
 
+    void sendTo(const std::string &endpoint, zmq::message_t body)
+    {
+        const std::size_t bytes = body.size();
+        try {
+            if (this->socketFor(endpoint).send(body, zmq::send_flags::dontwait)) {
+                this->sent += bytes;
+                return;
+            }
+            // A full queue drops the message; a request then ends by its timeout.
+            if (this->isRotating()
+                && this->unsent[endpoint].size() < std::size_t{sendQueueMessages}) {
+                this->unsent[endpoint].push_back(std::move(body));
+            }
+        } catch (const zmq::error_t &error) {
+            LOG(WARNING) << logprefix::wire << "Could not send. endpoint=" << endpoint
+                         << " reason=" << error.what();
+        }
+    }
+
+    [[nodiscard]] bool isRotating() const
+    {
+        return this->keys.enabled() && !this->keys.acceptedPublic.empty();
+    }
+
     zmq::socket_t &socketFor(const std::string &endpoint)
     {
         const auto found = this->sockets.find(endpoint);
@@ -116,6 +153,18 @@
         socket.set(zmq::sockopt::reconnect_ivl, 50);
         socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
         CurveGuard::protectClient(socket, this->keys);
+        if (this->isRotating()) {
+            // The peer has one of several keys. Only the connection whose handshake succeeds gets
+            // messages.
+            socket.set(zmq::sockopt::immediate, true);
+            std::string spelling = endpoint;
+            for (const std::string &peerKey : this->keys.acceptedPublic) {
+                socket.set(zmq::sockopt::curve_serverkey, peerKey);
+                spelling = withPaddedPort(spelling);
+                socket.connect(spelling);
+            }
+            socket.set(zmq::sockopt::curve_serverkey, this->keys.publicKey);
+        }
         socket.connect(endpoint);
         return this->sockets.emplace(endpoint, std::move(socket)).first->second;
     }
@@ -205,6 +254,7 @@
     zmq::context_t context;
     Wakeup wakeup;
     std::map<std::string, zmq::socket_t> sockets; ///< Of the loop's thread only.
+    std::map<std::string, std::deque<zmq::message_t>> unsent;
     std::mutex mutex;
     std::deque<OutgoingMessage> outgoing; ///< Under mutex.
     std::unordered_map<std::uint64_t, PendingRequest> pending; ///< Under mutex.
--- a/tests/src/unit-policy.cpp
+++ b/tests/src/unit-policy.cpp
@@ -9,7 +9,6 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-
 using namespace balsamport;
 
 namespace {
