--- a/tests/e2e/e2e-fleet.cpp
+++ b/tests/e2e/e2e-fleet.cpp
@@ -237,3 +237,45 @@
         REQUIRE(awaitOwner(fleet, {other}) == other);
     }
 }
+
+TEST_CASE("calls to the platform do not grow with VMs")
+{
+    const auto callsPerSecond = [](int vmsOfEach) {
+        FleetFixture fleet(firstPort);
+        fleet.writeConfig("10-base.ini", baseText);
+        std::vector<std::string> ids;
+        std::uint16_t port = firstPort + 1;
+        for (const char *dataCentre : {"a", "b"}) {
+            for (int i = 0; i < vmsOfEach; ++i) {
+                ids.push_back(dataCentre + std::to_string(i));
+                fleet.addVm({ids.back(), dataCentre, port, static_cast<std::uint16_t>(port + 20)});
+                ++port;
+            }
+        }
+        fleet.list(ids);
+        fleet.startPlatform();
+        for (const std::string &id : ids) {
+            fleet.startController(id);
+        }
+        REQUIRE(eventually(inForce, [&] { return allHave(fleet, ids, 1); }));
+        sleepFor(Millis(3'000));
+        const auto total = [&fleet] {
+            const std::string text = fleet.get(fleet.platformAddress(), "/admin/calls");
+            const std::string key = "\"total\":";
+            return std::stod(text.substr(text.find(key) + key.size()));
+        };
+        constexpr double seconds = 6;
+        const double before = total();
+        sleepFor(Millis(6'000));
+        return (total() - before) / seconds;
+    };
+    const double few = callsPerSecond(2);
+    const double many = callsPerSecond(6);
+    WARN("capacity: name=platform-calls-4-vms value=" << few << " unit=calls/s");
+    WARN("capacity: name=platform-calls-12-vms value=" << many << " unit=calls/s");
+    // Two watchers for each of two data centres, each with at most 2 reads of the list and 5
+    // watches a second.
+    constexpr double mostCalls = 2 * 2 * (2 + 5);
+    REQUIRE(few <= mostCalls);
+    REQUIRE(many <= mostCalls);
+}
