Print the capacity measurements beside their budgets

`make capacity` runs the benchmarks that are built and compares their figures with the budgets of the target size in scripts/capacity_budgets.txt; a missed budget or a failed benchmark ends it with 1, and one that is not built is named.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # make fuzz runs 25,000 histories of each kind for each seed.
 FUZZ_SEEDS ?= 1 2 3 4
 
-.PHONY: packages build test e2e fuzz demo bench-policy capacity format format-check lint proto clean
+.PHONY: packages build test e2e fuzz demo load-demo bench-policy capacity format format-check lint proto clean
 
 packages:
 	sh scripts/packages.sh
@@ -26,6 +26,12 @@
 demo: packages build
 	bash scripts/demo.sh $(BUILD)
 
+load-demo: build
+	bash scripts/load_demo.sh $(BUILD) docs/load
+
+capacity: build
+	sh scripts/capacity.sh $(BUILD)
+
 format:
 	sh scripts/sources.sh | xargs clang-format -i
 
