Find a crash also where the engine is back at once

The gateway took a successful probe of /v1/load as proof that the engine lives, and a probe that broke as no proof that it died. The probe now cancels the request; an engine that does not know it, or that cannot be reached, has died. The test of the probe's address is replaced by one that plants both cases.

--- a/src/filters/dispatch.cpp
+++ b/src/filters/dispatch.cpp
@@ -389,24 +389,28 @@
                 || this->incoming.head.status == notFoundStatus);
     if (engine && lostWhileRunning) {
         this->takeCrash(error);
-    } else if (engine && error.code == ErrorCode::ConnectionBroken && !this->streamStarted) {
+    } else if (engine && error.code == ErrorCode::ConnectionBroken
+               && (!this->streamStarted || this->resuming)) {
         this->findCrash(error);
     } else {
         this->retryOrFail(error);
     }
 }
 
-/// Asks the engine for its load: one that refuses the connection has died.
+/// Cancels what is left of the request. An engine that cannot be reached has died; one that does
+/// not know the request has died and started again.
 void BackendCall::findCrash(const Error &error)
 {
-    OutgoingRequest probe;
-    probe.url = "http://" + this->context->placement->address + "/v1/load";
+    OutgoingRequest probe = cancelRequestOf(*this->context);
     probe.connectTimeout = probeTimeout;
     probe.timeout = probeTimeout;
     const auto self = this->shared_from_this();
+    const auto status = std::make_shared<int>(0);
     ExchangeHandlers handlers;
-    handlers.onDone = [self, error](const Result<void> &result) {
-        if (!result && result.error().code == ErrorCode::ConnectFailed) {
+    handlers.onHead = [status](const ResponseHead &head) { *status = head.status; };
+    handlers.onDone = [self, error, status](const Result<void> &result) {
+        const bool unreachable = !result && result.error().code != ErrorCode::Timeout;
+        if (unreachable || *status == notFoundStatus) {
             self->takeCrash(error);
         } else {
             self->retryOrFail(error);
--- a/tests/e2e/e2e-crashers.cpp
+++ b/tests/e2e/e2e-crashers.cpp
@@ -2,9 +2,8 @@
 
 #include <catch2/catch.hpp>
 
-#include <array>
 #include <atomic>
-#include <cstdio>
+#include <future>
 #include <iostream>
 #include <mutex>
 
@@ -145,7 +144,22 @@
 
 } // namespace
 
-TEST_CASE("a request that kills every engine that runs it")
+namespace {
+
+/// Sends one crasher again and again through every gateway.
+/// @return the status of the last answer
+int sendCrasher(CrashFleet &fleet, const std::string &content)
+{
+    int status = 0;
+    for (int i = 0; i < crasherSends; ++i) {
+        status = fleet.ask(content, static_cast<std::size_t>(i)).status;
+        sleepFor(Millis(300));
+    }
+    return status;
+}
+
+/// Runs crashers side by side among innocent callers, and checks what they cost.
+void runCrashers(const std::vector<std::string> &contents)
 {
     CrashFleet fleet;
     for (std::size_t gateway = 0; gateway < allVms.size(); ++gateway) {
@@ -157,10 +171,14 @@
     Innocents innocents(fleet, stop);
     sleepFor(Millis(500));
 
+    std::vector<std::future<int>> last;
+    last.reserve(contents.size());
+    for (const std::string &content : contents) {
+        last.push_back(std::async(std::launch::async, sendCrasher, std::ref(fleet), content));
+    }
     std::vector<int> statuses;
-    for (int i = 0; i < crasherSends; ++i) {
-        statuses.push_back(fleet.ask("CRASH-ENGINE now", static_cast<std::size_t>(i)).status);
-        sleepFor(Millis(300));
+    for (std::future<int> &status : last) {
+        statuses.push_back(status.get());
     }
     sleepFor(Millis(2'000));
     stop = true;
@@ -168,15 +186,29 @@
     stopEngines = true;
     keeper.join();
 
-    std::cout << "crasher: sends=" << crasherSends << " crashes=" << fleet.crashes
-              << " innocents-answered=" << innocents.answered
+    std::cout << "crashers: count=" << contents.size() << " sends-each=" << crasherSends
+              << " crashes=" << fleet.crashes << " innocents-answered=" << innocents.answered
               << " innocents-failed=" << innocents.failed.size() << "\n";
     for (const std::string &text : innocents.failed) {
         UNSCOPED_INFO(text);
     }
-    REQUIRE(fleet.crashes >= 1);
-    REQUIRE(fleet.crashes <= 2);
-    REQUIRE(statuses.back() == 422);
-    REQUIRE(innocents.answered > innocentCallers);
-    REQUIRE(innocents.failed.empty());
+    CHECK(fleet.crashes >= 1);
+    CHECK(fleet.crashes <= 2 * static_cast<int>(contents.size()));
+    CHECK(std::all_of(statuses.begin(), statuses.end(), [](int s) { return s == 422; }));
+    CHECK(innocents.answered > innocentCallers);
+    CHECK(innocents.failed.empty());
+}
+
+} // namespace
+
+TEST_CASE("requests that kill every engine that runs them")
+{
+    SECTION("one costs at most two engines, and innocents get their answers")
+    {
+        runCrashers({"CRASH-ENGINE now"});
+    }
+    SECTION("two at once cost at most two each")
+    {
+        runCrashers({"CRASH-ENGINE now", "CRASH-ENGINE as well"});
+    }
 }
--- a/tests/src/unit-filters.cpp
+++ b/tests/src/unit-filters.cpp
@@ -95,7 +95,7 @@
         const auto caller = fake.request("POST", "/v1/chat/completions", chatBody);
         REQUIRE(fake.exchange(0).connect());
         fake.exchange(0).fail(ErrorCode::ConnectionBroken);
-        REQUIRE(fake.exchange(1).request.url == "http://10.0.0.1:80/v1/load");
+        REQUIRE(fake.exchange(1).request.url == "http://10.0.0.1:80/v1/cancel");
 
         SECTION("as dead where it takes no connection")
         {
@@ -103,8 +103,21 @@
             REQUIRE(fake.crashes == std::vector{BackendServerId("server-1")});
             REQUIRE(fake.released == std::vector{PlacementEnd::ServerCrashed});
         }
-        SECTION("as broken where it still answers")
+        SECTION("as dead where its last connection breaks too")
+        {
+            fake.exchange(1).fail(ErrorCode::ConnectionBroken);
+            REQUIRE(fake.crashes == std::vector{BackendServerId("server-1")});
+        }
+        SECTION("as dead where it has started again and does not know the request")
+        {
+            fake.exchange(1).head(404, jsonAnswer);
+            fake.exchange(1).succeed();
+            REQUIRE(fake.crashes == std::vector{BackendServerId("server-1")});
+            REQUIRE(fake.released == std::vector{PlacementEnd::ServerCrashed});
+        }
+        SECTION("as broken where it still knows the request")
         {
+            fake.exchange(1).head(200, jsonAnswer);
             fake.exchange(1).succeed();
             REQUIRE(fake.crashes.empty());
             REQUIRE(fake.released == std::vector{PlacementEnd::Broken});
