Name every fault of syntax of a file, not the first one only

The INI reader stops at its first fault, so `check` left the rest of that file unread. A faulty line is now emptied and the file read again, up to 100 faults; after a broken section line it stops, because the keys below would count for another section. A parser of our own was ruled out. unit-ctl-check plants five faults in one file: all five are named, with their lines; before, the reader ended at line 2. unit-config passes as before.

--- a/src/config/merge.cpp
+++ b/src/config/merge.cpp
@@ -3,6 +3,7 @@
 #include <boost/property_tree/ini_parser.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <sstream>
 #include <string_view>
 #include <unordered_map>
@@ -13,6 +14,8 @@
 
 namespace pt = boost::property_tree;
 
+constexpr std::size_t maxFaultsPerFile = 100;
+
 /// Lines of all sections and keys of one file, found in one pass.
 class LineIndex
 {
@@ -94,6 +97,45 @@
     }
 }
 
+/// Parses a text and merges it; a fault of syntax gives its error, and nothing is merged.
+std::optional<Error> parseInto(const SourceFile &file, const std::string &text,
+                               MergedConfig &merged)
+{
+    pt::ptree tree;
+    try {
+        std::istringstream input(text);
+        pt::read_ini(input, tree);
+    } catch (const pt::ini_parser_error &error) {
+        const bool duplicate = error.message().find("duplicate") != std::string::npos;
+        return Error{duplicate ? ErrorCode::ConfigDuplicate : ErrorCode::ConfigSyntax,
+                     error.message(),
+                     Place{file.name, static_cast<std::uint32_t>(error.line()), ""}};
+    }
+    mergeTree(file.name, tree, LineIndex(text), merged);
+    return std::nullopt;
+}
+
+/// Empties a faulty line, so that the faults after it can be found as well.
+/// @return false where it opens a section: the keys after it would count for another one
+bool blankKeyLine(std::string &text, std::uint32_t line)
+{
+    std::size_t start = 0;
+    for (std::uint32_t number = 1; number < line && start != std::string::npos; ++number) {
+        start = text.find('\n', start);
+        start = start == std::string::npos ? start : start + 1;
+    }
+    if (line == 0 || start == std::string::npos) {
+        return false;
+    }
+    const std::size_t end = std::min(text.find('\n', start), text.size());
+    const std::size_t first = text.find_first_not_of(" \t", start);
+    if (first >= end || text[first] == '[') {
+        return false;
+    }
+    text.erase(start, end - start);
+    return true;
+}
+
 void mergeFile(const SourceFile &file, MergedConfig &merged)
 {
     if (file.content.size() > maxFileBytes) {
@@ -104,18 +146,17 @@
                                       Place{file.name, 0, ""}});
         return;
     }
-    pt::ptree tree;
-    try {
-        std::istringstream input(file.content);
-        pt::read_ini(input, tree);
-    } catch (const pt::ini_parser_error &error) {
-        const bool duplicate = error.message().find("duplicate") != std::string::npos;
-        merged.errors.push_back(Error{
-                duplicate ? ErrorCode::ConfigDuplicate : ErrorCode::ConfigSyntax, error.message(),
-                Place{file.name, static_cast<std::uint32_t>(error.line()), ""}});
-        return;
+    std::string text = file.content;
+    for (std::size_t faults = 0; faults < maxFaultsPerFile; ++faults) {
+        const std::optional<Error> fault = parseInto(file, text, merged);
+        if (!fault) {
+            return;
+        }
+        merged.errors.push_back(*fault);
+        if (!blankKeyLine(text, fault->place.line)) {
+            return;
+        }
     }
-    mergeTree(file.name, tree, LineIndex(file.content), merged);
 }
 
 } // namespace
--- a/tests/src/unit-ctl-check.cpp
+++ b/tests/src/unit-ctl-check.cpp
@@ -172,6 +172,47 @@
     }
 }
 
+TEST_CASE("a file with several faults of syntax and of content")
+{
+    std::vector<SourceFile> files = exampleFolder("frostlys");
+    files.push_back(SourceFile{"80-mistakes.ini",
+                               "[route a]\n"
+                               "target burn-plan@3\n"
+                               "target = burn-plan@3\n"
+                               "priority = high\n"
+                               "priority = 1\n"
+                               "= 5\n"
+                               "[limits]\n"
+                               "weight-percent = 120\n"});
+    const Acceptance acceptance = acceptRevision(ConfigRevision(1), files);
+    std::vector<std::uint32_t> lines;
+    for (const Error &error : acceptance.errors) {
+        REQUIRE(error.place.file == "80-mistakes.ini");
+        lines.push_back(error.place.line);
+    }
+
+    SECTION("has all of them named by their lines")
+    {
+        REQUIRE(lines == std::vector<std::uint32_t>{2, 4, 5, 6, 8});
+    }
+}
+
+TEST_CASE("a file with a broken section line")
+{
+    std::vector<SourceFile> files = exampleFolder("frostlys");
+    files.push_back(SourceFile{"80-mistakes.ini",
+                               "[limits]\nweight-percent = 10\n"
+                               "[route a\ntarget = burn-plan@3\n"});
+
+    SECTION("has just that line named, and not the keys after it")
+    {
+        const Acceptance acceptance = acceptRevision(ConfigRevision(1), files);
+        REQUIRE(acceptance.errors.size() == 1);
+        REQUIRE(acceptance.errors.front().place.line == 3);
+        REQUIRE(acceptance.errors.front().code == ErrorCode::ConfigSyntax);
+    }
+}
+
 TEST_CASE("comparing two folders")
 {
     const MergedConfig before = mergeFiles({{"1.ini",
