--- a/src/programs/gateway/main.cpp
+++ b/src/programs/gateway/main.cpp
@@ -30,16 +30,22 @@
     using namespace balsamport;
     const auto options = gatewayOptions();
     const auto command = readProgramSettings(argc, argv, options);
+    // --check covers the settings' meaning as well as their form.
+    const bool hasSettings = command
+            && (command.value().action == ProgramAction::Run
+                || command.value().action == ProgramAction::Check);
+    const Result<GatewaySettings> settings = hasSettings
+            ? readGatewaySettings(command.value().values)
+            : Result<GatewaySettings>(GatewaySettings());
+    if (!settings) {
+        std::cerr << "balsamport-gateway: " << describe(settings.error()) << '\n';
+        return exitcode::usage;
+    }
     if (const auto code = finishUnlessRunning("balsamport-gateway",
                                               "Serves callers: routes requests to backend servers.",
                                               command, options)) {
         return *code;
     }
-    const auto settings = readGatewaySettings(command.value().values);
-    if (!settings) {
-        std::cerr << "balsamport-gateway: " << describe(settings.error()) << '\n';
-        return exitcode::usage;
-    }
     startLogging("balsamport-gateway");
     auto daemon = GatewayDaemon::start(settings.value());
     if (!daemon) {
