Wake message threads by an event descriptor, once for several messages

Cause: each message to another daemon cost a send on an inner ZeroMQ socket under a lock. Ruled out: polling with a short timeout, which costs processor time when idle.

--- a/src/wire/message_client.cpp
+++ b/src/wire/message_client.cpp
@@ -50,7 +50,6 @@
     Loop(VmInstanceName name, CurveKeys curveKeys)
         : self(std::move(name))
         , keys(std::move(curveKeys))
-        , wakeup(this->context, wakeupEndpoint("client"))
     { }
 
     void run()
@@ -71,7 +70,7 @@
     void wait()
     {
         std::vector<zmq::pollitem_t> items;
-        items.push_back({this->wakeup.receiver(), 0, ZMQ_POLLIN, 0});
+        items.push_back(this->wakeup.pollItem());
         for (auto &[endpoint, socket] : this->sockets) {
             const bool blocked = this->unsent.count(endpoint) != 0;
             const int events = blocked ? ZMQ_POLLIN | ZMQ_POLLOUT : ZMQ_POLLIN;
--- a/src/wire/message_server.cpp
+++ b/src/wire/message_server.cpp
@@ -31,7 +31,6 @@
         : self(std::move(name))
         , handler(std::move(messageHandler))
         , router(this->context, zmq::socket_type::router)
-        , wakeup(this->context, wakeupEndpoint("server"))
     { }
 
     void push(std::string peer, wire::Envelope envelope)
@@ -49,8 +48,8 @@
     void run()
     {
         while (true) {
-            zmq::pollitem_t items[] = {{this->router.handle(), 0, ZMQ_POLLIN, 0},
-                                       {this->wakeup.receiver(), 0, ZMQ_POLLIN, 0}};
+            zmq::pollitem_t items[]
+                    = {{this->router.handle(), 0, ZMQ_POLLIN, 0}, this->wakeup.pollItem()};
             zmq::poll(items, 2, std::chrono::milliseconds(pollMilliseconds));
             this->wakeup.drain();
             this->receiveAll();
--- a/src/wire/socket_support.cpp
+++ b/src/wire/socket_support.cpp
@@ -2,9 +2,11 @@
 
 #include <balsamport/core/log.h>
 
+#include <sys/eventfd.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <chrono>
 
 namespace balsamport {
@@ -55,33 +57,33 @@
 
 } // namespace
 
-std::string wakeupEndpoint(const std::string &kind)
+Wakeup::Wakeup()
+    : fd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{ }
+
+Wakeup::~Wakeup()
 {
-    static std::atomic<std::uint64_t> next{0};
-    return "inproc://wakeup-" + kind + "-" + std::to_string(next++);
+    close(this->fd);
 }
 
-Wakeup::Wakeup(zmq::context_t &context, const std::string &endpoint)
-    : pull(context, zmq::socket_type::pull)
-    , push(context, zmq::socket_type::push)
+void Wakeup::signal() noexcept
 {
-    this->pull.set(zmq::sockopt::linger, 0);
-    this->push.set(zmq::sockopt::linger, 0);
-    this->pull.bind(endpoint);
-    this->push.connect(endpoint);
+    if (!this->signalled.exchange(true)) {
+        const std::uint64_t one = 1;
+        static_cast<void>(::write(this->fd, &one, sizeof one));
+    }
 }
 
-void Wakeup::signal()
+zmq::pollitem_t Wakeup::pollItem() const noexcept
 {
-    const std::lock_guard lock(this->mutex);
-    // A full queue has wakeups enough already.
-    static_cast<void>(this->push.send(zmq::message_t(), zmq::send_flags::dontwait));
+    return {nullptr, this->fd, ZMQ_POLLIN, 0};
 }
 
-void Wakeup::drain()
+void Wakeup::drain() noexcept
 {
-    zmq::message_t message;
-    while (this->pull.recv(message, zmq::recv_flags::dontwait)) { }
+    std::uint64_t count = 0;
+    static_cast<void>(::read(this->fd, &count, sizeof count));
+    this->signalled = false;
 }
 
 zmq::message_t serialize(const wire::Envelope &envelope)
@@ -116,14 +118,13 @@
     this->handler = zmq::socket_t(this->context, zmq::socket_type::rep);
     this->handler.set(zmq::sockopt::linger, 0);
     this->handler.bind("inproc://zeromq.zap.01");
-    this->wakeup = std::make_unique<Wakeup>(this->context, wakeupEndpoint("zap"));
     this->thread = std::thread([this] { this->run(); });
 }
 
 CurveGuard::~CurveGuard()
 {
     if (this->thread.joinable()) {
-        this->wakeup->signal();
+        this->wakeup.signal();
         this->thread.join();
     }
 }
@@ -151,8 +152,8 @@
 void CurveGuard::run()
 {
     while (true) {
-        zmq::pollitem_t items[] = {{this->handler.handle(), 0, ZMQ_POLLIN, 0},
-                                   {this->wakeup->receiver(), 0, ZMQ_POLLIN, 0}};
+        zmq::pollitem_t items[]
+                = {{this->handler.handle(), 0, ZMQ_POLLIN, 0}, this->wakeup.pollItem()};
         zmq::poll(items, 2, std::chrono::milliseconds(-1));
         if ((items[1].revents & ZMQ_POLLIN) != 0) {
             return;
--- a/src/wire/socket_support.h
+++ b/src/wire/socket_support.h
@@ -7,6 +7,7 @@
 
 #include <zmq.hpp>
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -14,23 +15,28 @@
 
 namespace balsamport {
 
-/// @return an inproc endpoint that no other call returns
-[[nodiscard]] std::string wakeupEndpoint(const std::string &kind);
-
 /// @brief Wakes a thread that waits in zmq::poll; signal() may be called from any thread.
+///
+/// Several signals before the next drain() cost one write.
 class Wakeup
 {
 public:
-    Wakeup(zmq::context_t &context, const std::string &endpoint);
+    Wakeup();
+    ~Wakeup();
+    Wakeup(const Wakeup &) = delete;
+    Wakeup &operator=(const Wakeup &) = delete;
+
+    void signal() noexcept;
+
+    /// @return the item to poll
+    [[nodiscard]] zmq::pollitem_t pollItem() const noexcept;
 
-    void signal();
-    [[nodiscard]] void *receiver() noexcept { return this->pull.handle(); }
-    void drain();
+    /// @brief Takes all signals. Call it before looking at what was signalled.
+    void drain() noexcept;
 
 private:
-    std::mutex mutex;
-    zmq::socket_t pull;
-    zmq::socket_t push; ///< Under mutex.
+    int fd;
+    std::atomic<bool> signalled{false};
 };
 
 /// @return the envelope as a ZeroMQ message
@@ -58,7 +64,7 @@
     std::vector<std::string> accepted;
     zmq::context_t &context;
     zmq::socket_t handler;
-    std::unique_ptr<Wakeup> wakeup;
+    Wakeup wakeup;
     std::thread thread;
 };
 
