Let an engine that does not answer keep nobody waiting

Cause: a trial of the demo with an unreachable engine held its request for the whole 60 s and then refused it.

--- a/include/balsamport/policy/grant_scheduler.h
+++ b/include/balsamport/policy/grant_scheduler.h
@@ -57,6 +57,7 @@
 {
     OwnerRight right = OwnerRight::Full;
     bool leaving = false; ///< The backend server gets no new work.
+    bool reachable = true; ///< The engine answers; one that does not keeps no request waiting.
     std::uint32_t weightPercent = 50; ///< 0: only load stalls count; 100: only batch fill.
     Millis gatherTime{20};
     std::uint32_t queueLimit = 256; ///< Waiting requests of one caller class.
--- a/src/controllers/grant_shard.cpp
+++ b/src/controllers/grant_shard.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::uint32_t reportsUntilUnreachable = 3;
+
 std::uint32_t wireMillis(Millis time) noexcept
 {
     return static_cast<std::uint32_t>(std::max<std::int64_t>(time.count(), 0));
@@ -216,6 +218,7 @@
         shard.fencing = FencingNumber();
         shard.reportPending = false;
         shard.reportAskedAt = Millis();
+        shard.failedReports = 0;
     }
     if (isOwner) {
         shard.fencing = FencingNumber(std::max(shard.fencing.number(), ownership.fencing.number()));
@@ -230,6 +233,7 @@
         context.right = OwnerRight::GrantsOnly;
     }
     context.leaving = shard.config.leaving;
+    context.reachable = shard.failedReports < reportsUntilUnreachable;
     context.weightPercent = shard.limits.weightPercent;
     context.gatherTime = shard.limits.gatherTime;
     context.link = shard.crossesLink ? &shard.link : nullptr;
@@ -340,6 +344,7 @@
 {
     shard.reportPending = false;
     shard.reachable = report.has_value();
+    shard.failedReports = shard.reachable ? 0 : shard.failedReports + 1;
     if (!report.has_value() || shard.ownership.right == OwnerRight::None) {
         return;
     }
--- a/src/controllers/grant_shard.h
+++ b/src/controllers/grant_shard.h
@@ -32,6 +32,7 @@
     FencingNumber fencing; ///< For orders of this ownership; above all that the engine reported.
     FencingNumber reportedFencing;
     bool reachable = false;
+    std::uint32_t failedReports = 0; ///< One after the other.
     bool reportPending = false;
     Millis reportAskedAt;
     LimitsConfig limits;
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -209,6 +209,15 @@
     return found != server.backoffs.end() && now < found->second.until;
 }
 
+/// To another backend server where there is one left, or the final answer.
+Action sendAway(bool lastChoice, std::uint64_t ticket, Millis wait)
+{
+    if (lastChoice) {
+        return RefusePlace{ticket, ErrorCode::NoBackendServer, shortestRetryAfter};
+    }
+    return RedirectPlace{ticket, wait};
+}
+
 /// Sends waiters elsewhere that this server will not serve soon.
 void redirectStuck(ServerState &server, const SchedulerContext &context, Millis now,
                    std::vector<Action> &actions)
@@ -217,6 +226,10 @@
         const std::uint64_t hash = waiter.request.adapterHash;
         const bool failed = !waiter.request.lastChoice && isBackingOff(server, hash, now)
                 && findSlot(server, hash) == nullptr;
+        if (!context.reachable) {
+            actions.push_back(sendAway(waiter.request.lastChoice, waiter.ticket, server.loadTime));
+            return true;
+        }
         if (!context.leaving && !failed) {
             return false;
         }
@@ -552,6 +565,9 @@
     if (context.leaving) {
         return Action(RedirectPlace{ticket, server.loadTime});
     }
+    if (!context.reachable) {
+        return sendAway(request.lastChoice, ticket, server.loadTime);
+    }
     const std::uint64_t hash = request.adapterHash;
     const Millis wait = expectedWait(server, budget, hash, now);
     const bool resident = server.limits.adapterless || isResident(server, hash);
--- a/tests/src/unit-policy.cpp
+++ b/tests/src/unit-policy.cpp
@@ -440,6 +440,21 @@
         REQUIRE_FALSE(isResident(server, hashOf(adapterOf(1))));
     }
 
+    SECTION("an engine that does not answer keeps nobody waiting")
+    {
+        REQUIRE_FALSE(admit(placeFor(1, now + Millis(9'000)), 1).has_value());
+        PlaceRequest other = placeFor(1, now + Millis(9'000));
+        other.lastChoice = false;
+        REQUIRE_FALSE(admit(other, 2).has_value());
+        context.reachable = false;
+        const auto actions = schedule(server, budget, context, now);
+        REQUIRE(only<RefusePlace>(actions).size() == 1);
+        REQUIRE(only<RefusePlace>(actions)[0].code == ErrorCode::NoBackendServer);
+        REQUIRE(only<RedirectPlace>(actions).size() == 1);
+        REQUIRE(only<OrderLoad>(actions).empty());
+        REQUIRE(std::holds_alternative<RefusePlace>(*admit(placeFor(1, now + Millis(9'000)), 3)));
+    }
+
     SECTION("a load over the link waits for the link's budget, and goes elsewhere meanwhile")
     {
         LinkBudget link;
