Let one end-to-end fixture run at a time on a machine

e2e-fleet failed in three runs in a row in which a second checkout ran the same test on the same ports (the log says: Address already in use). Ruled out: a lost publication and a peer that is not heard after its pause. A lock keeps the runs apart.

--- a/tests/e2e/process_fixture.h
+++ b/tests/e2e/process_fixture.h
@@ -20,6 +20,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <string>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -83,6 +84,29 @@
     std::filesystem::path folder;
 };
 
+/// @brief Lets one fixture run at a time on a machine: all of them use the same ports.
+class MachineLock
+{
+public:
+    MachineLock()
+        : file(open(path().c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666))
+    {
+        if (this->file < 0 || flock(this->file, LOCK_EX) != 0) {
+            throw std::runtime_error("cannot lock " + path());
+        }
+    }
+    ~MachineLock() { close(this->file); }
+    MachineLock(const MachineLock &) = delete;
+    MachineLock &operator=(const MachineLock &) = delete;
+
+private:
+    static std::string path()
+    {
+        return (std::filesystem::temp_directory_path() / "balsamport-e2e.lock").string();
+    }
+    int file;
+};
+
 /// @brief One running program. Killed by its process id when the object goes.
 class Process
 {
@@ -414,6 +438,7 @@
         return json + "]}";
     }
 
+    const MachineLock lock;
     const std::uint16_t port;
     TemporaryFolder folder;
     HttpClient httpClient;
