--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs the benchmarks that print capacity lines, and prints them beside the budgets of the target
 # size. Usage: scripts/capacity.sh BUILD-FOLDER. Ends with 1 where a budget is missed or a
-# benchmark fails; a benchmark that is not built is named.
+# benchmark fails; a benchmark that is not built is named. Takes some five minutes.
 set -u
 bin=${1:-build}
 here=$(dirname "$0")
@@ -21,6 +21,7 @@
         tail -n 5 "$work/$bench.txt" "$work/$bench.err"
         failed=1
     fi
+    grep '^capacity: ' "$work/$bench.txt" >&2
     grep '^capacity: ' "$work/$bench.txt" | sed "s/^capacity: /bench=bench-$bench /" >>"$work/lines.txt"
 done
 touch "$work/lines.txt"
