--- a/tests/e2e/e2e-rolling.cpp
+++ b/tests/e2e/e2e-rolling.cpp
@@ -121,15 +121,18 @@
         request.method = "POST";
         request.url = "http://" + gateway + "/v1/chat/completions";
         request.headers = {{"Content-Type", "application/json"}};
-        request.body = R"({"model":"citrus/)" + adapter
-                + R"(@1","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"hi"}]})";
+        request.body = R"({"model":"citrus/)";
+        request.body.append(adapter);
+        request.body.append(R"(@1","stream":true,"max_tokens":50,)");
+        request.body.append(R"("messages":[{"role":"user","content":"hi"}]})");
         request.timeout = Millis(20'000);
         ++tally.sent;
         const std::string fault = faultOf(client.fetch(std::move(request)), adapter);
         if (fault.empty()) {
             ++tally.whole;
         } else {
-            tally.fault(gateway + " " + adapter + ": " + fault);
+            std::string text = gateway;
+            tally.fault(text.append(" ").append(adapter).append(": ").append(fault));
             sleepFor(Millis(100));
         }
         number += workers;
--- a/tests/include/ownership_cluster.h
+++ b/tests/include/ownership_cluster.h
@@ -28,7 +28,7 @@
     NoHandoverWait, ///< A new owner gives orders at once: lists that differ for a time show it.
     NoAbstention, ///< Without the wait, a voter that starts anew votes at once.
     ShortPromise, ///< Without the wait, a voter keeps its promise too short a time.
-    count,
+    Count,
 };
 
 /// @brief One event.
@@ -42,7 +42,7 @@
         Wake,
         Restart,
         ListChange, ///< The platform lists `node` as live, leaving, or no longer.
-        count,
+        Count,
     };
     Kind kind = Kind::Advance;
     std::uint8_t node = 0;
@@ -107,7 +107,7 @@
         case ClusterStep::Kind::ListChange:
             this->changeList(node, step.value % 4);
             break;
-        case ClusterStep::Kind::count:
+        case ClusterStep::Kind::Count:
             break;
         }
         this->check();
--- a/tests/src/unit-config.cpp
+++ b/tests/src/unit-config.cpp
@@ -52,7 +52,7 @@
     return SourceFile{"10-base.ini", baseText};
 }
 
-Acceptance accept(std::vector<SourceFile> files)
+Acceptance accept(const std::vector<SourceFile> &files)
 {
     return acceptRevision(ConfigRevision(7), files);
 }
