Compare capacity figures with budgets as numbers

Planted figures below and above a budget now read rightly, and only the one above ends the script with 1.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -49,8 +49,8 @@
             if (field["name"] ~ pattern[i]) {
                 budget = limit[i]
                 why = reason[i]
-                margin = sprintf("%.1fx", field["value"] > 0 ? budget / field["value"] : 999)
-                if (field["value"] > budget) {
+                margin = sprintf("%.1fx", field["value"] + 0 > 0 ? budget / field["value"] : 999)
+                if (field["value"] + 0 > budget + 0) {
                     margin = "MISSED"
                     missed = 1
                 }
