Send a refutation again to members that missed it

Cause: a VM paused for 30 s wakes to a minute of old probes. Its refutation went out in the answers to these, which nobody awaited any more; after as many copies as news has it was never sent again, and the peers held the VM dead for good. Found by tracing the sockets of the woken controller: its peers told it that it was dead in every answer, and it said nothing of itself. Ruled out: a deadlock (stacks of all threads), a stuck message client (it sent its votes). Before: e2e-fleet, section "paused for 30 s and woken", failed in 5 runs of 5; the new section of unit-membership fails without the change. After: both pass. Conclusion: news of oneself that differs from one's state is always answered by one's own.

--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -58,6 +58,10 @@
     const bool contradicted = precedence(news) > precedence(state.self);
     if (contradicted) {
         state.self.refutation = news.refutation + 1;
+    }
+    // Whoever still believes older news has missed the refutation: its copies can all be lost, for
+    // example in late answers that nobody awaits any more.
+    if (contradicted || news.state != state.self.state) {
         state.selfNewsLeft = newsRepeats(state);
     }
     return contradicted;
--- a/tests/src/unit-membership.cpp
+++ b/tests/src/unit-membership.cpp
@@ -188,6 +188,32 @@
         REQUIRE_FALSE(applyNews(state, dead, Millis(3)));
     }
 
+    SECTION("a refutation whose copies were all lost is sent again to whoever missed it")
+    {
+        MembershipState state = startMembership(memberNamed("vm1"), {}, 1);
+        Member dead = memberNamed("vm1");
+        dead.state = MemberState::Dead;
+        REQUIRE(applyNews(state, dead, Millis(1)));
+        const Millis now(2);
+        const VmId peer("vm2");
+        applyNews(state, memberNamed("vm2"), now);
+        takeAnswer(state, peer, now);
+        const auto tellsOfItself = [&] {
+            const std::vector<Member> news = takeNews(state, peer);
+            return std::any_of(news.begin(), news.end(),
+                               [&](const Member &member) { return member == state.self; });
+        };
+        int lost = 0;
+        while (tellsOfItself()) {
+            ++lost;
+            REQUIRE(lost < 100);
+        }
+        REQUIRE(lost > 0);
+        applyNews(state, dead, Millis(3));
+        REQUIRE(tellsOfItself());
+        REQUIRE(state.self.refutation == 1);
+    }
+
     SECTION("a member that leaves refutes its death and stays leaving")
     {
         startLeaving(state);
