--- /dev/null
+++ b/src/policy/load_ordering.cpp
@@ -0,0 +1,219 @@
+#include "load_ordering.h"
+
+#include "slot_access.h"
+
+#include <balsamport/core/hash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+constexpr Millis tokenWaitHalfLife{5'000};
+constexpr Millis cheapTokenWait{20};
+constexpr Millis preloadLifetime{60'000};
+constexpr double preloadDemand = 4; ///< Decayed requests.
+constexpr double preloadAdvantage = 3; ///< Hysteresis between a preload and its victim.
+constexpr std::size_t maxPreloads = 64;
+
+bool mayEvict(const ServerState &server, const Slot &slot)
+{
+    return slot.state == SlotState::Resident && slot.running == 0 && !isPinned(server, slot.hash)
+            && !isWaitedFor(server, slot.hash);
+}
+
+Slot *chooseSlot(ServerState &server, Millis now)
+{
+    Slot *best = nullptr;
+    double bestValue = 0;
+    for (Slot &slot : server.slots) {
+        if (slot.state == SlotState::Free) {
+            return &slot;
+        }
+        if (!mayEvict(server, slot)) {
+            continue;
+        }
+        const double value = demandOf(server.demand, slot.hash, now);
+        if (best == nullptr || value < bestValue
+            || (value == bestValue && slot.lastUsed < best->lastUsed)) {
+            best = &slot;
+            bestValue = value;
+        }
+    }
+    return best;
+}
+
+void chargeLink(const SchedulerContext &context, Millis now) noexcept
+{
+    if (context.link != nullptr && !takeLinkBytes(*context.link, context.loadBytes, now)) {
+        context.link->left = 0;
+    }
+}
+
+OrderLoad startLoad(Slot &slot, const WantedLoad &wanted, const LoadPermit &permit, Millis now)
+{
+    std::optional<AdapterRef> victim;
+    if (slot.state == SlotState::Resident) {
+        victim = slot.adapter;
+    }
+    slot = Slot{SlotState::Loading, wanted.adapter, wanted.hash, victim, permit, now, now, 0};
+    return {wanted.adapter, std::move(victim), permit.deadline};
+}
+
+/// A token that has been ready for a whole interval is not about to be needed.
+bool hasIdleToken(const LoadBudget &budget, Millis now)
+{
+    return budget.asks.empty()
+            && std::any_of(budget.tokens.begin(), budget.tokens.end(),
+                           [&budget, now](const LoadToken &token) {
+                               return now >= token.readyAt + budget.interval
+                                       && now >= token.busyUntil;
+                           });
+}
+
+/// What a preload is worth against the slot's present adapter.
+bool isWorthLoading(const ServerState &server, const Preload &preload, const Slot &slot, Millis now)
+{
+    if (slot.state == SlotState::Free || preload.declared) {
+        return true;
+    }
+    return demandOf(server.demand, preload.hash, now)
+            > preloadAdvantage * demandOf(server.demand, slot.hash, now);
+}
+
+} // namespace
+
+std::vector<WantedLoad> wantedLoads(const ServerState &server, Millis now)
+{
+    std::vector<WantedLoad> wanted;
+    if (server.limits.adapterless) {
+        return wanted;
+    }
+    for (const Waiter &waiter : server.waiters) {
+        const std::uint64_t hash = waiter.request.adapterHash;
+        if (findSlot(server, hash) != nullptr || isBackingOff(server, hash, now)) {
+            continue;
+        }
+        auto found = std::find_if(wanted.begin(), wanted.end(),
+                                  [hash](const WantedLoad &w) { return w.hash == hash; });
+        if (found == wanted.end()) {
+            found = wanted.insert(wanted.end(),
+                                  {waiter.request.adapter, hash, waiter.request.priority, 0,
+                                   waiter.request.deadline, waiter.since});
+        }
+        found->priority = std::max(found->priority, waiter.request.priority);
+        found->deadline = std::min(found->deadline, waiter.request.deadline);
+        found->since = std::min(found->since, waiter.since);
+        found->urgency += (now - waiter.since).count() + 1;
+    }
+    std::sort(wanted.begin(), wanted.end(), [](const WantedLoad &a, const WantedLoad &b) {
+        if (a.priority != b.priority) {
+            return a.priority > b.priority;
+        }
+        return a.urgency != b.urgency ? a.urgency > b.urgency : a.deadline < b.deadline;
+    });
+    return wanted;
+}
+
+Millis tokenWait(const ServerState &server, Millis now) noexcept
+{
+    constexpr std::int64_t mostHalvings = 62;
+    const std::int64_t age = std::max((now - server.tokenWaitAt).count(), std::int64_t{0});
+    const std::int64_t halvings = std::min(age / tokenWaitHalfLife.count(), mostHalvings);
+    return Millis(server.tokenWait.count() >> halvings);
+}
+
+bool hasRoom(const ServerState &server)
+{
+    return std::any_of(server.slots.begin(), server.slots.end(), [&server](const Slot &slot) {
+        return slot.state == SlotState::Free || mayEvict(server, slot);
+    });
+}
+
+bool takesPacked(ServerState &server, Millis now)
+{
+    const Slot *slot = chooseSlot(server, now);
+    return slot != nullptr
+            && (slot->state == SlotState::Free || tokenWait(server, now) <= cheapTokenWait);
+}
+
+bool isLinkFree(const SchedulerContext &context, Millis now) noexcept
+{
+    return context.link == nullptr || linkBytesLeft(*context.link, now) >= context.loadBytes;
+}
+
+void notePreload(ServerState &server, const AdapterRef &adapter, bool declared, Millis now)
+{
+    const std::uint64_t hash = hashOf(adapter);
+    const Millis until = now + preloadLifetime;
+    for (Preload &preload : server.preloads) {
+        if (preload.hash == hash) {
+            preload.until = until;
+            preload.declared = preload.declared || declared;
+            return;
+        }
+    }
+    if (server.preloads.size() < maxPreloads) {
+        server.preloads.push_back({adapter, hash, until, declared});
+    }
+}
+
+void orderLoads(ServerState &server, LoadBudget &budget, const SchedulerContext &context,
+                Millis now, std::vector<Action> &actions)
+{
+    for (const WantedLoad &wanted : wantedLoads(server, now)) {
+        Slot *slot = chooseSlot(server, now);
+        if (slot == nullptr) {
+            return;
+        }
+        if (!isLinkFree(context, now)) {
+            return;
+        }
+        const auto permit = takeToken(budget, wanted.since, now);
+        if (!permit) {
+            return;
+        }
+        chargeLink(context, now);
+        server.tokenWait = learn(tokenWait(server, now), now - wanted.since);
+        server.tokenWaitAt = now;
+        // A victim that is still asked for comes back when the budget has room to spare.
+        if (slot->state == SlotState::Resident
+            && demandOf(server.demand, slot->hash, now) >= preloadDemand) {
+            notePreload(server, slot->adapter, false, now);
+        }
+        actions.emplace_back(startLoad(*slot, wanted, *permit, now));
+    }
+}
+
+void orderPreload(ServerState &server, LoadBudget &budget, const SchedulerContext &context,
+                  Millis now, std::vector<Action> &actions)
+{
+    std::erase_if(server.preloads, [&server, now](const Preload &preload) {
+        return now >= preload.until || findSlot(server, preload.hash) != nullptr;
+    });
+    if (server.preloads.empty() || !hasIdleToken(budget, now)) {
+        return;
+    }
+    const auto best = std::max_element(server.preloads.begin(), server.preloads.end(),
+                                       [&server, now](const Preload &a, const Preload &b) {
+                                           if (a.declared != b.declared) {
+                                               return b.declared;
+                                           }
+                                           return demandOf(server.demand, a.hash, now)
+                                                   < demandOf(server.demand, b.hash, now);
+                                       });
+    Slot *slot = chooseSlot(server, now);
+    if (slot == nullptr || isBackingOff(server, best->hash, now)
+        || !isWorthLoading(server, *best, *slot, now) || !isLinkFree(context, now)) {
+        return;
+    }
+    if (const auto permit = takeToken(budget, now, now)) {
+        chargeLink(context, now);
+        const WantedLoad wanted{best->adapter, best->hash, 0, 0, Millis(), now};
+        actions.emplace_back(startLoad(*slot, wanted, *permit, now));
+    }
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/policy/load_ordering.h
@@ -0,0 +1,52 @@
+#ifndef BALSAMPORT_POLICY_LOAD_ORDERING_H
+#define BALSAMPORT_POLICY_LOAD_ORDERING_H
+
+#include <balsamport/policy/grant_scheduler.h>
+
+#include <vector>
+
+namespace balsamport {
+
+/// Adapters that wait for a load, each with the urgency of its callers, most urgent first.
+struct WantedLoad
+{
+    AdapterRef adapter;
+    std::uint64_t hash = 0;
+    std::int32_t priority = 0;
+    std::int64_t urgency = 0;
+    Millis deadline;
+    Millis since; ///< When the oldest of the callers came.
+};
+
+/// @brief Collects the adapters that waiters need and no slot has, the most urgent first.
+[[nodiscard]] std::vector<WantedLoad> wantedLoads(const ServerState &server, Millis now);
+
+/// @brief Gives the wait for a token of the weight store as learnt from earlier loads. It halves
+/// with each interval in which nothing was learnt.
+[[nodiscard]] Millis tokenWait(const ServerState &server, Millis now) noexcept;
+
+/// @return whether a slot is free or could be made free
+[[nodiscard]] bool hasRoom(const ServerState &server);
+
+/// @return whether a packed server takes a load: while loads are so cheap that filling batches
+/// goes first
+[[nodiscard]] bool takesPacked(ServerState &server, Millis now);
+
+/// @return whether the link's budget allows a load now
+[[nodiscard]] bool isLinkFree(const SchedulerContext &context, Millis now) noexcept;
+
+/// @brief Notes an adapter that should be loaded when the budget has room to spare.
+/// @param declared by a route, ahead of its switch
+void notePreload(ServerState &server, const AdapterRef &adapter, bool declared, Millis now);
+
+/// @brief Orders the loads that waiters need, as far as slots, link and tokens allow.
+void orderLoads(ServerState &server, LoadBudget &budget, const SchedulerContext &context,
+                Millis now, std::vector<Action> &actions);
+
+/// @brief Orders one load ahead of need, where a token is idle.
+void orderPreload(ServerState &server, LoadBudget &budget, const SchedulerContext &context,
+                  Millis now, std::vector<Action> &actions);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/policy/load_results.cpp
@@ -0,0 +1,135 @@
+#include <balsamport/policy/grant_scheduler.h>
+
+#include "slot_access.h"
+
+#include <balsamport/core/hash.h>
+
+#include <algorithm>
+
+namespace balsamport {
+
+namespace {
+
+constexpr Millis firstBackoff{500};
+constexpr Millis longestBackoff{30'000};
+constexpr std::uint32_t backoffDoublings = 6;
+
+void restoreVictim(Slot &slot, Millis now)
+{
+    const AdapterRef victim = *slot.victim;
+    slot = Slot{SlotState::Resident, victim, hashOf(victim), std::nullopt, {}, now, now, 0};
+}
+
+void noteFailure(ServerState &server, std::uint64_t hash, Millis now)
+{
+    LoadBackoff &backoff = server.backoffs[hash];
+    const std::uint32_t doublings = std::min(backoff.failures, backoffDoublings);
+    backoff.until = now + std::min(firstBackoff * (std::int64_t{1} << doublings), longestBackoff);
+    ++backoff.failures;
+}
+
+/// Whether a slot's present state is later than a report and must not be changed by it.
+bool isNewer(const Slot &slot, const LoadReport &report) noexcept
+{
+    return slot.state == SlotState::Loading || slot.changedAt >= report.taken;
+}
+
+void addReported(ServerState &server, const LoadReport &report, Millis now)
+{
+    for (const AdapterRef &adapter : report.resident) {
+        const std::uint64_t hash = hashOf(adapter);
+        const bool isVictim
+                = std::any_of(server.slots.begin(), server.slots.end(), [&adapter](const Slot &s) {
+                      return s.victim.has_value() && *s.victim == adapter;
+                  });
+        if (isVictim || findSlot(server, hash) != nullptr) {
+            continue;
+        }
+        const auto free
+                = std::find_if(server.slots.begin(), server.slots.end(), [&report](const Slot &s) {
+                      return s.state == SlotState::Free && s.changedAt < report.taken;
+                  });
+        if (free != server.slots.end()) {
+            *free = Slot{SlotState::Resident, adapter, hash, std::nullopt, {},
+                         report.taken,        now,     0};
+        }
+    }
+}
+
+} // namespace
+
+void noteNotLoaded(ServerState &server, std::uint64_t adapterHash, Millis now)
+{
+    Slot *slot = findSlot(server, adapterHash);
+    if (slot != nullptr && slot->state == SlotState::Resident) {
+        slot->state = SlotState::Unknown;
+        slot->changedAt = now;
+    }
+}
+
+void finishLoadOrder(ServerState &server, LoadBudget &budget, const AdapterRef &adapter,
+                     LoadOutcome outcome, Millis now)
+{
+    const std::uint64_t hash = hashOf(adapter);
+    Slot *slot = findSlot(server, hash);
+    if (slot == nullptr || slot->state != SlotState::Loading) {
+        return;
+    }
+    if (outcome != LoadOutcome::Unknown) {
+        finishLoad(budget, slot->permit, now);
+    }
+    if (outcome == LoadOutcome::Loaded) {
+        server.loadTime = learn(server.loadTime, now - slot->changedAt);
+        server.backoffs.erase(hash);
+        slot->state = SlotState::Resident;
+        slot->victim.reset();
+        slot->changedAt = now;
+        return;
+    }
+    noteFailure(server, hash, now);
+    const bool victimKept
+            = outcome == LoadOutcome::VictimRunning || outcome == LoadOutcome::NotSent;
+    if (victimKept && slot->victim) {
+        restoreVictim(*slot, now);
+    } else if (outcome == LoadOutcome::Unknown) {
+        slot->state = SlotState::Unknown;
+        slot->changedAt = now;
+    } else {
+        *slot = Slot{};
+        slot->changedAt = now;
+    }
+}
+
+bool applyLoadReport(ServerState &server, LoadBudget &budget, const LoadReport &report, Millis now)
+{
+    const bool restarted = server.reported && server.engineStart != report.start;
+    if (restarted) {
+        for (Slot &slot : server.slots) {
+            if (slot.state == SlotState::Loading) {
+                finishLoad(budget, slot.permit, now);
+            }
+            slot = Slot{};
+        }
+    }
+    server.reported = true;
+    server.engineStart = report.start;
+    for (Slot &slot : server.slots) {
+        if (slot.state == SlotState::Free || isNewer(slot, report)) {
+            continue;
+        }
+        const auto found = std::find(report.resident.begin(), report.resident.end(), slot.adapter);
+        if (found == report.resident.end()) {
+            slot = Slot{};
+            slot.changedAt = report.taken;
+            continue;
+        }
+        slot.state = SlotState::Resident;
+        slot.victim.reset();
+        const auto running = report.running.find(slot.hash);
+        slot.running = running == report.running.end() ? 0 : running->second;
+    }
+    addReported(server, report, now);
+    return restarted;
+}
+
+} // namespace balsamport
