--- a/src/controllers/grant_controller.cpp
+++ b/src/controllers/grant_controller.cpp
@@ -187,6 +187,8 @@
 void GrantController::fillStatus(wire::StatusReply &status) const
 {
     status.set_loads_started(this->core->loadsStarted.load());
+    const Millis now = monotonicNow();
+    std::uint64_t linkBytes = 0;
     for (const auto &shard : this->core->allShards()) {
         const std::lock_guard guard(shard->lock);
         if (shard->ownership.right == OwnerRight::None) {
@@ -195,7 +197,9 @@
         wire::ServerStatus &server = *status.add_servers();
         server.set_owner_vm(this->core->self.str());
         describeShard(*shard, server);
+        linkBytes += shard->crossesLink ? linkBytesLeft(shard->link, now) : 0;
     }
+    status.set_link_bytes_left(linkBytes);
 }
 
 void GrantController::Core::updateShards(const SnapshotPtr &next,
