Gather requests for a batch only where others come at the same time

Cause: with the default weight an idle engine held every lone request for 10 ms, though nothing filled the batch; bench-gateway had to set weight-percent = 0 to keep its bound of 1 ms. Tried first: only the learnt time between arrivals. Now requests must also have found others here. Conclusion: the wait is spent only where it fills batches.

--- a/bench/gateway.cpp
+++ b/bench/gateway.cpp
@@ -196,9 +196,7 @@
 
 bool benchRequests(int requests)
 {
-    // Without the wait that fills a batch, which is not the gateway's own time.
-    OneVmFleet vm(firstPort, {"--batch", "2048", "--token-ms", "1"},
-                  "[limits]\nweight-percent = 0\n");
+    OneVmFleet vm(firstPort, {"--batch", "2048", "--token-ms", "1"});
     if (!vm.waitUntilServing()) {
         std::cerr << "the fleet did not start\n" << vm.fleet.gateway("vm1").logText();
         return false;
@@ -224,8 +222,7 @@
 
 bool benchStreams(int count)
 {
-    OneVmFleet vm(firstPort + 10, {"--batch", "2048", "--token-ms", "100"},
-                  "[limits]\nweight-percent = 0\n");
+    OneVmFleet vm(firstPort + 10, {"--batch", "2048", "--token-ms", "100"});
     if (!vm.waitUntilServing()) {
         std::cerr << "the fleet did not start\n" << vm.fleet.gateway("vm1").logText();
         return false;
--- a/include/balsamport/policy/server_state.h
+++ b/include/balsamport/policy/server_state.h
@@ -131,6 +131,9 @@
     Millis tokenWait; ///< Learnt: how long loads wait for a token of the weight store.
     Millis tokenWaitAt; ///< When it was learnt; it fades.
     Millis serviceTime{1'000}; ///< Learnt from the grants of this server.
+    Millis arrivalGap{1'000}; ///< Learnt: time between two requests for this server.
+    Millis lastArrival;
+    std::int32_t overlapPercent = 0; ///< Learnt: requests that found others here.
     std::string engineStart; ///< Tells one run of the engine from another.
     std::unordered_map<CallerClassId, double> classService; ///< For fair shares, by class.
 };
--- a/src/policy/grant_scheduler.cpp
+++ b/src/policy/grant_scheduler.cpp
@@ -12,6 +12,17 @@
 namespace {
 
 constexpr std::int64_t redirectLoadTimes = 2;
+constexpr Millis longestArrivalGap{1'000};
+constexpr std::int32_t overlapDivisor = 8; ///< Weight of a new sample.
+
+void noteArrival(ServerState &server, Millis now) noexcept
+{
+    const Millis gap = std::clamp(now - server.lastArrival, Millis(0), longestArrivalGap);
+    server.arrivalGap = learn(server.arrivalGap, gap);
+    server.lastArrival = now;
+    const bool overlaps = !server.grants.empty() || !server.waiters.empty();
+    server.overlapPercent += ((overlaps ? 100 : 0) - server.overlapPercent) / overlapDivisor;
+}
 
 Millis batchWait(const ServerState &server) noexcept
 {
@@ -95,6 +106,7 @@
     const bool longWait = batchWait(server) > server.loadTime * redirectLoadTimes;
     const bool absent = !resident && findSlot(server, hash) == nullptr;
     const bool noLoad = absent && (!mayLoad || !hasRoom(server) || !isLinkFree(context, now));
+    noteArrival(server, now);
     if (!server.limits.adapterless) {
         addDemand(server.demand, hash, now);
     }
--- a/src/policy/place_giving.cpp
+++ b/src/policy/place_giving.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::int64_t switchServiceTimes = 2;
+constexpr std::int32_t gatherOverlapPercent = 25;
 
 std::uint32_t classWeight(const SchedulerContext &context, const CallerClassId &callerClass)
 {
@@ -58,6 +59,19 @@
     return a.ticket < b.ticket;
 }
 
+/// Whether an idle engine waits a little, so that more requests start together. It does so only
+/// where another request is likely to come in that time, and no deadline suffers. A caller that
+/// sends one request after another is no reason: its next one waits for this one.
+bool isGathering(const ServerState &server, const Waiter &waiter, const SchedulerContext &context,
+                 Millis now)
+{
+    const Millis gather = context.gatherTime * context.weightPercent / 100;
+    const bool spare = waiter.request.deadline - now > server.serviceTime * 2;
+    const bool likely
+            = server.arrivalGap <= gather && server.overlapPercent >= gatherOverlapPercent;
+    return spare && likely && now - waiter.since < gather;
+}
+
 bool mayRun(const ServerState &server, const Waiter &waiter, const SchedulerContext &context,
             Millis now)
 {
@@ -80,9 +94,7 @@
         && server.grants.front().adapterHash != waiter.request.adapterHash) {
         return false;
     }
-    const Millis gather = context.gatherTime * context.weightPercent / 100;
-    const bool spare = waiter.request.deadline - now > server.serviceTime * 2;
-    return !server.grants.empty() || !spare || now - waiter.since >= gather;
+    return !server.grants.empty() || !isGathering(server, waiter, context, now);
 }
 
 /// An engine that does not mix adapters stops taking the running one when another waits long.
--- a/tests/src/unit-policy.cpp
+++ b/tests/src/unit-policy.cpp
@@ -269,6 +269,73 @@
     }
 }
 
+TEST_CASE("an idle engine gathers requests for its batch")
+{
+    ServerState server = readyServer(2, 4);
+    LoadBudget budget = budgetOf(2, Millis(400));
+    SchedulerContext context;
+    context.weightPercent = 100;
+    context.gatherTime = Millis(20);
+    LoadReport report;
+    report.start = "run";
+    report.taken = Millis(1);
+    report.resident = {adapterOf(1)};
+    applyLoadReport(server, budget, report, Millis(1));
+    std::uint64_t ticket = 0;
+    const auto arrive = [&](Millis now) {
+        REQUIRE_FALSE(admitRequest(server, budget, context, placeFor(1, now + Millis(60'000)),
+                                   ++ticket, now)
+                              .has_value());
+        return only<GivePlace>(schedule(server, budget, context, now));
+    };
+
+    SECTION("a lone request starts at once")
+    {
+        for (Millis now(10'000); now < Millis(20'000); now += Millis(2'000)) {
+            const auto given = arrive(now);
+            REQUIRE(given.size() == 1);
+            REQUIRE(releaseGrant(server, given.front().grant, now + Millis(10)));
+        }
+    }
+
+    SECTION("so does each request of a caller that sends one after another")
+    {
+        for (Millis now(10'000); now < Millis(11'000); now += Millis(2)) {
+            const auto given = arrive(now);
+            REQUIRE(given.size() == 1);
+            REQUIRE(releaseGrant(server, given.front().grant, now + Millis(1)));
+        }
+    }
+
+    SECTION("one in a dense stream waits for the next, but no longer than the gather time")
+    {
+        Millis now(10'000);
+        std::vector<GivePlace> running;
+        const auto releaseAll = [&] {
+            for (const GivePlace &place : running) {
+                releaseGrant(server, place.grant, now);
+            }
+            running.clear();
+        };
+        for (int i = 0; i < 200; ++i) {
+            now += Millis(5);
+            if (i % 4 == 0) {
+                releaseAll();
+            }
+            const auto given = arrive(now);
+            running.insert(running.end(), given.begin(), given.end());
+        }
+        releaseAll();
+        now += Millis(20);
+        running = only<GivePlace>(schedule(server, budget, context, now));
+        releaseAll();
+        REQUIRE(server.waiters.empty());
+        REQUIRE(arrive(now + Millis(5)).empty());
+        REQUIRE(arrive(now + Millis(10)).empty());
+        REQUIRE(only<GivePlace>(schedule(server, budget, context, now + Millis(25))).size() == 2);
+    }
+}
+
 TEST_CASE("a server's queue")
 {
     ServerState server = readyServer(2, 2);
