--- a/src/programs/controller/main.cpp
+++ b/src/programs/controller/main.cpp
@@ -5,53 +5,45 @@
 #include "controller_settings.h"
 
 #include <balsamport/core/log.h>
+#include <balsamport/core/stop_signal.h>
 
-#include <asio.hpp>
-
-#include <csignal>
 #include <iostream>
 
-namespace {
-
-/// Blocks until SIGTERM or SIGINT.
-void waitForStop(asio::io_context &context)
-{
-    asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([](const asio::error_code & /*error*/, int /*number*/) {});
-    context.run();
-}
-
-} // namespace
-
 int main(int argc, char **argv)
 {
     using namespace balsamport;
     const auto options = controllerOptions();
     const auto command = readProgramSettings(argc, argv, options);
+    // --check covers the settings' meaning as well as their form.
+    const bool hasSettings = command
+            && (command.value().action == ProgramAction::Run
+                || command.value().action == ProgramAction::Check);
+    const Result<ControllerSettings> settings = hasSettings
+            ? readControllerSettings(command.value().values)
+            : Result<ControllerSettings>(ControllerSettings());
+    if (!settings) {
+        std::cerr << "balsamport-controller: " << describe(settings.error()) << '\n';
+        return exitcode::usage;
+    }
     if (const auto code = finishUnlessRunning(
                 "balsamport-controller",
                 "Keeps configuration, membership, ownership, grants and claims of one VM.", command,
                 options)) {
         return *code;
     }
-    const auto settings = readControllerSettings(command.value().values);
-    if (!settings) {
-        std::cerr << "balsamport-controller: " << describe(settings.error()) << '\n';
-        return exitcode::usage;
-    }
     const auto keys = readCurveKeys(settings.value().keys);
     if (!keys) {
         std::cerr << "balsamport-controller: " << describe(keys.error()) << '\n';
         return exitcode::usage;
     }
     startLogging("balsamport-controller");
-    asio::io_context context{1};
+    StopSignal stop;
     auto daemon = ControllerDaemon::start(settings.value());
     if (!daemon) {
         LOG(ERROR) << logprefix::daemon << describe(daemon.error());
         return exitcode::failure;
     }
-    waitForStop(context);
+    stop.wait();
     daemon.value()->leave();
     return exitcode::success;
 }
--- a/src/programs/gateway/gateway_settings.cpp
+++ b/src/programs/gateway/gateway_settings.cpp
@@ -1,6 +1,6 @@
 #include "gateway_settings.h"
 
-#include <sstream>
+#include <balsamport/wire/daemon_options.h>
 
 namespace po = boost::program_options;
 
@@ -14,40 +14,19 @@
 constexpr std::uint32_t defaultReadTimeoutMs = 10'000;
 constexpr std::uint32_t defaultLeaveDelayMs = 1'000;
 constexpr std::uint32_t defaultLeaveLimitMs = 120'000;
-constexpr std::string_view tcpPrefix = "tcp://";
-
-std::vector<std::string> splitList(const std::string &text)
-{
-    std::vector<std::string> items;
-    std::istringstream stream(text);
-    std::string item;
-    while (std::getline(stream, item, ',')) {
-        if (!item.empty()) {
-            items.push_back(item);
-        }
-    }
-    return items;
-}
 
 Millis millisOf(const po::variables_map &values, const char *name)
 {
     return Millis(values[name].as<std::uint32_t>());
 }
 
-Error wrong(const char *name, const std::string &value, const char *expected)
-{
-    return {ErrorCode::SettingInvalid, "\"" + value + "\" is not valid; expected: " + expected,
-            Place{"", 0, name}};
-}
-
 } // namespace
 
 po::options_description gatewayOptions()
 {
     po::options_description options("Settings");
+    addDaemonOptions(options);
     auto add = options.add_options();
-    add("vm.id", po::value<std::string>()->required(), "name of this VM");
-    add("vm.data-centre", po::value<std::string>()->required(), "data centre of this VM");
     add("gateway.listen", po::value<std::string>()->required(),
         "IP:PORT on which callers are served");
     add("gateway.threads", po::value<std::uint32_t>()->default_value(defaultThreads),
@@ -70,12 +49,6 @@
         "PEM file with the certificate shown to callers; empty for plain HTTP");
     add("tls.key", po::value<std::string>()->default_value(""),
         "PEM file with the certificate's key, mode 0600");
-    add("keys.public", po::value<std::string>()->default_value(""),
-        "file with the fleet's public CURVE key; empty for plain text");
-    add("keys.secret", po::value<std::string>()->default_value(""),
-        "file with the fleet's secret CURVE key, mode 0600");
-    add("keys.accepted", po::value<std::string>()->default_value(""),
-        "files with further public keys, while keys are rotated; separated by commas");
     return options;
 }
 
@@ -85,25 +58,23 @@
     settings.vm = VmId(values["vm.id"].as<std::string>());
     settings.dataCentre = DataCentreId(values["vm.data-centre"].as<std::string>());
     settings.controllerEndpoint = values["controller.endpoint"].as<std::string>();
-    if (settings.controllerEndpoint.rfind(tcpPrefix, 0) != 0) {
-        return wrong("controller.endpoint", settings.controllerEndpoint, "tcp://IP:PORT");
+    if (!isEndpoint(settings.controllerEndpoint)) {
+        return wrongSetting("controller.endpoint", settings.controllerEndpoint, "tcp://IP:PORT");
     }
     settings.http.address = values["gateway.listen"].as<std::string>();
     if (settings.http.address.find(':') == std::string::npos) {
-        return wrong("gateway.listen", settings.http.address, "IP:PORT");
+        return wrongSetting("gateway.listen", settings.http.address, "IP:PORT");
     }
     settings.http.threads = values["gateway.threads"].as<std::uint32_t>();
     if (settings.http.threads == 0) {
-        return wrong("gateway.threads", "0", "at least 1");
+        return wrongSetting("gateway.threads", "0", "at least 1");
     }
     settings.http.maxBodyBytes = values["gateway.max-body-bytes"].as<std::uint64_t>();
     settings.http.maxConnections = values["gateway.max-connections"].as<std::uint32_t>();
     settings.http.readTimeout = millisOf(values, "gateway.read-timeout-ms");
     settings.http.tlsCertificateFile = values["tls.certificate"].as<std::string>();
     settings.http.tlsKeyFile = values["tls.key"].as<std::string>();
-    settings.keys.publicFile = values["keys.public"].as<std::string>();
-    settings.keys.secretFile = values["keys.secret"].as<std::string>();
-    settings.keys.acceptedFiles = splitList(values["keys.accepted"].as<std::string>());
+    settings.keys = keyFilesFrom(values);
     settings.maxInProgress = values["gateway.max-requests"].as<std::uint32_t>();
     settings.leaveDelay = millisOf(values, "gateway.leave-delay-ms");
     settings.leaveLimit = millisOf(values, "gateway.leave-limit-ms");
--- a/src/programs/gateway/main.cpp
+++ b/src/programs/gateway/main.cpp
@@ -5,26 +5,11 @@
 #include "gateway_settings.h"
 
 #include <balsamport/core/log.h>
+#include <balsamport/core/stop_signal.h>
 
-#include <asio.hpp>
-
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
-namespace {
-
-/// Blocks until SIGTERM or SIGINT.
-void waitForStop()
-{
-    asio::io_context context{1};
-    asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([](const asio::error_code & /*error*/, int /*number*/) {});
-    context.run();
-}
-
-} // namespace
-
 int main(int argc, char **argv)
 {
     using namespace balsamport;
@@ -47,12 +32,13 @@
         return *code;
     }
     startLogging("balsamport-gateway");
+    StopSignal stop;
     auto daemon = GatewayDaemon::start(settings.value());
     if (!daemon) {
         LOG(ERROR) << logprefix::daemon << describe(daemon.error());
         return exitcode::failure;
     }
-    waitForStop();
+    stop.wait();
     if (!daemon.value()->leave()) {
         // Requests still use all parts, so none can be taken down in order.
         google::FlushLogFiles(google::GLOG_INFO);
