--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -9,7 +9,7 @@
 trap 'rm -rf "$work"' EXIT
 failed=0
 
-for bench in config routing claims membership gateway; do
+for bench in config grants routing claims membership gateway; do
     program=$bin/bench-$bench
     if [ ! -x "$program" ]; then
         echo "NOT RUN: bench-$bench is not built"
