--- a/src/http/curl_exchange.cpp
+++ b/src/http/curl_exchange.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::size_t maxSpareHandles = 256;
 constexpr long maxKeptConnectionAgeSeconds = 5;
 constexpr std::int64_t millisPerSecond = 1000;
 
@@ -35,39 +34,10 @@
     std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
 }
 
-CurlHandlePool::~CurlHandlePool()
-{
-    for (CURL *const handle : this->spare) {
-        curl_easy_cleanup(handle);
-    }
-}
-
-CURL *CurlHandlePool::take()
-{
-    if (this->spare.empty()) {
-        return curl_easy_init();
-    }
-    CURL *const handle = this->spare.back();
-    this->spare.pop_back();
-    return handle;
-}
-
-void CurlHandlePool::give(CURL *handle)
-{
-    if (this->spare.size() >= maxSpareHandles) {
-        curl_easy_cleanup(handle);
-        return;
-    }
-    curl_easy_reset(handle);
-    this->spare.push_back(handle);
-}
-
-CurlExchange::CurlExchange(CurlHandlePool &handlePool, OutgoingRequest ownedRequest,
-                           ExchangeHandlers ownedHandlers)
-    : pool(handlePool)
-    , request(std::move(ownedRequest))
+CurlExchange::CurlExchange(OutgoingRequest ownedRequest, ExchangeHandlers ownedHandlers)
+    : request(std::move(ownedRequest))
     , handlers(std::move(ownedHandlers))
-    , easy(handlePool.take())
+    , easy(curl_easy_init())
 {
     this->setOptions();
     this->setBody();
@@ -75,7 +45,7 @@
 
 CurlExchange::~CurlExchange()
 {
-    this->pool.give(this->easy);
+    curl_easy_cleanup(this->easy);
     curl_slist_free_all(this->headerList);
 }
 
--- a/src/http/curl_exchange.h
+++ b/src/http/curl_exchange.h
@@ -5,37 +5,16 @@
 
 #include <curl/curl.h>
 
-#include <vector>
-
 namespace balsamport {
 
 /// @brief Initializes libcurl once for the process. May be called again, from any thread.
 void startCurl();
 
-/// @brief Keeps easy handles for use again, because making one costs many allocations.
-class CurlHandlePool
-{
-public:
-    CurlHandlePool() = default;
-    ~CurlHandlePool();
-    CurlHandlePool(const CurlHandlePool &) = delete;
-    CurlHandlePool &operator=(const CurlHandlePool &) = delete;
-
-    /// @return a handle without options
-    [[nodiscard]] CURL *take();
-
-    /// @brief Takes a handle back; one too many is freed.
-    void give(CURL *handle);
-
-private:
-    std::vector<CURL *> spare;
-};
-
 /// @brief One exchange on a curl easy handle. Lives on the client's thread.
 class CurlExchange
 {
 public:
-    CurlExchange(CurlHandlePool &pool, OutgoingRequest request, ExchangeHandlers handlers);
+    CurlExchange(OutgoingRequest request, ExchangeHandlers handlers);
     ~CurlExchange();
     CurlExchange(const CurlExchange &) = delete;
     CurlExchange &operator=(const CurlExchange &) = delete;
@@ -61,7 +40,6 @@
     void announceHead();
     [[nodiscard]] Error errorOf(CURLcode code) const;
 
-    CurlHandlePool &pool;
     OutgoingRequest request;
     ExchangeHandlers handlers;
     CURL *easy = nullptr;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -229,8 +229,7 @@
 
     void begin(std::uint64_t number, OutgoingRequest request, ExchangeHandlers handlers)
     {
-        auto exchange = std::make_unique<CurlExchange>(this->pool, std::move(request),
-                                                       std::move(handlers));
+        auto exchange = std::make_unique<CurlExchange>(std::move(request), std::move(handlers));
         this->numbers.emplace(exchange->handle(), number);
         CURL *const easy = exchange->handle();
         this->exchanges.emplace(number, std::move(exchange));
@@ -268,7 +267,6 @@
     CURLM *multi = nullptr;
     bool actPosted = false; ///< actSoon() is under way.
     std::map<curl_socket_t, std::shared_ptr<Watch>> watches;
-    CurlHandlePool pool; ///< Outlives the exchanges.
     std::unordered_map<std::uint64_t, std::unique_ptr<CurlExchange>> exchanges;
     std::unordered_map<CURL *, std::uint64_t> numbers;
     std::atomic<std::uint64_t> nextNumber{1};
