--- /dev/null
+++ b/include/balsamport/core/event_log.h
@@ -0,0 +1,105 @@
+#ifndef BALSAMPORT_CORE_EVENT_LOG_H
+#define BALSAMPORT_CORE_EVENT_LOG_H
+
+#include <balsamport/core/clock.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace balsamport {
+
+/// @brief How much a line matters when there are more than the log takes.
+enum class EventWeight : std::uint8_t {
+    Routine, ///< A request went as it should.
+    Notable, ///< Refusals, failures and changes of belief.
+    Vital, ///< Start, stop, reload, a dependency lost or regained.
+};
+
+/// @brief A named value of a log line.
+struct EventField
+{
+    std::string_view name;
+    std::variant<std::string_view, std::int64_t, bool> value;
+
+    EventField(std::string_view fieldName, std::string_view text)
+        : name(fieldName)
+        , value(text)
+    { }
+    EventField(std::string_view fieldName, const std::string &text)
+        : name(fieldName)
+        , value(std::string_view(text))
+    { }
+    EventField(std::string_view fieldName, const char *text)
+        : name(fieldName)
+        , value(std::string_view(text))
+    { }
+    EventField(std::string_view fieldName, std::int64_t number)
+        : name(fieldName)
+        , value(number)
+    { }
+    EventField(std::string_view fieldName, std::uint64_t number)
+        : name(fieldName)
+        , value(static_cast<std::int64_t>(number))
+    { }
+    EventField(std::string_view fieldName, int number)
+        : name(fieldName)
+        , value(std::int64_t{number})
+    { }
+    EventField(std::string_view fieldName, std::uint32_t number)
+        : name(fieldName)
+        , value(std::int64_t{number})
+    { }
+    EventField(std::string_view fieldName, Millis time)
+        : name(fieldName)
+        , value(time.count())
+    { }
+    EventField(std::string_view fieldName, bool flag)
+        : name(fieldName)
+        , value(flag)
+    { }
+};
+
+/// @brief Lines that the log takes.
+struct EventLogLimits
+{
+    std::uint32_t routinePerSecond = 200;
+    std::uint32_t notablePerSecond = 400;
+    std::size_t queueBytes = 512 * 1024; ///< Waiting for a slow reader.
+
+    bool operator==(const EventLogLimits &) const = default;
+};
+
+/// @brief Writes one JSON object a line to standard output, on a thread of its own.
+///
+/// A line over the budget of its weight, or that finds the queue full, is dropped and counted; the
+/// count is written once a second. No caller ever waits for the reader of the log.
+class EventLog
+{
+public:
+    /// @param fileDescriptor where lines go; standard output unless a test says otherwise
+    /// @param node name of the VM, in every line
+    EventLog(int fileDescriptor, std::string node, EventLogLimits limits = {});
+    ~EventLog(); ///< Writes what is queued, for at most 200 ms.
+    EventLog(const EventLog &) = delete;
+    EventLog &operator=(const EventLog &) = delete;
+
+    /// @brief Writes a line. May be called from any thread.
+    /// Example: `log.write(EventWeight::Notable, "refused", {{"request", id}, {"wait_ms", wait}});`
+    void write(EventWeight weight, std::string_view event,
+               std::initializer_list<EventField> fields);
+
+    /// @return lines that were dropped since the start
+    [[nodiscard]] std::uint64_t dropped() const noexcept;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/edge/engine_places.h
@@ -0,0 +1,241 @@
+#ifndef BALSAMPORT_EDGE_ENGINE_PLACES_H
+#define BALSAMPORT_EDGE_ENGINE_PLACES_H
+
+#include <balsamport/core/clock.h>
+#include <balsamport/core/ids.h>
+#include <balsamport/edge/service_config.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief Names one request for a place: the daemon that asks, and its own number.
+struct PlaceKey
+{
+    VmId vm;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const PlaceKey &) const = default;
+    bool operator==(const PlaceKey &) const = default;
+};
+
+/// @brief A part of a prompt; requests that share leading parts share their cached tokens.
+struct PromptPart
+{
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+
+    bool operator==(const PromptPart &) const = default;
+};
+
+/// @brief A request that waits for a place on an engine.
+struct PlaceRequest
+{
+    PlaceKey key;
+    RequestId request;
+    BaseModelId base;
+    AdapterId adapter; ///< Empty for the base model itself.
+    std::int32_t priority = 0; ///< 0 goes first.
+    Millis objectiveAt; ///< The first piece is late after this.
+    Millis deadlineAt; ///< The caller has gone after this.
+    std::uint32_t outputTokens = 0;
+    std::vector<PromptPart> parts;
+    bool lastChoice = false; ///< No other engine is left to try.
+    bool examined = false; ///< It was decided that the request may wait here.
+
+    bool operator==(const PlaceRequest &) const = default;
+};
+
+/// @brief How an engine's speed and limits are reckoned with.
+struct PlaceLimits
+{
+    EngineLimits engine;
+    double promptTokensPerMs = 25.8; ///< Source: the users' system page, "prompt tokens read".
+    Millis prefillAhead{25}; ///< Prompt work handed over before the last one is read.
+    Millis coldLoad{250}; ///< Source: the users' system page, time of an adapter load.
+    Millis warmLoad{25}; ///< An adapter that was held lately loads ten times as fast.
+    Millis elsewhereWait{250}; ///< Longer expected waits send a request to another engine.
+    Millis lateLimit{1'500}; ///< A request that is late by more is refused while it waits.
+    std::uint32_t loadsAtOnce = 3; ///< The engine takes four; one is left for a replacement.
+    std::size_t warmAdapters = 36; ///< Adapters that an engine keeps in its host's memory.
+
+    bool operator==(const PlaceLimits &) const = default;
+};
+
+/// @brief What an adapter's place is doing.
+enum class PlacePhase : std::uint8_t {
+    Loading,
+    Ready,
+    Unloading,
+};
+
+/// @brief One of an engine's places for adapters.
+struct AdapterPlace
+{
+    PlacePhase phase = PlacePhase::Loading;
+    AdapterVersion version; ///< 0 where none is declared.
+    std::uint32_t users = 0; ///< Granted requests; the place cannot be given up before they end.
+    Millis checkAt; ///< While loading: when to ask the engine again.
+    Millis loadStartedAt;
+    Millis usedAt;
+    std::set<std::uint64_t> cachedParts; ///< Prompt parts that were read for this adapter.
+
+    bool operator==(const AdapterPlace &) const = default;
+};
+
+/// @brief A request that was granted and has not ended.
+struct RunningRequest
+{
+    AdapterId adapter;
+    Millis grantedAt;
+    Millis deadlineAt;
+    std::uint64_t kvTokens = 0;
+    bool started = false; ///< Its first piece has come.
+
+    bool operator==(const RunningRequest &) const = default;
+};
+
+/// @brief What an order does.
+enum class OrderKind : std::uint8_t {
+    LoadModel,
+    LoadAdapter,
+    UnloadAdapter,
+};
+
+/// @brief An order for an engine. One at a time is under way.
+struct EngineOrder
+{
+    OrderKind kind = OrderKind::LoadAdapter;
+    BaseModelId base;
+    AdapterId adapter;
+    AdapterVersion version; ///< 0: the newest.
+    bool repeated = false; ///< Asks whether the same order has been carried out.
+
+    bool operator==(const EngineOrder &) const = default;
+};
+
+/// @brief How an engine answered an order.
+enum class OrderOutcome : std::uint8_t {
+    Accepted, ///< It is being carried out.
+    AlreadyHolds, ///< Nothing is left to do.
+    Conflict, ///< Another order is under way, or its order count differs.
+    Fenced, ///< It has seen a higher fencing number.
+    Refused, ///< It knows no such order, or is another server.
+    Unknown, ///< No answer: it may have been accepted.
+};
+
+/// @brief What an engine reports of itself.
+struct EngineReport
+{
+    std::uint64_t orderCount = 0;
+    bool modelLoaded = false;
+    bool modelBusy = false; ///< A model is being loaded.
+    std::map<AdapterId, AdapterVersion> adapters;
+    std::set<AdapterId> pending; ///< Being loaded.
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::map<RequestId, std::uint64_t> runs; ///< Requests that run, and their tokens in memory.
+
+    bool operator==(const EngineReport &) const = default;
+};
+
+/// @brief The places of one engine, as its owner keeps them. Use the functions below.
+struct EnginePlaces
+{
+    BackendServerId server;
+    BaseModelId base;
+    bool synced = false; ///< A report has been read since the owner's term began.
+    bool ordersAllowed = false; ///< The lease of any earlier owner is over.
+    bool modelLoaded = false;
+    Millis modelCheckAt;
+    std::map<AdapterId, AdapterPlace> places;
+    std::deque<AdapterId> warm; ///< Adapters that were held lately, newest first.
+    std::vector<PlaceRequest> waiting;
+    std::map<PlaceKey, RunningRequest> running;
+    Millis prefillUntil; ///< When the granted prompts will have been read.
+    std::optional<EngineOrder> orderInProgress;
+    bool resyncWanted = false; ///< The engine did not behave as believed; read a report.
+};
+
+/// @brief The newest declared version of each adapter; those that are not listed have none.
+using AdapterVersions = std::map<std::pair<BaseModelId, AdapterId>, AdapterVersion>;
+
+/// @brief Gives a request a place.
+struct GrantPlace
+{
+    PlaceKey key;
+    AdapterVersion version;
+    std::uint32_t promptTokens = 0; ///< That the engine has to read.
+
+    bool operator==(const GrantPlace &) const = default;
+};
+
+/// @brief Sends a request to another engine.
+struct SendElsewhere
+{
+    PlaceKey key;
+    Millis wait; ///< That it would have had here.
+
+    bool operator==(const SendElsewhere &) const = default;
+};
+
+/// @brief Refuses a request.
+struct RefusePlace
+{
+    PlaceKey key;
+    Millis retryAfter; ///< When a place is expected.
+
+    bool operator==(const RefusePlace &) const = default;
+};
+
+using PlaceAction = std::variant<GrantPlace, SendElsewhere, RefusePlace, EngineOrder>;
+
+/// @brief Puts a request into the queue. Decide with nextPlaceActions().
+void submitPlaceRequest(EnginePlaces &state, PlaceRequest request);
+
+/// @brief Decides who gets a place now, who is sent away, and which order is given.
+/// @complexity O(q log q) for q waiting requests
+[[nodiscard]] std::vector<PlaceAction> nextPlaceActions(EnginePlaces &state,
+                                                        const PlaceLimits &limits,
+                                                        const AdapterVersions &versions,
+                                                        Millis now);
+
+/// @brief Says when nextPlaceActions() may have something new to decide.
+[[nodiscard]] std::optional<Millis> nextPlaceCheck(const EnginePlaces &state,
+                                                   const PlaceLimits &limits);
+
+/// @brief Estimates how long a request that comes now waits before its prompt is read.
+[[nodiscard]] Millis expectedWait(const EnginePlaces &state, const PlaceLimits &limits,
+                                  const PlaceRequest &request, Millis now);
+
+/// @brief Notes that a request's first piece has come.
+void notePlaceStarted(EnginePlaces &state, const PlaceKey &key);
+
+/// @brief Notes that a request has ended, or that its caller has gone.
+void notePlaceEnded(EnginePlaces &state, const PlaceKey &key, Millis now);
+
+/// @brief Notes that the engine did not run a request because the adapter is not in place.
+void notePlaceNotReady(EnginePlaces &state, const PlaceKey &key, Millis now);
+
+/// @brief Ends all requests of a daemon that has gone or has started again.
+/// @param incarnation requests of this run are kept; 0 for none
+void dropPlacesOf(EnginePlaces &state, const VmId &vm, std::uint64_t incarnation, Millis now);
+
+/// @brief Takes the answer to the order in progress.
+void noteOrderOutcome(EnginePlaces &state, const PlaceLimits &limits, OrderOutcome outcome,
+                      Millis now);
+
+/// @brief Takes a report: what is held there and not known here, and the reverse.
+void applyReport(EnginePlaces &state, const EngineReport &report, Millis now);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/edge/order_ownership.h
@@ -0,0 +1,74 @@
+#ifndef BALSAMPORT_EDGE_ORDER_OWNERSHIP_H
+#define BALSAMPORT_EDGE_ORDER_OWNERSHIP_H
+
+#include <balsamport/edge/peers.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief Which engines this daemon gives orders to and grants places on.
+///
+/// There is nobody to elect an owner. An engine without a live owner is claimed by the first live
+/// daemon of its data centre by rendezvous, which then stays the owner until it stops. A new owner
+/// gives no order before the engine's own order count has stood still for longer than a lease.
+struct OrderOwnership
+{
+    Millis startedAt;
+    std::set<BackendServerId> owned;
+    std::map<BackendServerId, Millis> claimedByPeerAt; ///< When a peer last said it owns it.
+
+    bool operator==(const OrderOwnership &) const = default;
+};
+
+/// @brief Times of claims.
+struct OwnershipTimings
+{
+    Millis settle{1'200}; ///< After the start, so that peers with claims are heard first.
+    Millis silence{2'600}; ///< A peer's claim holds this long without being repeated.
+
+    bool operator==(const OwnershipTimings &) const = default;
+};
+
+/// @brief An engine and where it stands.
+struct EngineSite
+{
+    BackendServerId id;
+    DataCentreId dataCentre;
+
+    bool operator==(const EngineSite &) const = default;
+};
+
+/// @brief What changed.
+struct OwnershipChange
+{
+    std::vector<BackendServerId> gained;
+    std::vector<BackendServerId> lost;
+
+    bool operator==(const OwnershipChange &) const = default;
+};
+
+/// @brief Claims engines without an owner, and gives up those that are gone or that a peer which
+/// ranks higher claims as well.
+/// @param leaving this daemon stops and keeps none
+/// @complexity O(e * p) for e engines and p peers
+OwnershipChange updateOwnership(OrderOwnership &state, const OwnershipTimings &timings,
+                                const std::vector<EngineSite> &engines, const PeerTable &peers,
+                                bool leaving, Millis now);
+
+/// @brief Names the daemon that owns an engine.
+/// @return this VM's id, a live peer's, or nothing
+[[nodiscard]] std::optional<VmId> ownerOf(const OrderOwnership &state, const PeerTable &peers,
+                                          const BackendServerId &engine, Millis now);
+
+/// @brief Builds the fencing number of a new term. It rises with the published state's revision
+/// and with the engine's own order count, and differs between daemons.
+[[nodiscard]] FencingNumber fencingNumberFor(std::uint64_t contentRevision,
+                                             std::uint64_t orderCount, const VmId &vm);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/edge/peers.h
@@ -0,0 +1,94 @@
+#ifndef BALSAMPORT_EDGE_PEERS_H
+#define BALSAMPORT_EDGE_PEERS_H
+
+#include <balsamport/core/clock.h>
+#include <balsamport/core/ids.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief Another daemon of the system as this one sees it.
+struct Peer
+{
+    VmId vm;
+    std::uint64_t incarnation = 0;
+    std::string endpoint; ///< tcp://IP:PORT
+    DataCentreId dataCentre;
+    Millis heardAt{-1}; ///< When it last spoke to this VM; -1 if only others told of it.
+    Millis firstTold; ///< When this VM learnt of it.
+    bool leaving = false;
+    bool storeReachable = false;
+    std::set<BackendServerId> owned; ///< Backend servers that it gives orders to.
+
+    bool operator==(const Peer &) const = default;
+};
+
+/// @brief Times of the daemons' gossip.
+struct PeerTimings
+{
+    Millis nearPeriod{500}; ///< Between messages to a peer of the same data centre.
+    Millis farPeriod{1'000}; ///< Between messages to a peer of another one.
+    Millis aliveTime{2'200}; ///< A peer that was heard within this time is alive.
+    Millis forgetTime{20'000}; ///< A silent peer is then forgotten.
+    std::size_t farPeersPerRound = 7; ///< Peers of other data centres told in one round.
+
+    bool operator==(const PeerTimings &) const = default;
+};
+
+/// @brief The daemons that this one knows.
+struct PeerTable
+{
+    VmId self;
+    DataCentreId dataCentre;
+    PeerTimings timings;
+    std::map<VmId, Peer> peers; ///< Without this VM.
+    std::uint64_t round = 0;
+
+    bool operator==(const PeerTable &) const = default;
+};
+
+/// @brief What a peer says of itself.
+struct PeerNews
+{
+    VmId vm;
+    std::uint64_t incarnation = 0;
+    std::string endpoint;
+    DataCentreId dataCentre;
+    bool leaving = false;
+    bool storeReachable = false;
+    std::set<BackendServerId> owned;
+
+    bool operator==(const PeerNews &) const = default;
+};
+
+/// @brief Takes what a peer says of itself.
+/// @return true where the peer is new or has started again
+bool hearPeer(PeerTable &table, const PeerNews &news, Millis now);
+
+/// @brief Learns from a third daemon that a peer exists; it counts as alive only once it speaks.
+/// @return true where it was not known
+bool learnPeer(PeerTable &table, const PeerNews &news, Millis now);
+
+/// @brief Forgets peers that have been silent for long.
+/// @return those that were forgotten
+std::vector<VmId> forgetPeers(PeerTable &table, Millis now);
+
+/// @return true where the peer spoke lately
+[[nodiscard]] bool isAlive(const PeerTable &table, const Peer &peer, Millis now) noexcept;
+
+/// @brief Chooses whom to tell in this round, which is one nearPeriod long: all of the own data
+/// centre, and a part of the others, in turn.
+[[nodiscard]] std::vector<const Peer *> gossipTargets(PeerTable &table);
+
+/// @brief Says whether this daemon reads the store for its data centre: the first by rendezvous
+/// among its live members that reach the store.
+[[nodiscard]] bool isStoreReader(const PeerTable &table, bool selfReachesStore, Millis now);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/include/balsamport/edge/server_choice.h
@@ -0,0 +1,89 @@
+#ifndef BALSAMPORT_EDGE_SERVER_CHOICE_H
+#define BALSAMPORT_EDGE_SERVER_CHOICE_H
+
+#include <balsamport/core/clock.h>
+#include <balsamport/core/ids.h>
+#include <balsamport/edge/server_catalog.h>
+
+#include <cstdint>
+#include <map>
+#include <string_view>
+#include <vector>
+
+namespace balsamport {
+
+/// @brief What this daemon has seen of a backend server.
+struct ServerExperience
+{
+    std::uint32_t inFlight = 0; ///< Requests of this daemon that run there.
+    double failureShare = 0; ///< Of its late answers, weighted to the newest.
+    Millis avoidUntil{-1}; ///< It did not accept a connection or fell silent.
+    Millis wait{0}; ///< That its owner told last.
+    Millis waitToldAt{-1};
+
+    bool operator==(const ServerExperience &) const = default;
+};
+
+using ServerExperiences = std::map<BackendServerId, ServerExperience>;
+
+/// @brief Where this daemon stands.
+struct Location
+{
+    DataCentreId dataCentre;
+    std::map<DataCentreId, RegionId> regions; ///< Of all data centres.
+
+    bool operator==(const Location &) const = default;
+};
+
+/// @brief How far away a server is.
+enum class Distance : std::uint8_t {
+    SameDataCentre,
+    SameRegion,
+    OtherRegion,
+};
+
+[[nodiscard]] Distance distanceTo(const Location &location, const DataCentreId &dataCentre);
+
+/// @brief Notes how an answer turned out.
+void noteAnswer(ServerExperience &experience, bool failed) noexcept;
+
+/// @brief Notes that a server could not be reached.
+void noteUnreachable(ServerExperience &experience, Millis now) noexcept;
+
+/// @brief Requests by adapter, decayed, from which follows on how many engines one is served.
+struct AdapterDemand
+{
+    struct Rate
+    {
+        double perSecond = 0;
+        Millis at;
+
+        bool operator==(const Rate &) const = default;
+    };
+    std::map<std::string, Rate, std::less<>> rates;
+
+    bool operator==(const AdapterDemand &) const = default;
+};
+
+/// @brief Counts a request.
+/// @return requests a second for the adapter at this daemon
+double noteDemand(AdapterDemand &demand, std::string_view adapter, Millis now);
+
+/// @brief Ranks the engines for an adapter: its homes in the own region first, one or more by its
+/// demand, the least busy of them first; then the rest of the region; then the other regions.
+/// @param requestsPerSecond for the adapter, in the whole region
+/// @complexity O(n log n)
+[[nodiscard]] std::vector<BackendServerId>
+rankEngines(const std::vector<const ServerEntry *> &servers, const Location &location,
+            const ServerExperiences &experiences, std::string_view adapter,
+            double requestsPerSecond, Millis now);
+
+/// @brief Ranks the replicas of a plain service: the least loaded near one first.
+/// @param random breaks ties, so that daemons do not all choose alike
+[[nodiscard]] std::vector<BackendServerId>
+rankReplicas(const std::vector<const ServerEntry *> &servers, const Location &location,
+             const ServerExperiences &experiences, std::uint64_t random, Millis now);
+
+} // namespace balsamport
+
+#endif
--- a/include/balsamport/http/http_client.h
+++ b/include/balsamport/http/http_client.h
@@ -18,6 +18,7 @@
 {
     std::string method = "GET";
     std::string url; ///< http://IP:PORT/path
+    std::string target; ///< Sent in place of the path of the url, byte for byte; empty for none.
     HttpHeaders headers;
     std::string body;
     Millis connectTimeout{1000};
@@ -25,6 +26,7 @@
     Millis idleTimeout{0}; ///< Longest silence while the answer is awaited; 0 for none.
     /// Opens a new connection, so that a kept one cannot break under the request.
     bool freshConnection = false;
+    Millis keptConnectionAge{5'000}; ///< A connection that was idle for longer is not used again.
 };
 
 /// @brief The status line and headers of an answer, before its body.
--- a/include/balsamport/http/http_server.h
+++ b/include/balsamport/http/http_server.h
@@ -18,6 +18,7 @@
     std::string method;
     std::string path; ///< Without the query.
     std::string query; ///< Without the question mark.
+    std::string target; ///< Path and query as they came.
     HttpHeaders headers;
     std::string body;
     std::string remote; ///< IP:PORT of the caller
--- /dev/null
+++ b/src/core/event_log.cpp
@@ -0,0 +1,201 @@
+#include <balsamport/core/event_log.h>
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace balsamport {
+
+namespace {
+
+using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
+
+/// Longest text of one value, so that a caller cannot fill the log with one header.
+constexpr std::size_t maxTextBytes = 200;
+constexpr Millis second{1'000};
+constexpr Millis closingTime{200};
+/// A full pipe is looked at this often, so that the writer's thread can end.
+constexpr int pollMilliseconds = 50;
+
+void writeText(JsonWriter &writer, std::string_view text)
+{
+    text = text.substr(0, maxTextBytes);
+    writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+}
+
+struct ValueWriter
+{
+    JsonWriter &writer;
+
+    void operator()(std::string_view text) const { writeText(this->writer, text); }
+    void operator()(std::int64_t number) const { this->writer.Int64(number); }
+    void operator()(bool flag) const { this->writer.Bool(flag); }
+};
+
+} // namespace
+
+struct EventLog::Impl
+{
+    Impl(int descriptor, std::string name, EventLogLimits bounds)
+        : fd(descriptor)
+        , node(std::move(name))
+        , limits(bounds)
+    { }
+
+    [[nodiscard]] std::string line(Millis wall, std::string_view event,
+                                   std::initializer_list<EventField> fields) const
+    {
+        rapidjson::StringBuffer buffer;
+        JsonWriter writer(buffer);
+        writer.StartObject();
+        writer.Key("at");
+        writer.Int64(wall.count());
+        writer.Key("node");
+        writeText(writer, this->node);
+        writer.Key("event");
+        writeText(writer, event);
+        for (const EventField &field : fields) {
+            writer.Key(field.name.data(), static_cast<rapidjson::SizeType>(field.name.size()));
+            std::visit(ValueWriter{writer}, field.value);
+        }
+        writer.EndObject();
+        buffer.Put('\n');
+        return std::string(buffer.GetString(), buffer.GetSize());
+    }
+
+    /// Begins a new second and tells what the last one dropped. Under the mutex.
+    void turnSecond(Millis now)
+    {
+        if (now - this->secondBegan < second) {
+            return;
+        }
+        this->secondBegan = now;
+        this->routine = 0;
+        this->notable = 0;
+        const std::uint64_t total = this->droppedLines;
+        if (total != this->droppedTold) {
+            this->queue += this->line(wallNow(), "log_dropped",
+                                      {{"lines", total - this->droppedTold}, {"total", total}});
+            this->droppedTold = total;
+        }
+    }
+
+    /// @return false where the line is over its budget. Under the mutex.
+    bool takeBudget(EventWeight weight)
+    {
+        switch (weight) {
+        case EventWeight::Routine:
+            return this->routine++ < this->limits.routinePerSecond;
+        case EventWeight::Notable:
+            return this->notable++ < this->limits.notablePerSecond;
+        case EventWeight::Vital:
+            return true;
+        }
+        return true;
+    }
+
+    void run()
+    {
+        std::unique_lock lock(this->mutex);
+        while (true) {
+            this->wake.wait(lock, [this] { return this->stopping || !this->queue.empty(); });
+            if (this->queue.empty()) {
+                return;
+            }
+            std::string batch;
+            batch.swap(this->queue);
+            lock.unlock();
+            this->writeAll(batch);
+            lock.lock();
+        }
+    }
+
+    void writeAll(std::string_view text)
+    {
+        while (!text.empty()) {
+            pollfd item{this->fd, POLLOUT, 0};
+            const int ready = poll(&item, 1, pollMilliseconds);
+            if (ready <= 0 || (item.revents & POLLOUT) == 0) {
+                if (this->stopping && monotonicNow() > this->stopBy) {
+                    return;
+                }
+                if (ready > 0) {
+                    return; // The reader has gone; there is nobody left to tell.
+                }
+                continue;
+            }
+            // A pipe that is ready takes this many bytes without blocking.
+            constexpr std::size_t atomicBytes = 4096;
+            const ssize_t written
+                    = ::write(this->fd, text.data(), std::min(text.size(), atomicBytes));
+            if (written <= 0) {
+                return;
+            }
+            text.remove_prefix(static_cast<std::size_t>(written));
+        }
+    }
+
+    int fd;
+    std::string node;
+    EventLogLimits limits;
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::string queue; ///< Under mutex.
+    Millis secondBegan{0}; ///< Under mutex.
+    std::uint32_t routine = 0; ///< Under mutex.
+    std::uint32_t notable = 0; ///< Under mutex.
+    std::uint64_t droppedTold = 0; ///< Under mutex.
+    std::atomic<std::uint64_t> droppedLines{0};
+    std::atomic<bool> stopping{false};
+    Millis stopBy{0};
+    std::thread thread;
+};
+
+EventLog::EventLog(int fileDescriptor, std::string node, EventLogLimits limits)
+    : impl(std::make_unique<Impl>(fileDescriptor, std::move(node), limits))
+{
+    this->impl->thread = std::thread([raw = this->impl.get()] { raw->run(); });
+}
+
+EventLog::~EventLog()
+{
+    {
+        const std::lock_guard lock(this->impl->mutex);
+        this->impl->stopBy = monotonicNow() + closingTime;
+        this->impl->stopping = true;
+    }
+    this->impl->wake.notify_all();
+    this->impl->thread.join();
+}
+
+void EventLog::write(EventWeight weight, std::string_view event,
+                     std::initializer_list<EventField> fields)
+{
+    const std::lock_guard lock(this->impl->mutex);
+    this->impl->turnSecond(monotonicNow());
+    if (!this->impl->takeBudget(weight)
+        || this->impl->queue.size() >= this->impl->limits.queueBytes) {
+        ++this->impl->droppedLines;
+        return;
+    }
+    const bool wasEmpty = this->impl->queue.empty();
+    this->impl->queue += this->impl->line(wallNow(), event, fields);
+    if (wasEmpty) {
+        this->impl->wake.notify_one();
+    }
+}
+
+std::uint64_t EventLog::dropped() const noexcept
+{
+    return this->impl->droppedLines;
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/edge/edge_context.cpp
@@ -0,0 +1,35 @@
+#include "edge_context.h"
+
+#include <utility>
+
+namespace balsamport {
+
+void fetchOnLoop(EdgeContext &context, OutgoingRequest request,
+                 std::function<void(const Result<HttpAnswer> &)> handler,
+                 std::function<bool()> mayStillSend)
+{
+    // Longest answer that is kept; a listing's page has about a megabyte.
+    constexpr std::size_t maxAnswerBytes = 8 * 1024 * 1024;
+    auto answer = std::make_shared<HttpAnswer>();
+    ExchangeHandlers handlers;
+    handlers.mayStillSend = std::move(mayStillSend);
+    handlers.onHead = [answer](const ResponseHead &head) {
+        answer->status = head.status;
+        answer->headers = head.headers;
+    };
+    handlers.onPiece = [answer](std::string_view piece) {
+        if (answer->body.size() + piece.size() <= maxAnswerBytes) {
+            answer->body += piece;
+        }
+        return true;
+    };
+    handlers.onDone = [answer, &loop = context.loop,
+                       task = std::move(handler)](const Result<void> &result) {
+        Result<HttpAnswer> whole = result.has_error() ? Result<HttpAnswer>(result.error())
+                                                      : Result<HttpAnswer>(std::move(*answer));
+        loop.post([task, outcome = std::move(whole)] { task(outcome); });
+    };
+    context.http.start(std::move(request), std::move(handlers));
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/edge/edge_daemon.cpp
@@ -0,0 +1,503 @@
+#include <balsamport/edge/edge_daemon.h>
+
+#include "edge_state.h"
+#include "place_client.h"
+#include "published_controller.h"
+#include "request_flow.h"
+
+#include <balsamport/http/http_server.h>
+#include <balsamport/wire/message_server.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+/// Between looks at ownership, the catalog and the process's own pauses.
+constexpr Millis tickTime{200};
+/// A tick that comes later by this means that the process stood still.
+constexpr Millis pauseTime{1'200};
+/// Between requests to peers for entries that this daemon lacks.
+constexpr Millis pullPace{250};
+/// While stopping: a caller's open connection may bring another request this long after the last.
+constexpr Millis quietTime{400};
+/// Before the platform's own end of the process.
+constexpr Millis stopMargin{700};
+constexpr Millis stopTick{50};
+constexpr int okStatus = 200;
+constexpr int unavailable = 503;
+
+PublishedEntry entryOf(const wire::PublishedItem &item)
+{
+    return PublishedEntry{item.key(), item.value(), item.revision(), item.deleted()};
+}
+
+} // namespace
+
+struct EdgeDaemon::Impl
+{
+    Impl(EdgeSettings ownSettings, Dialect ownDialect, EventLog &eventLog,
+         std::function<Result<EdgeSettings>()> reloadSettings)
+        : settings(std::move(ownSettings))
+        , dialect(std::move(ownDialect))
+        , log(eventLog)
+        , reload(std::move(reloadSettings))
+        , incarnation(static_cast<std::uint64_t>(wallNow().count()))
+        , messages(VmInstanceName{this->settings.vm.str(), this->incarnation}, CurveKeys{})
+    { }
+
+    [[nodiscard]] Result<void> listen();
+    void begin();
+    void tick();
+    void checkPause(Millis now);
+    void updateEngines(Millis now);
+    void takeChanges(const std::vector<PublishedEntry> &changed, bool own);
+    void takeEntry(const PublishedEntry &entry, Millis now);
+    void takeServer(const PublishedEntry &entry, const ServerEntry &server, Millis now);
+    void takeConfig(const EdgeConfig &config);
+    void takeMessage(const wire::Envelope &message);
+    void takeGossip(const wire::Envelope &message);
+    void takeRequest(std::shared_ptr<const IncomingRequest> request,
+                     std::shared_ptr<ResponseWriter> writer);
+    void sendEntries(const VmId &peer, const std::vector<PublishedEntry> &entries);
+    [[nodiscard]] wire::Envelope entriesMessage(const std::vector<PublishedEntry> &entries) const;
+    void takeSignal(int number);
+    void leave();
+    void awaitEnd();
+    [[nodiscard]] const EngineLimits *limitsOf(const ServiceId &service) const;
+    [[nodiscard]] SelfNews selfNews() const;
+
+    EdgeSettings settings;
+    Dialect dialect;
+    EventLog &log;
+    std::function<Result<EdgeSettings>()> reload;
+    std::uint64_t incarnation;
+    Loop loop;
+    HttpClient http;
+    MessageClient messages;
+    EdgeState state;
+    OrderOwnership ownership;
+    OwnershipTimings ownershipTimings;
+    EdgeContext context{this->settings, this->dialect,    this->loop,       this->log,
+                        this->http,     processMetrics(), this->incarnation};
+    PeerController peers{this->context, this->messages, [this] { return this->selfNews(); }};
+    EngineController engines{this->context,
+                             [this](const PlaceKey &key, const BackendServerId & /*server*/,
+                                    const PlaceVerdict &verdict) {
+                                 if (key.vm == this->settings.vm) {
+                                     this->places.take(key.number, verdict);
+                                 } else {
+                                     this->places.answerPeer(key, verdict);
+                                 }
+                             }};
+    PlaceClient places{this->context, this->peers, this->engines, this->ownership};
+    PublishedController published{this->context,
+                                  [this] {
+                                      return isStoreReader(this->peers.table(),
+                                                           this->published.storeReachable(),
+                                                           monotonicNow());
+                                  },
+                                  [this](const std::vector<PublishedEntry> &changed, bool own) {
+                                      this->takeChanges(changed, own);
+                                  }};
+    FlowContext flows{this->context, this->state, this->places, this->peers, {}};
+    std::unique_ptr<LoopTimer> tickTimer = this->loop.makeTimer();
+    std::unique_ptr<LoopTimer> stopTimer = this->loop.makeTimer();
+    Millis lastTick;
+    Millis lastPull{-1};
+    Millis lastRequest{0};
+    Millis stopAt;
+    Millis leftAt;
+    std::atomic<bool> ready{false};
+    std::unique_ptr<MessageServer> messageServer;
+    std::unique_ptr<HttpServer> healthServer;
+    std::unique_ptr<HttpServer> metricsServer;
+    std::unique_ptr<HttpServer> callerServer;
+};
+
+Result<void> EdgeDaemon::Impl::listen()
+{
+    Result<std::unique_ptr<MessageServer>> peerServer = MessageServer::start(
+            "tcp://" + this->settings.peerAddress,
+            VmInstanceName{this->settings.vm.str(), this->incarnation}, CurveKeys{},
+            [this](const wire::Envelope &message, const Replier & /*reply*/) {
+                this->loop.post([this, message] { this->takeMessage(message); });
+            });
+    if (peerServer.has_error()) {
+        return peerServer.error();
+    }
+    this->messageServer = std::move(peerServer).value();
+    HttpServerSettings server;
+    server.threads = 1;
+    // Idle callers' connections are used again for as long as the configuration says.
+    server.readTimeout = Millis(60'000);
+    server.address = this->settings.healthAddress;
+    auto health = HttpServer::start(server, [this](const auto &request, const auto &writer) {
+        const bool takes = request->path == this->settings.healthPath && this->ready;
+        writer->send(HttpAnswer{takes ? okStatus : unavailable, {}, std::string()});
+    });
+    if (health.has_error()) {
+        return health.error();
+    }
+    this->healthServer = std::move(health).value();
+    if (!this->settings.metricsAddress.empty()) {
+        server.address = this->settings.metricsAddress;
+        auto metrics = HttpServer::start(
+                server, [this](const auto & /*request*/, const auto &writer) {
+                    writer->send(HttpAnswer{okStatus,
+                                            {{"Content-Type", "text/plain; version=0.0.4"}},
+                                            this->context.metrics.prometheusText(monotonicNow())});
+                });
+        if (metrics.has_error()) {
+            return metrics.error();
+        }
+        this->metricsServer = std::move(metrics).value();
+    }
+    server.address = this->settings.callerAddress;
+    // The configuration bounds bodies more tightly; this one only keeps memory bounded.
+    server.maxBodyBytes = 4 * 1024 * 1024;
+    auto callers = HttpServer::start(server, [this](auto request, auto writer) {
+        this->loop.post([this, request = std::move(request), writer = std::move(writer)] {
+            this->takeRequest(request, writer);
+        });
+    });
+    if (callers.has_error()) {
+        return callers.error();
+    }
+    this->callerServer = std::move(callers).value();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void EdgeDaemon::Impl::begin()
+{
+    this->ownership.startedAt = monotonicNow();
+    this->lastTick = this->ownership.startedAt;
+    this->loop.onSignals([this](int number) { this->takeSignal(number); });
+    this->log.write(EventWeight::Vital, "start",
+                    {{"version", BALSAMPORT_VERSION},
+                     {"incarnation", this->incarnation},
+                     {"data_centre", this->settings.location.dataCentre.str()}});
+    this->peers.start();
+    this->published.start();
+    this->tick();
+}
+
+void EdgeDaemon::Impl::tick()
+{
+    const Millis now = monotonicNow();
+    this->checkPause(now);
+    if (!this->published.storeReachable()) {
+        noteStoreTrouble(this->state.catalog, this->published.lastFailure());
+    }
+    for (const BackendServerId &server : expireServers(this->state.catalog, now)) {
+        this->state.experiences.erase(server);
+        this->log.write(EventWeight::Notable, "server_gone",
+                        {{"server", server.str()}, {"reason", "not listed again"}});
+    }
+    this->updateEngines(now);
+    this->lastTick = now;
+    this->tickTimer->set(tickTime, [this] { this->tick(); });
+}
+
+void EdgeDaemon::Impl::checkPause(Millis now)
+{
+    const Millis gap = now - this->lastTick;
+    if (gap < pauseTime) {
+        return;
+    }
+    this->log.write(EventWeight::Vital, "paused", {{"gap_ms", gap}});
+    this->engines.doubt("process paused");
+}
+
+const EngineLimits *EdgeDaemon::Impl::limitsOf(const ServiceId &service) const
+{
+    if (!this->state.config) {
+        return nullptr;
+    }
+    const auto found = this->state.config->services.find(service);
+    const bool engine
+            = found != this->state.config->services.end() && found->second.engine.has_value();
+    return engine ? &*found->second.engine : nullptr;
+}
+
+void EdgeDaemon::Impl::updateEngines(Millis now)
+{
+    std::vector<EngineSite> sites;
+    for (const auto &[id, server] : this->state.catalog.servers) {
+        if (this->limitsOf(server.entry.service) != nullptr) {
+            sites.push_back(EngineSite{id, server.entry.dataCentre});
+        }
+    }
+    const OwnershipChange change = updateOwnership(this->ownership, this->ownershipTimings, sites,
+                                                   this->peers.table(), this->state.leaving, now);
+    for (const BackendServerId &server : change.lost) {
+        this->engines.lose(server);
+    }
+    for (const BackendServerId &server : change.gained) {
+        const ServerEntry &entry = this->state.catalog.servers.at(server).entry;
+        this->engines.gain(entry, *this->limitsOf(entry.service),
+                           this->published.state().contentRevision);
+    }
+    if (!change.lost.empty() || !change.gained.empty()) {
+        this->peers.tellAll();
+    }
+}
+
+void EdgeDaemon::Impl::takeChanges(const std::vector<PublishedEntry> &changed, bool own)
+{
+    const Millis now = monotonicNow();
+    for (const PublishedEntry &entry : changed) {
+        this->takeEntry(entry, now);
+    }
+    if (own) {
+        this->peers.sendToDataCentre(this->entriesMessage(changed));
+    }
+    this->updateEngines(now);
+}
+
+void EdgeDaemon::Impl::takeEntry(const PublishedEntry &entry, Millis now)
+{
+    const Result<EntryMeaning> meaning = this->dialect.readEntry(entry);
+    if (meaning.has_error()) {
+        this->log.write(EventWeight::Notable, "entry_ignored",
+                        {{"key", entry.key},
+                         {"revision", entry.revision},
+                         {"error", errorName(meaning.error().code)},
+                         {"detail", meaning.error().detail}});
+        return;
+    }
+    if (const auto *server = std::get_if<ServerEntry>(&meaning.value())) {
+        this->takeServer(entry, *server, now);
+    } else if (const auto *config = std::get_if<EdgeConfig>(&meaning.value())) {
+        this->takeConfig(*config);
+    } else if (const auto *declared = std::get_if<AdapterDeclaration>(&meaning.value())) {
+        this->engines.declareVersion(*declared);
+    }
+}
+
+void EdgeDaemon::Impl::takeServer(const PublishedEntry &entry, const ServerEntry &server,
+                                  Millis now)
+{
+    if (entry.deleted) {
+        const bool removed = removeServer(this->state.catalog, server.id, now);
+        this->log.write(EventWeight::Notable, removed ? "server_gone" : "server_missing",
+                        {{"server", server.id.str()}, {"revision", entry.revision}});
+        return;
+    }
+    if (!upsertServer(this->state.catalog, server)) {
+        return;
+    }
+    this->log.write(EventWeight::Notable, "server_seen",
+                    {{"server", server.id.str()},
+                     {"service", server.service.str()},
+                     {"address", server.address},
+                     {"data_centre", server.dataCentre.str()},
+                     {"draining", server.draining},
+                     {"revision", entry.revision}});
+    const EngineLimits *limits = this->limitsOf(server.service);
+    if (limits != nullptr) {
+        this->engines.update(server, *limits);
+    }
+}
+
+void EdgeDaemon::Impl::takeConfig(const EdgeConfig &config)
+{
+    if (this->state.config && config.version <= this->state.config->version) {
+        return;
+    }
+    this->state.config = std::make_shared<const EdgeConfig>(config);
+    this->ready = !this->state.leaving;
+    this->log.write(EventWeight::Vital, "config_in_force",
+                    {{"version", config.version}, {"hosts", config.routesByHost.size()}});
+    for (const auto &[id, server] : this->state.catalog.servers) {
+        const EngineLimits *limits = this->limitsOf(server.entry.service);
+        if (limits != nullptr) {
+            this->engines.update(server.entry, *limits);
+        }
+    }
+}
+
+void EdgeDaemon::Impl::takeMessage(const wire::Envelope &message)
+{
+    const VmId peer(message.sender().vm());
+    const std::uint64_t run = message.sender().incarnation();
+    switch (message.body_case()) {
+    case wire::Envelope::kEdgeGossip:
+        this->takeGossip(message);
+        break;
+    case wire::Envelope::kPublishedItems: {
+        std::vector<PublishedEntry> entries;
+        for (const wire::PublishedItem &item : message.published_items().items()) {
+            entries.push_back(entryOf(item));
+        }
+        this->published.takeFromPeer(entries, message.published_items().content_revision(),
+                                     Millis(message.published_items().published_age_ms()));
+        break;
+    }
+    case wire::Envelope::kPublishedPull:
+        this->sendEntries(
+                peer,
+                entriesSince(this->published.state(), message.published_pull().since_revision()));
+        break;
+    case wire::Envelope::kPlaceRequest:
+        this->places.servePeer(peer, run, message.place_request());
+        break;
+    case wire::Envelope::kPlaceUpdate:
+        this->places.servePeer(peer, run, message.place_update());
+        break;
+    case wire::Envelope::kPlaceReply:
+        this->places.take(message.place_reply().place(), verdictOf(message.place_reply()));
+        break;
+    case wire::Envelope::kCrashNote:
+        learnCrashes(this->state.crashes, Fingerprint(message.crash_note().fingerprint()),
+                     message.crash_note().crashes(), monotonicNow());
+        break;
+    default:
+        this->log.write(EventWeight::Notable, "message_ignored", {{"peer", peer.str()}});
+    }
+}
+
+void EdgeDaemon::Impl::takeGossip(const wire::Envelope &message)
+{
+    const wire::EdgeGossip &gossip = message.edge_gossip();
+    const VmId peer(message.sender().vm());
+    if (this->peers.take(gossip, message.sender().incarnation())) {
+        this->engines.dropPlacesOf(peer, message.sender().incarnation());
+    }
+    const Millis now = monotonicNow();
+    const Millis age(gossip.published_age_ms());
+    if (gossip.content_revision() <= this->published.state().contentRevision) {
+        this->published.confirmFromPeer(gossip.content_revision(), age);
+    } else if (now - this->lastPull > pullPace) {
+        this->lastPull = now;
+        wire::Envelope pull;
+        pull.mutable_published_pull()->set_since_revision(this->published.state().contentRevision);
+        this->peers.send(peer, std::move(pull));
+    }
+}
+
+wire::Envelope EdgeDaemon::Impl::entriesMessage(const std::vector<PublishedEntry> &entries) const
+{
+    wire::Envelope message;
+    wire::PublishedItems &items = *message.mutable_published_items();
+    for (const PublishedEntry &entry : entries) {
+        wire::PublishedItem &item = *items.add_items();
+        item.set_key(entry.key);
+        item.set_value(entry.value);
+        item.set_revision(entry.revision);
+        item.set_deleted(entry.deleted);
+    }
+    items.set_content_revision(this->published.state().contentRevision);
+    items.set_published_age_ms(
+            static_cast<std::uint32_t>(this->published.age(monotonicNow()).count()));
+    return message;
+}
+
+void EdgeDaemon::Impl::sendEntries(const VmId &peer, const std::vector<PublishedEntry> &entries)
+{
+    this->peers.send(peer, this->entriesMessage(entries));
+}
+
+void EdgeDaemon::Impl::takeRequest(std::shared_ptr<const IncomingRequest> request,
+                                   std::shared_ptr<ResponseWriter> writer)
+{
+    this->lastRequest = monotonicNow();
+    std::make_shared<RequestFlow>(this->flows, std::move(request), std::move(writer))->start();
+}
+
+SelfNews EdgeDaemon::Impl::selfNews() const
+{
+    SelfNews news;
+    news.contentRevision = this->published.state().contentRevision;
+    news.publishedAge = this->published.age(monotonicNow());
+    news.storeReachable = this->published.storeReachable();
+    news.leaving = this->state.leaving;
+    news.owned = this->ownership.owned;
+    return news;
+}
+
+void EdgeDaemon::Impl::takeSignal(int number)
+{
+    if (number != SIGHUP) {
+        this->leave();
+        return;
+    }
+    const Result<EdgeSettings> read = this->reload();
+    if (read.has_error()) {
+        this->log.write(EventWeight::Vital, "reload_failed",
+                        {{"error", errorName(read.error().code)}, {"detail", read.error().detail}});
+        return;
+    }
+    this->settings.seeds = read.value().seeds;
+    this->settings.retryBudget = read.value().retryBudget;
+    this->log.write(EventWeight::Vital, "reload", {{"seeds", this->settings.seeds.size()}});
+}
+
+void EdgeDaemon::Impl::leave()
+{
+    if (this->state.leaving) {
+        return;
+    }
+    this->state.leaving = true;
+    this->ready = false;
+    this->leftAt = monotonicNow();
+    this->stopAt = this->leftAt + this->settings.stopTime - stopMargin;
+    this->log.write(EventWeight::Vital, "stopping", {{"requests", this->flows.running.size()}});
+    this->updateEngines(this->leftAt);
+    this->peers.tellAll();
+    this->awaitEnd();
+}
+
+void EdgeDaemon::Impl::awaitEnd()
+{
+    const Millis now = monotonicNow();
+    const bool idle = this->flows.running.size() == 0
+            && now - this->leftAt > this->settings.announceTime
+            && now - this->lastRequest > quietTime;
+    if (idle || now > this->stopAt) {
+        this->log.write(
+                EventWeight::Vital, "stop",
+                {{"requests", this->flows.running.size()}, {"took_ms", now - this->leftAt}});
+        this->loop.stop();
+        return;
+    }
+    this->stopTimer->set(stopTick, [this] { this->awaitEnd(); });
+}
+
+Result<std::unique_ptr<EdgeDaemon>> EdgeDaemon::start(EdgeSettings settings, Dialect dialect,
+                                                      EventLog &log,
+                                                      std::function<Result<EdgeSettings>()> reload)
+{
+    auto impl = std::make_unique<Impl>(std::move(settings), std::move(dialect), log,
+                                       std::move(reload));
+    const Result<void> listening = impl->listen();
+    if (listening.has_error()) {
+        return listening.error();
+    }
+    return std::unique_ptr<EdgeDaemon>(new EdgeDaemon(std::move(impl)));
+}
+
+EdgeDaemon::EdgeDaemon(std::unique_ptr<Impl> ownImpl)
+    : impl(std::move(ownImpl))
+{ }
+
+EdgeDaemon::~EdgeDaemon()
+{
+    // Network threads must not call into state that goes first.
+    this->impl->callerServer.reset();
+    this->impl->metricsServer.reset();
+    this->impl->healthServer.reset();
+    this->impl->messageServer.reset();
+}
+
+void EdgeDaemon::run()
+{
+    this->impl->begin();
+    this->impl->loop.run();
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/edge/edge_state.h
@@ -0,0 +1,29 @@
+#ifndef BALSAMPORT_EDGE_EDGE_STATE_H
+#define BALSAMPORT_EDGE_EDGE_STATE_H
+
+#include <balsamport/edge/crash_memory.h>
+#include <balsamport/edge/server_catalog.h>
+#include <balsamport/edge/server_choice.h>
+#include <balsamport/edge/service_config.h>
+#include <balsamport/edge/shared_retry_budget.h>
+
+#include <map>
+#include <memory>
+
+namespace balsamport {
+
+/// @brief What requests are decided by. Of the loop's thread only.
+struct EdgeState
+{
+    std::shared_ptr<const EdgeConfig> config; ///< Nothing before the first one.
+    ServerCatalog catalog;
+    ServerExperiences experiences;
+    AdapterDemand demand;
+    std::map<ServiceId, SharedRetryBudget> retryBudgets;
+    CrashMemory crashes;
+    bool leaving = false;
+};
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/edge/engine_controller.cpp
@@ -0,0 +1,406 @@
+#include "engine_controller.h"
+
+#include <balsamport/edge/order_ownership.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+/// Added to the lease, for the way of an order and the lag of reports.
+constexpr Millis leaseSlack{300};
+/// Reports lag by some hundred milliseconds; a count is read again after this time.
+constexpr Millis reportLag{350};
+constexpr Millis orderTimeout{1'500};
+constexpr Millis reportTimeout{1'000};
+/// An order that has waited longer to be sent is not sent: the owner may have changed.
+constexpr Millis orderFreshness{500};
+constexpr Millis failedReportPace{500};
+constexpr Millis soonest{1};
+
+std::string_view nameOf(OrderKind kind) noexcept
+{
+    switch (kind) {
+    case OrderKind::LoadModel:
+        return "load_model";
+    case OrderKind::LoadAdapter:
+        return "load_adapter";
+    case OrderKind::UnloadAdapter:
+        return "unload_adapter";
+    }
+    return "unknown";
+}
+
+std::string_view nameOf(OrderOutcome outcome) noexcept
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::AlreadyHolds:
+        return "already_holds";
+    case OrderOutcome::Conflict:
+        return "conflict";
+    case OrderOutcome::Fenced:
+        return "fenced";
+    case OrderOutcome::Refused:
+        return "refused";
+    case OrderOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+EngineController::EngineController(EdgeContext &owner, VerdictHandler handler)
+    : context(owner)
+    , onVerdict(std::move(handler))
+{ }
+
+EngineController::Term *EngineController::find(const BackendServerId &server)
+{
+    const auto found = this->terms.find(server);
+    return found == this->terms.end() ? nullptr : found->second.get();
+}
+
+void EngineController::gain(const ServerEntry &server, const EngineLimits &limits,
+                            std::uint64_t contentRevision)
+{
+    auto term = std::make_unique<Term>();
+    term->server = server;
+    term->limits.engine = limits;
+    term->places.server = server.id;
+    term->contentRevision = contentRevision;
+    if (!limits.models.empty()) {
+        term->places.base = limits.models.front().name;
+    }
+    term->timer = this->context.loop.makeTimer();
+    term->reportTimer = this->context.loop.makeTimer();
+    Term &held = *term;
+    this->terms[server.id] = std::move(term);
+    this->context.log.write(EventWeight::Notable, "engine_owned",
+                            {{"server", server.id.str()}, {"revision", contentRevision}});
+    this->readReport(held);
+}
+
+void EngineController::lose(const BackendServerId &server)
+{
+    const auto found = this->terms.find(server);
+    if (found == this->terms.end()) {
+        return;
+    }
+    const std::unique_ptr<Term> term = std::move(found->second);
+    this->terms.erase(found);
+    this->context.log.write(EventWeight::Notable, "engine_given_up",
+                            {{"server", server.str()}, {"waiting", term->places.waiting.size()}});
+    this->sendWaitingAway(*term);
+}
+
+void EngineController::sendWaitingAway(Term &term)
+{
+    const std::vector<PlaceRequest> waiting = std::move(term.places.waiting);
+    term.places.waiting.clear();
+    for (const PlaceRequest &request : waiting) {
+        this->onVerdict(request.key, term.server.id,
+                        PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}});
+    }
+}
+
+void EngineController::update(const ServerEntry &server, const EngineLimits &limits)
+{
+    Term *term = this->find(server.id);
+    if (term == nullptr) {
+        return;
+    }
+    const bool restarted = term->server.startedAtWallMs != server.startedAtWallMs
+            || term->server.address != server.address;
+    const bool leaves = server.draining && !term->server.draining;
+    term->server = server;
+    term->limits.engine = limits;
+    if (leaves) {
+        this->sendWaitingAway(*term);
+    }
+    if (restarted) {
+        this->context.log.write(EventWeight::Notable, "engine_restarted",
+                                {{"server", server.id.str()}});
+        term->places.places.clear();
+        term->places.warm.clear();
+        term->places.synced = false;
+        term->places.modelLoaded = false;
+        this->readReport(*term);
+    }
+}
+
+void EngineController::submit(const BackendServerId &server, PlaceRequest request)
+{
+    Term *term = this->find(server);
+    if (term == nullptr || term->server.draining) {
+        this->onVerdict(request.key, server,
+                        PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}});
+        return;
+    }
+    const PlaceKey key = request.key;
+    submitPlaceRequest(term->places, std::move(request));
+    this->decide(*term);
+    const auto &waiting = term->places.waiting;
+    if (std::any_of(waiting.begin(), waiting.end(),
+                    [&key](const PlaceRequest &other) { return other.key == key; })) {
+        this->onVerdict(key, server, PlaceVerdict{PlaceVerdict::Kind::Queued, {}, {}, {}});
+    }
+}
+
+void EngineController::notePlace(const BackendServerId &server, const PlaceKey &key,
+                                 PlaceEvent event)
+{
+    Term *term = this->find(server);
+    if (term == nullptr) {
+        return;
+    }
+    const Millis now = monotonicNow();
+    switch (event) {
+    case PlaceEvent::Started:
+        notePlaceStarted(term->places, key);
+        break;
+    case PlaceEvent::Ended:
+    case PlaceEvent::Cancelled:
+        notePlaceEnded(term->places, key, now);
+        break;
+    case PlaceEvent::NotReady:
+        notePlaceNotReady(term->places, key, now);
+        this->reportAfter(*term, reportLag);
+        break;
+    }
+    this->decide(*term);
+}
+
+void EngineController::dropPlacesOf(const VmId &vm, std::uint64_t incarnation)
+{
+    for (const auto &[id, term] : this->terms) {
+        balsamport::dropPlacesOf(term->places, vm, incarnation, monotonicNow());
+        this->decideSoon(*term);
+    }
+}
+
+void EngineController::declareVersion(const AdapterDeclaration &declaration)
+{
+    AdapterVersion &version = this->versions[{declaration.base, declaration.adapter}];
+    if (declaration.version > version) {
+        version = declaration.version;
+        this->context.log.write(EventWeight::Notable, "adapter_version",
+                                {{"base", declaration.base.str()},
+                                 {"adapter", declaration.adapter.str()},
+                                 {"version", version.number()}});
+    }
+}
+
+void EngineController::doubt(std::string_view reason)
+{
+    for (const auto &[id, term] : this->terms) {
+        term->places.ordersAllowed = false;
+        term->countSeenAt = Millis(-1);
+        this->context.log.write(EventWeight::Notable, "orders_doubted",
+                                {{"server", id.str()}, {"reason", reason}});
+        this->readReport(*term);
+    }
+}
+
+std::size_t EngineController::waitingRequests() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, term] : this->terms) {
+        count += term->places.waiting.size();
+    }
+    return count;
+}
+
+void EngineController::decide(Term &term)
+{
+    const Millis now = monotonicNow();
+    const std::vector<PlaceAction> actions
+            = nextPlaceActions(term.places, term.limits, this->versions, now);
+    for (const PlaceAction &action : actions) {
+        this->tell(term, action, now);
+    }
+    this->decideSoon(term);
+}
+
+void EngineController::decideSoon(Term &term)
+{
+    const std::optional<Millis> next = nextPlaceCheck(term.places, term.limits);
+    if (!next) {
+        term.timer->cancel();
+        return;
+    }
+    const Millis delay = std::max(*next - monotonicNow(), soonest);
+    term.timer->set(delay, [this, server = term.server.id] {
+        Term *held = this->find(server);
+        if (held != nullptr) {
+            this->decide(*held);
+        }
+    });
+}
+
+void EngineController::tell(Term &term, const PlaceAction &action, Millis now)
+{
+    const BackendServerId server = term.server.id;
+    const PlaceRequest fresh{};
+    if (const auto *grant = std::get_if<GrantPlace>(&action)) {
+        const Millis wait = expectedWait(term.places, term.limits, fresh, now);
+        this->onVerdict(grant->key, server,
+                        PlaceVerdict{PlaceVerdict::Kind::Granted, grant->version, {}, wait});
+    } else if (const auto *elsewhere = std::get_if<SendElsewhere>(&action)) {
+        this->onVerdict(elsewhere->key, server,
+                        PlaceVerdict{PlaceVerdict::Kind::Elsewhere, {}, {}, elsewhere->wait});
+    } else if (const auto *refusal = std::get_if<RefusePlace>(&action)) {
+        this->onVerdict(refusal->key, server,
+                        PlaceVerdict{PlaceVerdict::Kind::Refused, {}, refusal->retryAfter, {}});
+    } else if (const auto *order = std::get_if<EngineOrder>(&action)) {
+        this->giveOrder(term, *order);
+    }
+}
+
+void EngineController::reportAfter(Term &term, Millis delay)
+{
+    term.reportTimer->set(delay, [this, server = term.server.id] {
+        Term *held = this->find(server);
+        if (held != nullptr) {
+            this->readReport(*held);
+        }
+    });
+}
+
+void EngineController::readReport(Term &term)
+{
+    if (term.reading) {
+        return;
+    }
+    term.reading = true;
+    OutgoingRequest request = this->context.dialect.writeReportRequest(term.server);
+    request.timeout = reportTimeout;
+    fetchOnLoop(this->context, std::move(request),
+                [this, server = term.server.id](const Result<HttpAnswer> &answer) {
+                    this->takeReport(server, answer);
+                });
+}
+
+void EngineController::takeReport(const BackendServerId &server, const Result<HttpAnswer> &answer)
+{
+    Term *term = this->find(server);
+    if (term == nullptr) {
+        return;
+    }
+    term->reading = false;
+    const Result<EngineReport> report = answer.has_error()
+            ? answer.error()
+            : this->context.dialect.readReport(answer.value(), term->places.base);
+    if (report.has_error()) {
+        if (term->failedReports++ == 0) {
+            this->context.log.write(EventWeight::Notable, "engine_report_failed",
+                                    {{"server", server.str()},
+                                     {"error", errorName(report.error().code)},
+                                     {"detail", report.error().detail}});
+        }
+        this->reportAfter(*term, failedReportPace);
+        return;
+    }
+    term->failedReports = 0;
+    const Millis now = monotonicNow();
+    const bool wanted = term->places.resyncWanted || !term->places.ordersAllowed;
+    if (wanted && (term->places.orderInProgress || now - term->orderedAt < reportLag)) {
+        this->reportAfter(*term, reportLag);
+    } else if (wanted) {
+        this->checkCount(*term, report.value(), now);
+    }
+    this->decide(*term);
+}
+
+void EngineController::checkCount(Term &term, const EngineReport &report, Millis now)
+{
+    applyReport(term.places, report, now);
+    if (term.places.ordersAllowed && report.orderCount == term.orderCount) {
+        return;
+    }
+    // An order without an answer may have been accepted; it was this daemon's own.
+    if (term.places.ordersAllowed && term.lostOrder && report.orderCount == term.orderCount + 1) {
+        term.orderCount = report.orderCount;
+        term.lostOrder = false;
+        return;
+    }
+    if (term.countSeenAt < Millis(0) || report.orderCount != term.orderCount) {
+        this->context.log.write(EventWeight::Notable, "engine_order_count",
+                                {{"server", term.server.id.str()},
+                                 {"believed", term.orderCount},
+                                 {"reported", report.orderCount}});
+        term.places.ordersAllowed = false;
+        term.orderCount = report.orderCount;
+        term.countSeenAt = now;
+    }
+    const Millis quiet = this->context.settings.leaseTime + leaseSlack;
+    if (now - term.countSeenAt < quiet) {
+        this->reportAfter(term, quiet - (now - term.countSeenAt) + soonest);
+        return;
+    }
+    term.places.ordersAllowed = true;
+    term.number
+            = fencingNumberFor(term.contentRevision, term.orderCount, this->context.settings.vm);
+    this->context.log.write(EventWeight::Notable, "orders_allowed",
+                            {{"server", term.server.id.str()},
+                             {"number", term.number.number()},
+                             {"order_count", term.orderCount}});
+}
+
+void EngineController::giveOrder(Term &term, const EngineOrder &order)
+{
+    const OrderStamp stamp{this->context.settings.vm, term.number, term.orderCount};
+    OutgoingRequest request = this->context.dialect.writeOrder(term.server, order, stamp);
+    request.timeout = orderTimeout;
+    const Millis decidedAt = monotonicNow();
+    fetchOnLoop(
+            this->context, std::move(request),
+            [this, server = term.server.id, number = term.number,
+             order](const Result<HttpAnswer> &answer) {
+                this->takeOrderAnswer(server, number, order, answer);
+            },
+            [decidedAt] { return monotonicNow() - decidedAt < orderFreshness; });
+}
+
+void EngineController::takeOrderAnswer(const BackendServerId &server, FencingNumber number,
+                                       const EngineOrder &order, const Result<HttpAnswer> &answer)
+{
+    Term *term = this->find(server);
+    if (term == nullptr || term->number != number) {
+        return;
+    }
+    const OrderOutcome outcome = answer.has_error()
+            ? OrderOutcome::Unknown
+            : this->context.dialect.readOrderOutcome(answer.value());
+    // A repeated order for what is already under way does not count again.
+    const bool counted = !order.repeated
+            && (outcome == OrderOutcome::Accepted
+                || (outcome == OrderOutcome::AlreadyHolds
+                    && order.kind == OrderKind::UnloadAdapter));
+    term->orderCount += counted ? 1 : 0;
+    term->orderedAt = monotonicNow();
+    term->lostOrder = outcome == OrderOutcome::Unknown;
+    this->context.log.write(outcome == OrderOutcome::Accepted
+                                            || outcome == OrderOutcome::AlreadyHolds
+                                    ? EventWeight::Routine
+                                    : EventWeight::Notable,
+                            "order",
+                            {{"server", server.str()},
+                             {"kind", nameOf(order.kind)},
+                             {"adapter", order.adapter.str()},
+                             {"version", order.version.number()},
+                             {"outcome", nameOf(outcome)},
+                             {"status", answer.has_value() ? answer.value().status : 0},
+                             {"order_count", term->orderCount}});
+    noteOrderOutcome(term->places, term->limits, outcome, monotonicNow());
+    if (term->places.resyncWanted) {
+        this->reportAfter(*term, reportLag);
+    }
+    this->decide(*term);
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/edge/engine_controller.h
@@ -0,0 +1,108 @@
+#ifndef BALSAMPORT_EDGE_ENGINE_CONTROLLER_H
+#define BALSAMPORT_EDGE_ENGINE_CONTROLLER_H
+
+#include "edge_context.h"
+
+#include <balsamport/edge/engine_places.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace balsamport {
+
+/// @brief How a request for a place was decided.
+struct PlaceVerdict
+{
+    enum class Kind : std::uint8_t {
+        Queued,
+        Granted,
+        Elsewhere,
+        Refused,
+        NotOwner,
+    };
+    Kind kind = Kind::Queued;
+    AdapterVersion version; ///< Of a grant; 0 for any.
+    Millis retryAfter{0}; ///< Of a refusal.
+    Millis wait{0}; ///< Expected for a request that comes now.
+
+    bool operator==(const PlaceVerdict &) const = default;
+};
+
+/// @brief What happened to a place that was asked for.
+enum class PlaceEvent : std::uint8_t {
+    Started,
+    Ended,
+    Cancelled,
+    NotReady,
+};
+
+/// @brief Owns engines: keeps their places, decides grants and gives orders.
+class EngineController
+{
+public:
+    using VerdictHandler = std::function<void(const PlaceKey &key, const BackendServerId &server,
+                                              const PlaceVerdict &verdict)>;
+
+    EngineController(EdgeContext &context, VerdictHandler onVerdict);
+
+    /// @brief Begins a term as the owner of an engine.
+    void gain(const ServerEntry &server, const EngineLimits &limits, std::uint64_t contentRevision);
+    void lose(const BackendServerId &server);
+
+    /// @brief Takes an engine's new description, or new limits of its service.
+    void update(const ServerEntry &server, const EngineLimits &limits);
+
+    /// @brief Takes a request for a place. The verdict may be given before this returns.
+    void submit(const BackendServerId &server, PlaceRequest request);
+    void notePlace(const BackendServerId &server, const PlaceKey &key, PlaceEvent event);
+    void dropPlacesOf(const VmId &vm, std::uint64_t incarnation);
+    void declareVersion(const AdapterDeclaration &declaration);
+
+    /// @brief Stops giving orders until each engine's order count has stood still for a lease;
+    /// after a pause of the process, other daemons may have taken over.
+    void doubt(std::string_view reason);
+
+    [[nodiscard]] std::size_t waitingRequests() const;
+
+private:
+    struct Term
+    {
+        ServerEntry server;
+        PlaceLimits limits;
+        EnginePlaces places;
+        FencingNumber number;
+        std::uint64_t contentRevision = 0;
+        std::uint64_t orderCount = 0;
+        Millis countSeenAt{-1}; ///< Since when the order count has stood still.
+        Millis orderedAt{-1}; ///< When the last order was answered.
+        bool lostOrder = false; ///< The last order got no answer.
+        bool reading = false; ///< A report is under way.
+        std::uint32_t failedReports = 0;
+        std::unique_ptr<LoopTimer> timer;
+        std::unique_ptr<LoopTimer> reportTimer;
+    };
+
+    [[nodiscard]] Term *find(const BackendServerId &server);
+    void sendWaitingAway(Term &term);
+    void decide(Term &term);
+    void decideSoon(Term &term);
+    void readReport(Term &term);
+    void takeReport(const BackendServerId &server, const Result<HttpAnswer> &answer);
+    void checkCount(Term &term, const EngineReport &report, Millis now);
+    void reportAfter(Term &term, Millis delay);
+    void giveOrder(Term &term, const EngineOrder &order);
+    void takeOrderAnswer(const BackendServerId &server, FencingNumber number,
+                         const EngineOrder &order, const Result<HttpAnswer> &answer);
+    void tell(Term &term, const PlaceAction &action, Millis now);
+
+    EdgeContext &context;
+    VerdictHandler onVerdict;
+    AdapterVersions versions;
+    std::map<BackendServerId, std::unique_ptr<Term>> terms;
+};
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/edge/engine_places.cpp
@@ -0,0 +1,565 @@
+#include <balsamport/edge/engine_places.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+/// Prompt parts remembered for one adapter; the oldest go by value, which is as good as any.
+constexpr std::size_t maxCachedParts = 64;
+/// Between questions whether a load has ended. A warm load takes about as long.
+constexpr Millis loadPollTime{30};
+/// Between questions whether a base model has been loaded.
+constexpr Millis modelPollTime{400};
+/// Share of the key-value memory that granted requests may fill.
+constexpr double kvShare = 0.92;
+/// Grants whose first piece has not come; more would queue inside the engine.
+constexpr std::uint32_t maxUnstarted = 4;
+/// Wait that is expected where every place is in use.
+constexpr Millis placeWait{500};
+/// A grant that has not ended this long after its deadline was lost with its daemon.
+constexpr Millis lostGrantTime{3'000};
+/// Shortest Retry-After, so that callers do not come back into the same queue.
+constexpr Millis leastRetryAfter{200};
+
+std::uint32_t totalTokens(const PlaceRequest &request)
+{
+    std::uint32_t tokens = 0;
+    for (const PromptPart &part : request.parts) {
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+/// Tokens that the engine has to read: all parts after the first that is not cached.
+std::uint32_t uncachedTokens(const EnginePlaces &state, const PlaceRequest &request)
+{
+    const auto place = state.places.find(request.adapter);
+    std::uint32_t tokens = totalTokens(request);
+    if (place == state.places.end()) {
+        return tokens;
+    }
+    for (const PromptPart &part : request.parts) {
+        if (place->second.cachedParts.count(part.id) == 0) {
+            break;
+        }
+        tokens -= part.tokens;
+    }
+    return tokens;
+}
+
+Millis prefillTime(std::uint32_t tokens, const PlaceLimits &limits)
+{
+    return Millis(std::llround(std::ceil(tokens / limits.promptTokensPerMs)));
+}
+
+AdapterVersion wantedVersion(const EnginePlaces &state, const AdapterId &adapter,
+                             const AdapterVersions &versions)
+{
+    const auto found = versions.find({state.base, adapter});
+    return found == versions.end() ? AdapterVersion() : found->second;
+}
+
+/// On time before late, then by priority, then by the objective.
+bool goesBefore(const PlaceRequest &a, const PlaceRequest &b, Millis now)
+{
+    const bool lateA = a.objectiveAt < now;
+    const bool lateB = b.objectiveAt < now;
+    if (lateA != lateB) {
+        return lateB;
+    }
+    if (a.priority != b.priority) {
+        return a.priority < b.priority;
+    }
+    if (a.objectiveAt != b.objectiveAt) {
+        return a.objectiveAt < b.objectiveAt;
+    }
+    return a.key < b.key;
+}
+
+bool isWaitedFor(const EnginePlaces &state, const AdapterId &adapter)
+{
+    return std::any_of(
+            state.waiting.begin(), state.waiting.end(),
+            [&adapter](const PlaceRequest &request) { return request.adapter == adapter; });
+}
+
+std::uint32_t unstarted(const EnginePlaces &state)
+{
+    return static_cast<std::uint32_t>(
+            std::count_if(state.running.begin(), state.running.end(),
+                          [](const auto &entry) { return !entry.second.started; }));
+}
+
+std::uint64_t kvTokensInUse(const EnginePlaces &state)
+{
+    std::uint64_t tokens = 0;
+    for (const auto &[key, request] : state.running) {
+        tokens += request.kvTokens;
+    }
+    return tokens;
+}
+
+/// The adapter that was used longest ago among those that nobody uses or waits for.
+std::optional<AdapterId> chooseVictim(const EnginePlaces &state)
+{
+    const AdapterId *victim = nullptr;
+    Millis oldest;
+    for (const auto &[adapter, place] : state.places) {
+        if (place.phase != PlacePhase::Ready || place.users != 0 || isWaitedFor(state, adapter)) {
+            continue;
+        }
+        if (victim == nullptr || place.usedAt < oldest) {
+            victim = &adapter;
+            oldest = place.usedAt;
+        }
+    }
+    if (victim == nullptr) {
+        return std::nullopt;
+    }
+    return *victim;
+}
+
+bool hasRoom(const EnginePlaces &state, const PlaceLimits &limits, const PlaceRequest &request)
+{
+    if (state.running.size() >= limits.engine.batchSlots) {
+        return false;
+    }
+    const auto limit
+            = static_cast<std::uint64_t>(static_cast<double>(limits.engine.kvTokens) * kvShare);
+    return state.running.empty()
+            || kvTokensInUse(state) + totalTokens(request) + request.outputTokens <= limit;
+}
+
+bool isPromptTurn(const EnginePlaces &state, const PlaceLimits &limits, Millis now)
+{
+    return state.prefillUntil <= now + limits.prefillAhead && unstarted(state) < maxUnstarted;
+}
+
+bool isReadyFor(const EnginePlaces &state, const AdapterId &adapter,
+                const AdapterVersions &versions)
+{
+    if (adapter.empty()) {
+        return true;
+    }
+    const auto place = state.places.find(adapter);
+    return place != state.places.end() && place->second.phase == PlacePhase::Ready
+            && place->second.version >= wantedVersion(state, adapter, versions);
+}
+
+GrantPlace grant(EnginePlaces &state, const PlaceLimits &limits, const AdapterVersions &versions,
+                 const PlaceRequest &request, Millis now)
+{
+    GrantPlace action{request.key, wantedVersion(state, request.adapter, versions),
+                      uncachedTokens(state, request)};
+    state.prefillUntil
+            = std::max(state.prefillUntil, now) + prefillTime(action.promptTokens, limits);
+    state.running.emplace(request.key,
+                          RunningRequest{request.adapter, now, request.deadlineAt,
+                                         std::uint64_t{totalTokens(request)} + request.outputTokens,
+                                         false});
+    if (!request.adapter.empty()) {
+        AdapterPlace &place = state.places[request.adapter];
+        ++place.users;
+        place.usedAt = now;
+        for (const PromptPart &part : request.parts) {
+            if (place.cachedParts.size() >= maxCachedParts) {
+                place.cachedParts.erase(place.cachedParts.begin());
+            }
+            place.cachedParts.insert(part.id);
+        }
+    }
+    return action;
+}
+
+/// Refuses what is over, or so late that others should go first.
+void dropOverdue(EnginePlaces &state, const PlaceLimits &limits, Millis now,
+                 std::vector<PlaceAction> &actions)
+{
+    std::erase_if(state.waiting, [&](const PlaceRequest &request) {
+        const bool over = request.deadlineAt <= now || now - request.objectiveAt > limits.lateLimit;
+        if (over) {
+            actions.emplace_back(RefusePlace{request.key, placeWait});
+        }
+        return over;
+    });
+}
+
+/// Decides whether a new request would wait too long here.
+std::optional<PlaceAction> sendAwayAction(const EnginePlaces &state, const PlaceLimits &limits,
+                                          const PlaceRequest &request, Millis now)
+{
+    const Millis wait = expectedWait(state, limits, request, now);
+    if (!request.lastChoice && wait > limits.elsewhereWait) {
+        return SendElsewhere{request.key, wait};
+    }
+    const Millis latest = std::min(request.deadlineAt, request.objectiveAt + limits.lateLimit);
+    if (now + wait > latest) {
+        return RefusePlace{request.key, std::max(wait, leastRetryAfter)};
+    }
+    return std::nullopt;
+}
+
+/// Sends away new requests that would wait too long here.
+void sendAway(EnginePlaces &state, const PlaceLimits &limits, Millis now,
+              std::vector<PlaceAction> &actions)
+{
+    std::vector<PlaceRequest> kept;
+    std::vector<PlaceRequest> fresh;
+    for (PlaceRequest &request : state.waiting) {
+        (request.examined ? kept : fresh).push_back(std::move(request));
+    }
+    state.waiting = std::move(kept);
+    for (PlaceRequest &request : fresh) {
+        const std::optional<PlaceAction> action = sendAwayAction(state, limits, request, now);
+        if (action) {
+            actions.push_back(*action);
+        } else {
+            request.examined = true;
+            state.waiting.push_back(std::move(request));
+        }
+    }
+}
+
+void grantPlaces(EnginePlaces &state, const PlaceLimits &limits, const AdapterVersions &versions,
+                 Millis now, std::vector<PlaceAction> &actions)
+{
+    for (auto request = state.waiting.begin(); request != state.waiting.end();) {
+        if (!isPromptTurn(state, limits, now)) {
+            return;
+        }
+        if (!isReadyFor(state, request->adapter, versions) || !hasRoom(state, limits, *request)) {
+            ++request;
+            continue;
+        }
+        actions.emplace_back(grant(state, limits, versions, *request, now));
+        request = state.waiting.erase(request);
+    }
+}
+
+std::optional<EngineOrder> modelOrder(EnginePlaces &state, Millis now)
+{
+    if (state.modelLoaded || now < state.modelCheckAt) {
+        return std::nullopt;
+    }
+    state.modelCheckAt = now + modelPollTime;
+    return EngineOrder{OrderKind::LoadModel, state.base, AdapterId(), AdapterVersion(), false};
+}
+
+/// Asks again for loads that should have ended, and replaces outdated versions nobody uses.
+std::optional<EngineOrder> maintenanceOrder(const EnginePlaces &state,
+                                            const AdapterVersions &versions, Millis now)
+{
+    for (const auto &[adapter, place] : state.places) {
+        const AdapterVersion wanted = wantedVersion(state, adapter, versions);
+        if (place.phase == PlacePhase::Loading && place.checkAt <= now) {
+            return EngineOrder{OrderKind::LoadAdapter, state.base, adapter, place.version, true};
+        }
+        if (place.phase == PlacePhase::Unloading && place.checkAt <= now) {
+            return EngineOrder{OrderKind::UnloadAdapter, state.base, adapter, AdapterVersion(),
+                               true};
+        }
+        if (place.phase == PlacePhase::Ready && place.users == 0 && place.version < wanted
+            && isWaitedFor(state, adapter)) {
+            return EngineOrder{OrderKind::LoadAdapter, state.base, adapter, wanted, false};
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint32_t loadsUnderWay(const EnginePlaces &state)
+{
+    return static_cast<std::uint32_t>(
+            std::count_if(state.places.begin(), state.places.end(), [](const auto &entry) {
+                return entry.second.phase == PlacePhase::Loading;
+            }));
+}
+
+/// Loads the adapter of the first waiting request that has no place.
+std::optional<EngineOrder> loadOrder(const EnginePlaces &state, const PlaceLimits &limits,
+                                     const AdapterVersions &versions)
+{
+    for (const PlaceRequest &request : state.waiting) {
+        if (request.adapter.empty() || state.places.count(request.adapter) != 0) {
+            continue;
+        }
+        if (loadsUnderWay(state) >= limits.loadsAtOnce) {
+            return std::nullopt;
+        }
+        if (state.places.size() < limits.engine.adapterPlaces) {
+            return EngineOrder{OrderKind::LoadAdapter, state.base, request.adapter,
+                               wantedVersion(state, request.adapter, versions), false};
+        }
+        const std::optional<AdapterId> victim = chooseVictim(state);
+        if (!victim) {
+            return std::nullopt;
+        }
+        return EngineOrder{OrderKind::UnloadAdapter, state.base, *victim, AdapterVersion(), false};
+    }
+    return std::nullopt;
+}
+
+bool isWarm(const EnginePlaces &state, const AdapterId &adapter)
+{
+    return std::find(state.warm.begin(), state.warm.end(), adapter) != state.warm.end();
+}
+
+/// Notes an order in the places, so that a place is taken from the moment the order leaves.
+void beginOrder(EnginePlaces &state, const PlaceLimits &limits, const EngineOrder &order,
+                Millis now)
+{
+    state.orderInProgress = order;
+    if (order.kind == OrderKind::LoadModel) {
+        return;
+    }
+    AdapterPlace &place = state.places[order.adapter];
+    if (order.kind == OrderKind::UnloadAdapter) {
+        place.phase = PlacePhase::Unloading;
+        place.checkAt = now + loadPollTime;
+        return;
+    }
+    if (place.phase != PlacePhase::Loading || place.loadStartedAt == Millis(0)) {
+        place.phase = PlacePhase::Loading;
+        place.loadStartedAt = now;
+        place.usedAt = now;
+        place.version = order.version;
+        place.cachedParts.clear();
+        place.checkAt = now + (isWarm(state, order.adapter) ? limits.warmLoad : limits.coldLoad);
+    }
+}
+
+void noteWarm(EnginePlaces &state, const PlaceLimits &limits, const AdapterId &adapter)
+{
+    std::erase(state.warm, adapter);
+    state.warm.push_front(adapter);
+    if (state.warm.size() > limits.warmAdapters) {
+        state.warm.pop_back();
+    }
+}
+
+} // namespace
+
+void submitPlaceRequest(EnginePlaces &state, PlaceRequest request)
+{
+    state.waiting.push_back(std::move(request));
+}
+
+std::vector<PlaceAction> nextPlaceActions(EnginePlaces &state, const PlaceLimits &limits,
+                                          const AdapterVersions &versions, Millis now)
+{
+    std::vector<PlaceAction> actions;
+    std::erase_if(state.running, [&](const auto &entry) {
+        const bool lost = now - entry.second.deadlineAt > lostGrantTime;
+        const auto place = state.places.find(entry.second.adapter);
+        if (lost && place != state.places.end() && place->second.users > 0) {
+            --place->second.users;
+        }
+        return lost;
+    });
+    dropOverdue(state, limits, now, actions);
+    sendAway(state, limits, now, actions);
+    std::sort(
+            state.waiting.begin(), state.waiting.end(),
+            [now](const PlaceRequest &a, const PlaceRequest &b) { return goesBefore(a, b, now); });
+    if (state.synced && state.modelLoaded) {
+        grantPlaces(state, limits, versions, now, actions);
+    }
+    if (!state.ordersAllowed || state.orderInProgress || state.resyncWanted) {
+        return actions;
+    }
+    std::optional<EngineOrder> order = modelOrder(state, now);
+    if (!order && state.modelLoaded) {
+        order = maintenanceOrder(state, versions, now);
+        if (!order) {
+            order = loadOrder(state, limits, versions);
+        }
+    }
+    if (order) {
+        beginOrder(state, limits, *order, now);
+        actions.emplace_back(*order);
+    }
+    return actions;
+}
+
+std::optional<Millis> nextPlaceCheck(const EnginePlaces &state, const PlaceLimits &limits)
+{
+    std::optional<Millis> next;
+    const auto consider = [&next](Millis at) {
+        if (!next || at < *next) {
+            next = at;
+        }
+    };
+    for (const auto &[adapter, place] : state.places) {
+        if (place.phase != PlacePhase::Ready) {
+            consider(place.checkAt);
+        }
+    }
+    if (!state.modelLoaded && state.ordersAllowed) {
+        consider(state.modelCheckAt);
+    }
+    for (const PlaceRequest &request : state.waiting) {
+        consider(std::min(request.deadlineAt, request.objectiveAt + limits.lateLimit + Millis(1)));
+    }
+    if (!state.waiting.empty()) {
+        consider(state.prefillUntil - limits.prefillAhead);
+    }
+    return next;
+}
+
+Millis expectedWait(const EnginePlaces &state, const PlaceLimits &limits,
+                    const PlaceRequest &request, Millis now)
+{
+    Millis wait = std::max(state.prefillUntil - now, Millis(0));
+    for (const PlaceRequest &other : state.waiting) {
+        if (other.key != request.key && goesBefore(other, request, now)) {
+            wait += prefillTime(uncachedTokens(state, other), limits);
+        }
+    }
+    if (!state.modelLoaded || !state.synced) {
+        return std::max(wait, placeWait * 2);
+    }
+    if (request.adapter.empty()) {
+        return wait;
+    }
+    const auto place = state.places.find(request.adapter);
+    if (place != state.places.end()) {
+        const bool loading = place->second.phase != PlacePhase::Ready;
+        return loading ? std::max(wait, place->second.checkAt - now) : wait;
+    }
+    if (!state.ordersAllowed) {
+        return std::max(wait, placeWait * 4);
+    }
+    const Millis load = isWarm(state, request.adapter) ? limits.warmLoad : limits.coldLoad;
+    const bool free = state.places.size() < limits.engine.adapterPlaces || chooseVictim(state);
+    return std::max(wait, free ? load : load + placeWait);
+}
+
+void notePlaceStarted(EnginePlaces &state, const PlaceKey &key)
+{
+    const auto found = state.running.find(key);
+    if (found != state.running.end()) {
+        found->second.started = true;
+    }
+}
+
+void notePlaceEnded(EnginePlaces &state, const PlaceKey &key, Millis now)
+{
+    std::erase_if(state.waiting,
+                  [&key](const PlaceRequest &request) { return request.key == key; });
+    const auto found = state.running.find(key);
+    if (found == state.running.end()) {
+        return;
+    }
+    const auto place = state.places.find(found->second.adapter);
+    if (place != state.places.end()) {
+        place->second.users -= place->second.users > 0 ? 1 : 0;
+        place->second.usedAt = now;
+    }
+    state.running.erase(found);
+}
+
+void notePlaceNotReady(EnginePlaces &state, const PlaceKey &key, Millis now)
+{
+    const auto found = state.running.find(key);
+    if (found == state.running.end()) {
+        return;
+    }
+    const AdapterId adapter = found->second.adapter;
+    notePlaceEnded(state, key, now);
+    const auto place = state.places.find(adapter);
+    if (place != state.places.end() && place->second.phase == PlacePhase::Ready) {
+        place->second.phase = PlacePhase::Loading;
+        place->second.loadStartedAt = now;
+        place->second.checkAt = now + loadPollTime;
+    }
+    state.resyncWanted = true;
+}
+
+void dropPlacesOf(EnginePlaces &state, const VmId &vm, std::uint64_t incarnation, Millis now)
+{
+    std::vector<PlaceKey> dropped;
+    const auto consider = [&](const PlaceKey &key) {
+        if (key.vm == vm && key.incarnation != incarnation) {
+            dropped.push_back(key);
+        }
+    };
+    for (const auto &[key, request] : state.running) {
+        consider(key);
+    }
+    for (const PlaceRequest &request : state.waiting) {
+        consider(request.key);
+    }
+    for (const PlaceKey &key : dropped) {
+        notePlaceEnded(state, key, now);
+    }
+}
+
+void noteOrderOutcome(EnginePlaces &state, const PlaceLimits &limits, OrderOutcome outcome,
+                      Millis now)
+{
+    if (!state.orderInProgress) {
+        return;
+    }
+    const EngineOrder order = *state.orderInProgress;
+    state.orderInProgress.reset();
+    if (outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Fenced
+        || outcome == OrderOutcome::Refused || outcome == OrderOutcome::Unknown) {
+        state.resyncWanted = true;
+        return;
+    }
+    if (order.kind == OrderKind::LoadModel) {
+        state.modelLoaded = outcome == OrderOutcome::AlreadyHolds;
+        state.modelCheckAt = now + modelPollTime;
+        return;
+    }
+    const auto place = state.places.find(order.adapter);
+    if (place == state.places.end()) {
+        return;
+    }
+    if (order.kind == OrderKind::UnloadAdapter) {
+        if (outcome == OrderOutcome::AlreadyHolds) {
+            noteWarm(state, limits, order.adapter);
+            state.places.erase(place);
+        } else {
+            place->second.checkAt = now + loadPollTime;
+        }
+        return;
+    }
+    if (outcome == OrderOutcome::AlreadyHolds) {
+        place->second.phase = PlacePhase::Ready;
+        noteWarm(state, limits, order.adapter);
+    } else if (place->second.checkAt <= now) {
+        place->second.checkAt = now + loadPollTime;
+    }
+}
+
+void applyReport(EnginePlaces &state, const EngineReport &report, Millis now)
+{
+    state.synced = true;
+    state.resyncWanted = false;
+    if (state.modelLoaded != report.modelLoaded) {
+        state.modelLoaded = report.modelLoaded;
+        state.modelCheckAt = report.modelBusy ? now + modelPollTime : now;
+    }
+    std::erase_if(state.places, [&report](const auto &entry) {
+        return report.adapters.count(entry.first) == 0 && report.pending.count(entry.first) == 0;
+    });
+    for (const auto &[adapter, version] : report.adapters) {
+        AdapterPlace &place = state.places[adapter];
+        place.phase = PlacePhase::Ready;
+        place.version = version;
+    }
+    for (const AdapterId &adapter : report.pending) {
+        AdapterPlace &place = state.places[adapter];
+        if (place.phase == PlacePhase::Ready) {
+            place.phase = PlacePhase::Loading;
+        }
+        place.loadStartedAt = now;
+        place.checkAt = now + loadPollTime;
+    }
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/edge/event_splitter.h
@@ -0,0 +1,28 @@
+#ifndef BALSAMPORT_EDGE_EVENT_SPLITTER_H
+#define BALSAMPORT_EDGE_EVENT_SPLITTER_H
+
+#include <string>
+#include <string_view>
+
+namespace balsamport {
+
+/// @brief Cuts a stream of server-sent events into whole events.
+///
+/// A backend server may break off in the middle of one; a caller then has only whole events, and
+/// the stream can go on after the last of them.
+struct EventSplitter
+{
+    std::string pending; ///< The beginning of an event.
+    std::string lastId; ///< Of the last whole event.
+
+    bool operator==(const EventSplitter &) const = default;
+};
+
+/// @brief Takes a piece of the stream.
+/// @return the whole events that are complete now; empty where none is
+/// @complexity linear in the piece and what was pending
+[[nodiscard]] std::string takePiece(EventSplitter &splitter, std::string_view piece);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/edge/order_ownership.cpp
@@ -0,0 +1,113 @@
+#include <balsamport/edge/order_ownership.h>
+
+#include <balsamport/core/rendezvous.h>
+
+#include <algorithm>
+
+namespace balsamport {
+
+namespace {
+
+/// Live daemons that may own an engine: those of its data centre, or all where it has none.
+std::vector<VmId> candidates(const PeerTable &peers, const DataCentreId &dataCentre, Millis now)
+{
+    std::vector<VmId> near;
+    std::vector<VmId> all{peers.self};
+    if (peers.dataCentre == dataCentre) {
+        near.push_back(peers.self);
+    }
+    for (const auto &[vm, peer] : peers.peers) {
+        if (peer.leaving || !isAlive(peers, peer, now)) {
+            continue;
+        }
+        all.push_back(vm);
+        if (peer.dataCentre == dataCentre) {
+            near.push_back(vm);
+        }
+    }
+    return near.empty() ? all : near;
+}
+
+const Peer *claimant(const PeerTable &peers, const BackendServerId &engine, Millis now)
+{
+    for (const auto &[vm, peer] : peers.peers) {
+        if (peer.owned.count(engine) != 0 && isAlive(peers, peer, now)) {
+            return &peer;
+        }
+    }
+    return nullptr;
+}
+
+bool ranksAbove(const VmId &a, const VmId &b, const BackendServerId &engine)
+{
+    return rendezvousFirst(engine.str(), std::vector<VmId>{a, b}) == a;
+}
+
+} // namespace
+
+OwnershipChange updateOwnership(OrderOwnership &state, const OwnershipTimings &timings,
+                                const std::vector<EngineSite> &engines, const PeerTable &peers,
+                                bool leaving, Millis now)
+{
+    OwnershipChange change;
+    std::set<BackendServerId> known;
+    for (const EngineSite &engine : engines) {
+        known.insert(engine.id);
+        const Peer *peer = claimant(peers, engine.id, now);
+        if (peer != nullptr) {
+            state.claimedByPeerAt[engine.id] = peer->heardAt;
+        }
+        if (state.owned.count(engine.id) != 0) {
+            if (leaving || (peer != nullptr && ranksAbove(peer->vm, peers.self, engine.id))) {
+                state.owned.erase(engine.id);
+                change.lost.push_back(engine.id);
+            }
+            continue;
+        }
+        const auto claimed = state.claimedByPeerAt.find(engine.id);
+        const bool claimHolds
+                = claimed != state.claimedByPeerAt.end() && now - claimed->second < timings.silence;
+        if (leaving || peer != nullptr || claimHolds || now - state.startedAt < timings.settle) {
+            continue;
+        }
+        if (rendezvousFirst(engine.id.str(), candidates(peers, engine.dataCentre, now))
+            == peers.self) {
+            state.owned.insert(engine.id);
+            change.gained.push_back(engine.id);
+        }
+    }
+    for (auto engine = state.owned.begin(); engine != state.owned.end();) {
+        if (known.count(*engine) == 0) {
+            change.lost.push_back(*engine);
+            engine = state.owned.erase(engine);
+        } else {
+            ++engine;
+        }
+    }
+    std::erase_if(state.claimedByPeerAt,
+                  [&known](const auto &entry) { return known.count(entry.first) == 0; });
+    return change;
+}
+
+std::optional<VmId> ownerOf(const OrderOwnership &state, const PeerTable &peers,
+                            const BackendServerId &engine, Millis now)
+{
+    if (state.owned.count(engine) != 0) {
+        return peers.self;
+    }
+    const Peer *peer = claimant(peers, engine, now);
+    if (peer == nullptr) {
+        return std::nullopt;
+    }
+    return peer->vm;
+}
+
+FencingNumber fencingNumberFor(std::uint64_t contentRevision, std::uint64_t orderCount,
+                               const VmId &vm)
+{
+    constexpr std::uint64_t vmNumbers = 4096;
+    return FencingNumber((contentRevision + orderCount + 1) * vmNumbers
+                         + hash64(vm.str()) % vmNumbers);
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/edge/place_client.h
@@ -0,0 +1,64 @@
+#ifndef BALSAMPORT_EDGE_PLACE_CLIENT_H
+#define BALSAMPORT_EDGE_PLACE_CLIENT_H
+
+#include "engine_controller.h"
+#include "peer_controller.h"
+
+#include <functional>
+#include <map>
+
+namespace balsamport {
+
+/// @brief Asks the owners of engines for places, this daemon's own engines included.
+class PlaceClient
+{
+public:
+    using Handler = std::function<void(const PlaceVerdict &verdict)>;
+
+    PlaceClient(EdgeContext &context, PeerController &peers, EngineController &engines,
+                const OrderOwnership &ownership);
+
+    /// @brief Asks for a place. The handler gets Queued at most once and then one other verdict,
+    /// or NotOwner where the owner is unknown or silent.
+    /// @param request its key is filled in
+    /// @return the number of the place, for note()
+    std::uint64_t ask(const BackendServerId &server, PlaceRequest request, Handler handler);
+
+    /// @brief Tells the owner what became of a place. Ended and Cancelled forget it.
+    void note(std::uint64_t place, PlaceEvent event);
+
+    /// @brief Takes a verdict, from a peer or from this daemon's engines.
+    void take(std::uint64_t place, const PlaceVerdict &verdict);
+
+    /// @brief Serves a peer's messages.
+    void servePeer(const VmId &peer, std::uint64_t incarnation, const wire::PlaceRequest &request);
+    void servePeer(const VmId &peer, std::uint64_t incarnation, const wire::PlaceUpdate &update);
+
+    /// @brief Sends the verdict on a peer's request back to it.
+    void answerPeer(const PlaceKey &key, const PlaceVerdict &verdict);
+
+private:
+    struct Asked
+    {
+        BackendServerId server;
+        VmId owner;
+        Handler handler;
+        std::unique_ptr<LoopTimer> timer; ///< Until the owner's first word.
+    };
+
+    void expire(std::uint64_t place);
+
+    EdgeContext &context;
+    PeerController &peers;
+    EngineController &engines;
+    const OrderOwnership &ownership;
+    std::uint64_t nextPlace = 1;
+    std::map<std::uint64_t, Asked> asked;
+};
+
+/// @return a verdict as a peer sent it
+[[nodiscard]] PlaceVerdict verdictOf(const wire::PlaceReply &reply);
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/edge/request_flow.h
@@ -0,0 +1,111 @@
+#ifndef BALSAMPORT_EDGE_REQUEST_FLOW_H
+#define BALSAMPORT_EDGE_REQUEST_FLOW_H
+
+#include "edge_state.h"
+#include "event_splitter.h"
+#include "place_client.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace balsamport {
+
+class RequestFlow;
+
+/// @brief What request flows work with.
+struct FlowContext
+{
+    EdgeContext &edge;
+    EdgeState &state;
+    PlaceClient &places;
+    PeerController &peers;
+    std::set<std::shared_ptr<RequestFlow>> running; ///< Requests in progress.
+};
+
+/// @brief One request from its arrival to its answer. Lives on the loop's thread.
+///
+/// A request that is not idempotent is sent again only where the server said that it did not run
+/// it, or where no byte of it was sent.
+class RequestFlow : public std::enable_shared_from_this<RequestFlow>
+{
+public:
+    RequestFlow(FlowContext &context, std::shared_ptr<const IncomingRequest> incoming,
+                std::shared_ptr<ResponseWriter> writer);
+    void start();
+
+private:
+    /// One send to a backend server, shared with the callbacks of its exchange.
+    struct Attempt
+    {
+        std::uint64_t exchange = 0;
+        BackendServerId server;
+        std::uint64_t place = 0; ///< 0 for plain services.
+        Millis sentAt;
+        std::atomic<bool> abandoned{false};
+        std::atomic<std::size_t> unwritten{0};
+        std::atomic<bool> paused{false};
+        bool started = false; ///< A piece of the answer has come.
+        bool foreign = false; ///< The answer belongs to another request.
+        ServerAnswer answer;
+        std::string body;
+    };
+
+    [[nodiscard]] bool readRoute();
+    [[nodiscard]] bool admit();
+    void planServers();
+    void askNext();
+    void takeVerdict(std::uint64_t place, const BackendServerId &server,
+                     const PlaceVerdict &verdict);
+    void sendToNextReplica();
+    void send(const BackendServerId &server, std::uint64_t place, AdapterVersion version);
+    [[nodiscard]] ExchangeHandlers handlersOf(const std::shared_ptr<Attempt> &attempt);
+    void takeHead(const std::shared_ptr<Attempt> &attempt, const ResponseHead &head);
+    void takeBody(const std::shared_ptr<Attempt> &attempt, std::string piece);
+    void relay(const std::shared_ptr<Attempt> &attempt, std::string text);
+    void takeEnd(const std::shared_ptr<Attempt> &attempt, const Result<void> &result);
+    void finishAnswer(const std::shared_ptr<Attempt> &attempt);
+    void takeNotRun(const std::shared_ptr<Attempt> &attempt);
+    void takeFailure(const std::shared_ptr<Attempt> &attempt, ErrorCode code);
+    void endAttempt(std::shared_ptr<Attempt> attempt, PlaceEvent event);
+    [[nodiscard]] bool mayRepeat() const;
+    [[nodiscard]] bool takeRetry(std::string_view reason);
+    void tryAgain();
+    void noteCrashOf(const std::shared_ptr<Attempt> &attempt);
+    void expire();
+    void callerGone();
+    void refuse(ErrorCode code, Millis retryAfter);
+    void fail(int status, ErrorCode code);
+    void answer(HttpAnswer answer, std::string_view outcome, ErrorCode code);
+    void end();
+
+    FlowContext &context;
+    std::shared_ptr<const IncomingRequest> incoming;
+    std::shared_ptr<ResponseWriter> writer;
+    CallerRequest request;
+    EdgeRoute route;
+    ServiceId service;
+    bool engine = false;
+    Fingerprint fingerprint;
+    Millis arrivedAt;
+    Millis objectiveAt;
+    Millis deadlineAt;
+    std::vector<BackendServerId> plan; ///< Servers still to try, best first.
+    std::uint32_t asks = 0;
+    std::uint64_t place = 0; ///< Asked for and not decided yet.
+    std::shared_ptr<Attempt> attempt; ///< Under way.
+    std::uint32_t runs = 0; ///< Servers that may have run the request.
+    std::uint32_t sends = 0;
+    Millis retryHint{0}; ///< From the owners that sent this request elsewhere.
+    bool streamStarted = false;
+    EventSplitter splitter;
+    std::unique_ptr<LoopTimer> timer;
+    bool ended = false;
+};
+
+} // namespace balsamport
+
+#endif
--- /dev/null
+++ b/src/edge/server_choice.cpp
@@ -0,0 +1,184 @@
+#include <balsamport/edge/server_choice.h>
+
+#include <balsamport/core/hash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamport {
+
+namespace {
+
+/// Weight of the newest answer in a server's share of failures.
+constexpr double failureWeight = 0.12;
+/// A server whose answers fail more often is tried last. Plain services fail up to a seventh of
+/// their requests by themselves.
+constexpr double failureLimit = 0.4;
+/// A server that could not be reached is tried last for this long.
+constexpr Millis avoidTime{1'500};
+/// An owner's word on its wait is believed for this long.
+constexpr Millis waitHintTime{400};
+/// Waits that differ by less are alike, so that an adapter keeps to its homes.
+constexpr Millis waitStep{120};
+/// Time constant of the demand for an adapter.
+constexpr double demandSeconds = 6.0;
+/// Requests a second of one adapter that an engine serves beside others. A mean prompt takes
+/// 92 ms to read, and half of the engine's time is left for the rest.
+constexpr double requestsPerHome = 4.0;
+constexpr std::size_t maxDemandEntries = 4096;
+constexpr double millisPerSecond = 1000.0;
+/// Cost of the way to a server, in requests in flight there.
+constexpr double regionCost = 0.25;
+constexpr double otherRegionCost = 4.0;
+constexpr double failureCost = 50.0;
+
+ServerExperience experienceOf(const ServerExperiences &experiences, const BackendServerId &id)
+{
+    const auto found = experiences.find(id);
+    return found == experiences.end() ? ServerExperience() : found->second;
+}
+
+bool isTroubled(const ServerExperience &experience, Millis now) noexcept
+{
+    return experience.avoidUntil > now || experience.failureShare > failureLimit;
+}
+
+struct Candidate
+{
+    BackendServerId id;
+    bool troubled = false;
+    int group = 0; ///< 0 a home, 1 the rest of the region, 2 other regions.
+    std::int64_t waitSteps = 0;
+    std::uint64_t score = 0;
+};
+
+bool isBetter(const Candidate &a, const Candidate &b)
+{
+    if (a.troubled != b.troubled) {
+        return b.troubled;
+    }
+    if (a.group != b.group) {
+        return a.group < b.group;
+    }
+    if (a.waitSteps != b.waitSteps) {
+        return a.waitSteps < b.waitSteps;
+    }
+    return a.score != b.score ? a.score > b.score : a.id < b.id;
+}
+
+} // namespace
+
+Distance distanceTo(const Location &location, const DataCentreId &dataCentre)
+{
+    if (dataCentre == location.dataCentre) {
+        return Distance::SameDataCentre;
+    }
+    const auto own = location.regions.find(location.dataCentre);
+    const auto other = location.regions.find(dataCentre);
+    const bool same = own != location.regions.end() && other != location.regions.end()
+            && own->second == other->second;
+    return same ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+void noteAnswer(ServerExperience &experience, bool failed) noexcept
+{
+    experience.failureShare
+            = experience.failureShare * (1 - failureWeight) + (failed ? failureWeight : 0);
+}
+
+void noteUnreachable(ServerExperience &experience, Millis now) noexcept
+{
+    experience.avoidUntil = now + avoidTime;
+}
+
+double noteDemand(AdapterDemand &demand, std::string_view adapter, Millis now)
+{
+    if (demand.rates.size() > maxDemandEntries) {
+        std::erase_if(demand.rates, [now](const auto &entry) {
+            return static_cast<double>((now - entry.second.at).count())
+                    > demandSeconds * millisPerSecond;
+        });
+    }
+    auto found = demand.rates.find(adapter);
+    if (found == demand.rates.end()) {
+        found = demand.rates.emplace(std::string(adapter), AdapterDemand::Rate{0, now}).first;
+    }
+    AdapterDemand::Rate &rate = found->second;
+    const double seconds = static_cast<double>((now - rate.at).count()) / millisPerSecond;
+    rate.perSecond = rate.perSecond * std::exp(-seconds / demandSeconds) + 1.0 / demandSeconds;
+    rate.at = now;
+    return rate.perSecond;
+}
+
+std::vector<BackendServerId> rankEngines(const std::vector<const ServerEntry *> &servers,
+                                         const Location &location,
+                                         const ServerExperiences &experiences,
+                                         std::string_view adapter, double requestsPerSecond,
+                                         Millis now)
+{
+    const std::uint64_t adapterHash = hash64(adapter);
+    std::vector<Candidate> candidates;
+    for (const ServerEntry *server : servers) {
+        const ServerExperience experience = experienceOf(experiences, server->id);
+        const bool hinted
+                = experience.waitToldAt >= Millis(0) && now - experience.waitToldAt < waitHintTime;
+        Candidate candidate;
+        candidate.id = server->id;
+        candidate.troubled = isTroubled(experience, now) || !server->holdsModel;
+        const bool far = distanceTo(location, server->dataCentre) == Distance::OtherRegion;
+        candidate.group = far ? 2 : 1;
+        candidate.waitSteps = hinted ? experience.wait.count() / waitStep.count() : 0;
+        candidate.score = rendezvousScore(adapterHash, hash64(server->id.str()));
+        candidates.push_back(candidate);
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+        if (a.group != b.group) {
+            return a.group < b.group;
+        }
+        return a.score != b.score ? a.score > b.score : a.id < b.id;
+    });
+    // The base model is everywhere, so every engine is its home.
+    const auto homes = adapter.empty()
+            ? candidates.size()
+            : static_cast<std::size_t>(1 + requestsPerSecond / requestsPerHome);
+    for (std::size_t i = 0; i < std::min(homes, candidates.size()); ++i) {
+        if (candidates[i].group == 1) {
+            candidates[i].group = 0;
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), isBetter);
+    std::vector<BackendServerId> ranked;
+    for (const Candidate &candidate : candidates) {
+        ranked.push_back(candidate.id);
+    }
+    return ranked;
+}
+
+std::vector<BackendServerId> rankReplicas(const std::vector<const ServerEntry *> &servers,
+                                          const Location &location,
+                                          const ServerExperiences &experiences,
+                                          std::uint64_t random, Millis now)
+{
+    std::vector<std::pair<double, BackendServerId>> ranked;
+    for (const ServerEntry *server : servers) {
+        const ServerExperience experience = experienceOf(experiences, server->id);
+        double cost = experience.inFlight;
+        const Distance distance = distanceTo(location, server->dataCentre);
+        cost += distance == Distance::SameDataCentre ? 0
+                : distance == Distance::SameRegion   ? regionCost
+                                                     : otherRegionCost;
+        cost += isTroubled(experience, now) ? failureCost : 0;
+        // Below one request, so that it only decides between equals.
+        constexpr double tieScale = 0.1 / 18446744073709551616.0;
+        cost += tieScale * static_cast<double>(mixHash(random, hash64(server->id.str())));
+        ranked.emplace_back(cost, server->id);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<BackendServerId> result;
+    for (auto &[cost, id] : ranked) {
+        result.push_back(std::move(id));
+    }
+    return result;
+}
+
+} // namespace balsamport
--- /dev/null
+++ b/src/edge/shared_retry_budget.cpp
@@ -0,0 +1,42 @@
+#include <balsamport/edge/shared_retry_budget.h>
+
+#include <algorithm>
+
+namespace balsamport {
+
+SharedRetryBudget::Bucket &SharedRetryBudget::bucketAt(const RetryBudgetLimits &limits, Millis now)
+{
+    const Millis length = limits.window / static_cast<std::int64_t>(buckets);
+    const std::int64_t index = now.count() / std::max<std::int64_t>(1, length.count());
+    Bucket &bucket = this->ring[static_cast<std::size_t>(index) % buckets];
+    if (bucket.index != index) {
+        bucket = Bucket{index, 0, 0};
+    }
+    return bucket;
+}
+
+void SharedRetryBudget::noteRequest(const RetryBudgetLimits &limits, Millis now)
+{
+    ++this->bucketAt(limits, now).requests;
+}
+
+bool SharedRetryBudget::take(const RetryBudgetLimits &limits, std::size_t daemons, Millis now)
+{
+    Bucket &current = this->bucketAt(limits, now);
+    double requests = 0;
+    double repeats = 0;
+    for (const Bucket &bucket : this->ring) {
+        if (bucket.index > current.index - static_cast<std::int64_t>(buckets)) {
+            requests += bucket.requests;
+            repeats += bucket.repeats;
+        }
+    }
+    const double slack = limits.slack / static_cast<double>(std::max<std::size_t>(1, daemons));
+    if (repeats + 1 > usedPart * (limits.ratio * requests + slack)) {
+        return false;
+    }
+    ++current.repeats;
+    return true;
+}
+
+} // namespace balsamport
--- a/src/http/curl_exchange.cpp
+++ b/src/http/curl_exchange.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr long maxKeptConnectionAgeSeconds = 5;
 constexpr std::int64_t millisPerSecond = 1000;
 
 std::string_view trimLineEnd(std::string_view line) noexcept
@@ -62,7 +61,11 @@
                      static_cast<long>(this->request.connectTimeout.count()));
     curl_easy_setopt(this->easy, CURLOPT_TIMEOUT_MS,
                      static_cast<long>(this->request.timeout.count()));
-    curl_easy_setopt(this->easy, CURLOPT_MAXAGE_CONN, maxKeptConnectionAgeSeconds);
+    curl_easy_setopt(this->easy, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(this->request.keptConnectionAge.count() / millisPerSecond));
+    if (!this->request.target.empty()) {
+        curl_easy_setopt(this->easy, CURLOPT_REQUEST_TARGET, this->request.target.c_str());
+    }
     curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, this->request.freshConnection ? 1L : 0L);
     if (this->request.idleTimeout > Millis(0)) {
         const std::int64_t seconds
@@ -85,10 +88,11 @@
         this->headerList = curl_slist_append(this->headerList, line.c_str());
     }
     this->headerList = curl_slist_append(this->headerList, "Expect:");
-    if (this->request.method != "GET") {
+    if (this->request.method != "GET" || !this->request.body.empty()) {
         curl_easy_setopt(this->easy, CURLOPT_CUSTOMREQUEST, this->request.method.c_str());
     }
-    if (this->request.method != "GET" && this->request.method != "HEAD") {
+    const bool bodiless = this->request.method == "GET" || this->request.method == "HEAD";
+    if (!bodiless || !this->request.body.empty()) {
         curl_easy_setopt(this->easy, CURLOPT_POST, 1L);
         curl_easy_setopt(this->easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(this->request.body.size()));
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -20,6 +20,12 @@
             http_status_str(static_cast<http_status>(status))};
 }
 
+/// RESTinio writes this header itself and then closes the connection.
+bool isConnectionClose(const HttpHeader &header)
+{
+    return findHeader(HttpHeaders{header}, "Connection") == "close";
+}
+
 /// A chunk whose header announces more than its data, so that the answer cannot pass as whole.
 ///
 /// RESTinio reads the size once to see that the chunk is not empty and once for the chunk's header;
@@ -58,7 +64,11 @@
     this->answered = true;
     auto response = this->request->create_response(statusLine(answer.status));
     for (const HttpHeader &header : answer.headers) {
-        response.append_header(header.name, header.value);
+        if (isConnectionClose(header)) {
+            response.connection_close();
+        } else {
+            response.append_header(header.name, header.value);
+        }
     }
     response.set_body(answer.body);
     response.done();
@@ -195,6 +205,7 @@
     request->method = header.method().c_str();
     request->path = std::string(header.path());
     request->query = std::string(header.query());
+    request->target = header.request_target();
     header.for_each_field([&request](const restinio::http_header_field_t &field) {
         request->headers.push_back(HttpHeader{field.name(), field.value()});
     });
