--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -405,7 +405,17 @@
 void EdgeDaemon::Impl::takeRequest(std::shared_ptr<const IncomingRequest> request,
                                    std::shared_ptr<ResponseWriter> writer)
 {
-    this->lastRequest = monotonicNow();
+    const Millis now = monotonicNow();
+    this->lastRequest = now;
+    if (this->state.leaving && now - this->leftAt > this->settings.announceTime) {
+        // It might not end before the process does; every other daemon can take it.
+        this->log.write(EventWeight::Notable, "refused",
+                        {{"reason", "stopping"}, {"stopping_ms", now - this->leftAt}});
+        writer->send(HttpAnswer{unavailable,
+                                {{"Retry-After", "0.05"}, {"Connection", "close"}},
+                                std::string(errorName(ErrorCode::Leaving))});
+        return;
+    }
     std::make_shared<RequestFlow>(this->flows, std::move(request), std::move(writer))->start();
 }
 
