--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -188,12 +188,18 @@
     });
 }
 
+bool isWarm(const EnginePlaces &state, const AdapterId &adapter)
+{
+    return std::find(state.warm.begin(), state.warm.end(), adapter) != state.warm.end();
+}
+
 /// Decides whether a new request would wait too long here.
 std::optional<PlaceAction> sendAwayAction(const EnginePlaces &state, const PlaceLimits &limits,
                                           const PlaceRequest &request, Millis now)
 {
     const Millis wait = expectedWait(state, limits, request, now);
-    if (!request.lastChoice && wait > limits.elsewhereWait) {
+    const bool held = state.places.count(request.adapter) != 0 || isWarm(state, request.adapter);
+    if (!request.lastChoice && wait > (held ? limits.heldElsewhereWait : limits.elsewhereWait)) {
         return SendElsewhere{request.key, wait};
     }
     const Millis latest = std::min(request.deadlineAt, request.objectiveAt + limits.lateLimit);
@@ -302,11 +308,6 @@
     return std::nullopt;
 }
 
-bool isWarm(const EnginePlaces &state, const AdapterId &adapter)
-{
-    return std::find(state.warm.begin(), state.warm.end(), adapter) != state.warm.end();
-}
-
 /// Notes an order in the places, so that a place is taken from the moment the order leaves.
 void beginOrder(EnginePlaces &state, const PlaceLimits &limits, const EngineOrder &order,
                 Millis now)
--- a/src/edge/server_choice.cpp
+++ b/src/edge/server_choice.cpp
@@ -25,6 +25,9 @@
 /// Requests a second of one adapter that an engine serves beside others. A mean prompt takes
 /// 92 ms to read, and half of the engine's time is left for the rest.
 constexpr double requestsPerHome = 4.0;
+/// Adapters with less demand have one home in all regions: the way between them costs less than
+/// a second load from the store.
+constexpr double demandForRegionalHome = 0.5;
 constexpr std::size_t maxDemandEntries = 4096;
 constexpr double millisPerSecond = 1000.0;
 /// Cost of the way to a server, in requests in flight there.
@@ -117,6 +120,7 @@
                                          Millis now)
 {
     const std::uint64_t adapterHash = hash64(adapter);
+    const bool regional = adapter.empty() || requestsPerSecond >= demandForRegionalHome;
     std::vector<Candidate> candidates;
     for (const ServerEntry *server : servers) {
         const ServerExperience experience = experienceOf(experiences, server->id);
@@ -126,7 +130,7 @@
         candidate.id = server->id;
         candidate.troubled = isTroubled(experience, now) || !server->holdsModel;
         const bool far = distanceTo(location, server->dataCentre) == Distance::OtherRegion;
-        candidate.group = far ? 2 : 1;
+        candidate.group = far && regional ? 2 : 1;
         candidate.waitSteps = hinted ? experience.wait.count() / waitStep.count() : 0;
         candidate.score = rendezvousScore(adapterHash, hash64(server->id.str()));
         candidates.push_back(candidate);
