--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -63,7 +63,8 @@
     Millis coldLoad{250}; ///< Source: the users' system page, time of an adapter load.
     Millis warmLoad{25}; ///< An adapter that was held lately loads ten times as fast.
     Millis elsewhereWait{250}; ///< Longer expected waits send a request to another engine.
-    Millis heldElsewhereWait{500}; ///< The same where the adapter is held here: a load elsewhere costs more.
+    Millis heldElsewhereWait{
+            500}; ///< The same where the adapter is held here: a load elsewhere costs more.
     Millis lateLimit{1'500}; ///< A request that is late by more is refused while it waits.
     std::uint32_t loadsAtOnce = 3; ///< The engine takes four; one is left for a replacement.
     std::size_t warmAdapters = 36; ///< Adapters that an engine keeps in its host's memory.
--- a/include/balsamport/edge/order_ownership.h
+++ b/include/balsamport/edge/order_ownership.h
@@ -27,7 +27,8 @@
 /// @brief Times of claims.
 struct OwnershipTimings
 {
-    Millis settle{1'200}; ///< After the start, so that peers with claims are heard first.
+    Millis settle{700}; ///< After the start, so that peers with claims are heard first.
+    Millis farSettle{8'000}; ///< The same for engines of other data centres.
     Millis silence{2'600}; ///< A peer's claim holds this long without being repeated.
 
     bool operator==(const OwnershipTimings &) const = default;
@@ -59,10 +60,10 @@
                                 const std::vector<EngineSite> &engines, const PeerTable &peers,
                                 bool leaving, Millis now);
 
-/// @brief Names the daemon that owns an engine.
-/// @return this VM's id, a live peer's, or nothing
+/// @brief Names the daemon that owns an engine, or the likeliest one where nobody says so.
+/// @return this VM's id only where it owns the engine; nothing where it would be the likeliest
 [[nodiscard]] std::optional<VmId> ownerOf(const OrderOwnership &state, const PeerTable &peers,
-                                          const BackendServerId &engine, Millis now);
+                                          const EngineSite &engine, Millis now);
 
 /// @brief Builds the fencing number of a new term. It rises with the published state's revision
 /// and with the engine's own order count, and differs between daemons.
--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -23,19 +23,28 @@
     Millis firstTold; ///< When this VM learnt of it.
     bool leaving = false;
     bool storeReachable = false;
+    std::uint32_t newsLeft = newsRounds; ///< Rounds in which near peers are still told of it.
     std::set<BackendServerId> owned; ///< Backend servers that it gives orders to.
 
+    /// Twice, so that one lost message does not hide a new peer.
+    static constexpr std::uint32_t newsRounds = 2;
+
     bool operator==(const Peer &) const = default;
 };
 
 /// @brief Times of the daemons' gossip.
+///
+/// Daemons of a data centre tell each other of themselves. One of them, the delegate, tells those
+/// of other data centres of all its members, so that messages grow with the fleet and not with its
+/// square.
 struct PeerTimings
 {
     Millis nearPeriod{500}; ///< Between messages to a peer of the same data centre.
-    Millis farPeriod{1'000}; ///< Between messages to a peer of another one.
-    Millis aliveTime{2'200}; ///< A peer that was heard within this time is alive.
+    Millis farPeriod{1'000}; ///< Between messages of the delegate, for a small fleet.
+    std::size_t farPeersPerSecond = 24; ///< The delegate tells no more; a larger fleet hears later.
+    Millis nearAlive{2'200}; ///< A near peer that was heard within this time is alive.
+    Millis farAlive{5'000}; ///< A far one; its delegate may have to be replaced first.
     Millis forgetTime{20'000}; ///< A silent peer is then forgotten.
-    std::size_t farPeersPerRound = 7; ///< Peers of other data centres told in one round.
 
     bool operator==(const PeerTimings &) const = default;
 };
@@ -66,9 +75,10 @@
     bool operator==(const PeerNews &) const = default;
 };
 
-/// @brief Takes what a peer says of itself.
+/// @brief Takes what a peer says of itself, or its delegate says of it.
+/// @param heardAt when the peer was heard
 /// @return true where the peer is new or has started again
-bool hearPeer(PeerTable &table, const PeerNews &news, Millis now);
+bool hearPeer(PeerTable &table, const PeerNews &news, Millis heardAt);
 
 /// @brief Learns from a third daemon that a peer exists; it counts as alive only once it speaks.
 /// @return true where it was not known
@@ -81,9 +91,16 @@
 /// @return true where the peer spoke lately
 [[nodiscard]] bool isAlive(const PeerTable &table, const Peer &peer, Millis now) noexcept;
 
-/// @brief Chooses whom to tell in this round, which is one nearPeriod long: all of the own data
-/// centre, and a part of the others, in turn.
-[[nodiscard]] std::vector<const Peer *> gossipTargets(PeerTable &table);
+/// @brief Whom to tell in a round.
+struct GossipTargets
+{
+    std::vector<const Peer *> near;
+    std::vector<const Peer *> far; ///< Empty unless this daemon is the delegate.
+};
+
+/// @brief Chooses whom to tell in this round, which is one nearPeriod long.
+/// @param leaving this daemon stops; another one becomes the delegate
+[[nodiscard]] GossipTargets gossipTargets(PeerTable &table, bool leaving, Millis now);
 
 /// @brief Says whether this daemon reads the store for its data centre: the first by rendezvous
 /// among its live members that reach the store.
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -86,6 +86,7 @@
                         this->http,     processMetrics(), this->incarnation};
     PeerController peers{this->context, this->messages, [this] { return this->selfNews(); }};
     EngineController engines{this->context,
+                             [this] { return this->published.state().contentRevision; },
                              [this](const PlaceKey &key, const BackendServerId & /*server*/,
                                     const PlaceVerdict &verdict) {
                                  if (key.vm == this->settings.vm) {
@@ -110,8 +111,10 @@
     Millis lastTick;
     Millis lastPull{-1};
     Millis lastRequest{0};
+    Millis lastBusy{0}; ///< While stopping: when a request was in progress last.
     Millis stopAt;
     Millis leftAt;
+    std::map<VmId, std::uint64_t> peerRuns; ///< The incarnation that each peer spoke with last.
     std::atomic<bool> ready{false};
     std::unique_ptr<MessageServer> messageServer;
     std::unique_ptr<HttpServer> healthServer;
@@ -239,8 +242,7 @@
     }
     for (const BackendServerId &server : change.gained) {
         const ServerEntry &entry = this->state.catalog.servers.at(server).entry;
-        this->engines.gain(entry, *this->limitsOf(entry.service),
-                           this->published.state().contentRevision);
+        this->engines.gain(entry, *this->limitsOf(entry.service));
     }
     if (!change.lost.empty() || !change.gained.empty()) {
         this->peers.tellAll();
@@ -325,6 +327,12 @@
 {
     const VmId peer(message.sender().vm());
     const std::uint64_t run = message.sender().incarnation();
+    std::uint64_t &knownRun = this->peerRuns[peer];
+    if (knownRun != run) {
+        // It has started again and remembers none of its requests.
+        knownRun = run;
+        this->engines.dropPlacesOf(peer, run);
+    }
     switch (message.body_case()) {
     case wire::Envelope::kEdgeGossip:
         this->takeGossip(message);
@@ -365,9 +373,7 @@
 {
     const wire::EdgeGossip &gossip = message.edge_gossip();
     const VmId peer(message.sender().vm());
-    if (this->peers.take(gossip, message.sender().incarnation())) {
-        this->engines.dropPlacesOf(peer, message.sender().incarnation());
-    }
+    this->peers.take(gossip, message.sender().incarnation());
     const Millis now = monotonicNow();
     const Millis age(gossip.published_age_ms());
     if (gossip.content_revision() <= this->published.state().contentRevision) {
@@ -465,7 +471,11 @@
 void EdgeDaemon::Impl::awaitEnd()
 {
     const Millis now = monotonicNow();
-    const bool idle = this->flows.running.size() == 0
+    if (!this->flows.running.empty()) {
+        this->lastBusy = now;
+    }
+    // The last answers may still be on their way out of the network threads.
+    const bool idle = now - this->lastBusy > quietTime
             && now - this->leftAt > this->settings.announceTime
             && now - this->lastRequest > quietTime;
     if (idle || now > this->stopAt) {
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -54,8 +54,10 @@
 
 } // namespace
 
-EngineController::EngineController(EdgeContext &owner, VerdictHandler handler)
+EngineController::EngineController(EdgeContext &owner, std::function<std::uint64_t()> revision,
+                                   VerdictHandler handler)
     : context(owner)
+    , contentRevision(std::move(revision))
     , onVerdict(std::move(handler))
 { }
 
@@ -65,14 +67,12 @@
     return found == this->terms.end() ? nullptr : found->second.get();
 }
 
-void EngineController::gain(const ServerEntry &server, const EngineLimits &limits,
-                            std::uint64_t contentRevision)
+void EngineController::gain(const ServerEntry &server, const EngineLimits &limits)
 {
     auto term = std::make_unique<Term>();
     term->server = server;
     term->limits.engine = limits;
     term->places.server = server.id;
-    term->contentRevision = contentRevision;
     if (!limits.models.empty()) {
         term->places.base = limits.models.front().name;
     }
@@ -81,7 +81,7 @@
     Term &held = *term;
     this->terms[server.id] = std::move(term);
     this->context.log.write(EventWeight::Notable, "engine_owned",
-                            {{"server", server.id.str()}, {"revision", contentRevision}});
+                            {{"server", server.id.str()}, {"revision", this->contentRevision()}});
     this->readReport(held);
 }
 
@@ -344,7 +344,7 @@
     }
     term.places.ordersAllowed = true;
     term.number
-            = fencingNumberFor(term.contentRevision, term.orderCount, this->context.settings.vm);
+            = fencingNumberFor(this->contentRevision(), term.orderCount, this->context.settings.vm);
     this->context.log.write(EventWeight::Notable, "orders_allowed",
                             {{"server", term.server.id.str()},
                              {"number", term.number.number()},
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -45,10 +45,12 @@
     using VerdictHandler = std::function<void(const PlaceKey &key, const BackendServerId &server,
                                               const PlaceVerdict &verdict)>;
 
-    EngineController(EdgeContext &context, VerdictHandler onVerdict);
+    /// @param contentRevision gives the revision of the published state, for fencing numbers
+    EngineController(EdgeContext &context, std::function<std::uint64_t()> contentRevision,
+                     VerdictHandler onVerdict);
 
     /// @brief Begins a term as the owner of an engine.
-    void gain(const ServerEntry &server, const EngineLimits &limits, std::uint64_t contentRevision);
+    void gain(const ServerEntry &server, const EngineLimits &limits);
     void lose(const BackendServerId &server);
 
     /// @brief Takes an engine's new description, or new limits of its service.
@@ -73,7 +75,6 @@
         PlaceLimits limits;
         EnginePlaces places;
         FencingNumber number;
-        std::uint64_t contentRevision = 0;
         std::uint64_t orderCount = 0;
         Millis countSeenAt{-1}; ///< Since when the order count has stood still.
         Millis orderedAt{-1}; ///< When the last order was answered.
@@ -98,6 +99,7 @@
     void tell(Term &term, const PlaceAction &action, Millis now);
 
     EdgeContext &context;
+    std::function<std::uint64_t()> contentRevision;
     VerdictHandler onVerdict;
     AdapterVersions versions;
     std::map<BackendServerId, std::unique_ptr<Term>> terms;
--- a/src/edge/order_ownership.cpp
+++ b/src/edge/order_ownership.cpp
@@ -70,6 +70,10 @@
         if (leaving || peer != nullptr || claimHolds || now - state.startedAt < timings.settle) {
             continue;
         }
+        // Members of other data centres are heard of later than those of the own one.
+        if (engine.dataCentre != peers.dataCentre && now - state.startedAt < timings.farSettle) {
+            continue;
+        }
         if (rendezvousFirst(engine.id.str(), candidates(peers, engine.dataCentre, now))
             == peers.self) {
             state.owned.insert(engine.id);
@@ -90,16 +94,18 @@
 }
 
 std::optional<VmId> ownerOf(const OrderOwnership &state, const PeerTable &peers,
-                            const BackendServerId &engine, Millis now)
+                            const EngineSite &engine, Millis now)
 {
-    if (state.owned.count(engine) != 0) {
+    if (state.owned.count(engine.id) != 0) {
         return peers.self;
     }
-    const Peer *peer = claimant(peers, engine, now);
-    if (peer == nullptr) {
-        return std::nullopt;
+    const Peer *peer = claimant(peers, engine.id, now);
+    if (peer != nullptr) {
+        return peer->vm;
     }
-    return peer->vm;
+    const std::vector<VmId> likely = candidates(peers, engine.dataCentre, now);
+    const std::optional<VmId> first = rendezvousFirst(engine.id.str(), likely);
+    return first == peers.self ? std::nullopt : first;
 }
 
 FencingNumber fencingNumberFor(std::uint64_t contentRevision, std::uint64_t orderCount,
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Members told to a peer in one message; a new daemon learns the rest from several.
-constexpr int membersPerMessage = 12;
+/// Members told to a new peer in one message; the rest follows in the usual rounds.
+constexpr int membersPerMessage = 400;
 /// Seeds are told again while they are unknown, every so many rounds.
 constexpr std::uint64_t roundsPerSeed = 4;
 
@@ -17,6 +17,14 @@
     return "tcp://" + address;
 }
 
+void addMember(wire::EdgeGossip &gossip, const Peer &peer)
+{
+    wire::EdgeMember &member = *gossip.add_members();
+    member.set_vm(peer.vm.str());
+    member.set_endpoint(peer.endpoint);
+    member.set_data_centre(peer.dataCentre.str());
+}
+
 PeerNews newsOf(const wire::EdgeMember &member)
 {
     PeerNews news;
@@ -24,6 +32,10 @@
     news.incarnation = member.incarnation();
     news.endpoint = member.endpoint();
     news.dataCentre = DataCentreId(member.data_centre());
+    news.leaving = member.leaving();
+    for (const std::string &server : member.owned_servers()) {
+        news.owned.insert(BackendServerId(server));
+    }
     return news;
 }
 
@@ -48,6 +60,28 @@
 void PeerController::round()
 {
     const Millis now = monotonicNow();
+    this->noteSilence(now);
+    const std::uint64_t roundNumber = this->peers.round;
+    const GossipTargets targets = gossipTargets(this->peers, this->self().leaving, now);
+    wire::Envelope nearMessage = this->gossip();
+    this->addNews(*nearMessage.mutable_edge_gossip());
+    for (const Peer *peer : targets.near) {
+        this->messages.notify(peer->endpoint, nearMessage);
+    }
+    if (!targets.far.empty()) {
+        const wire::Envelope message = this->dataCentreGossip(now);
+        for (const Peer *peer : targets.far) {
+            this->messages.notify(peer->endpoint, message);
+        }
+    }
+    if (roundNumber % roundsPerSeed == 0 || this->believedAlive.empty()) {
+        this->tellSeeds();
+    }
+    this->timer->set(this->peers.timings.nearPeriod, [this] { this->round(); });
+}
+
+void PeerController::noteSilence(Millis now)
+{
     for (const VmId &vm : forgetPeers(this->peers, now)) {
         this->context.log.write(EventWeight::Notable, "peer_forgotten", {{"peer", vm.str()}});
     }
@@ -61,55 +95,84 @@
         }
     }
     this->believedAlive = std::move(alive);
-    const std::uint64_t roundNumber = this->peers.round;
-    for (const Peer *peer : gossipTargets(this->peers)) {
-        this->tell(peer->endpoint);
-    }
-    if (roundNumber % roundsPerSeed == 0 || this->believedAlive.empty()) {
-        for (const std::string &seed : this->context.settings.seeds) {
-            const std::string endpoint = endpointOf(seed);
-            const bool known = std::any_of(
-                    this->peers.peers.begin(), this->peers.peers.end(),
-                    [&endpoint](const auto &entry) { return entry.second.endpoint == endpoint; });
-            if (!known && seed != this->context.settings.peerAddress) {
-                this->tell(endpoint);
-            }
+}
+
+void PeerController::tellSeeds()
+{
+    for (const std::string &seed : this->context.settings.seeds) {
+        const std::string endpoint = endpointOf(seed);
+        const bool known = std::any_of(
+                this->peers.peers.begin(), this->peers.peers.end(),
+                [&endpoint](const auto &entry) { return entry.second.endpoint == endpoint; });
+        if (!known && seed != this->context.settings.peerAddress) {
+            this->tell(endpoint);
         }
     }
-    this->timer->set(this->peers.timings.nearPeriod, [this] { this->round(); });
 }
 
 wire::Envelope PeerController::gossip() const
 {
     const SelfNews news = this->self();
-    const Millis now = monotonicNow();
     wire::Envelope message;
     wire::EdgeGossip &gossip = *message.mutable_edge_gossip();
-    gossip.mutable_self()->set_vm(this->context.settings.vm.str());
-    gossip.mutable_self()->set_incarnation(this->context.incarnation);
-    gossip.mutable_self()->set_endpoint(endpointOf(this->context.settings.peerAddress));
-    gossip.mutable_self()->set_data_centre(this->peers.dataCentre.str());
+    wire::EdgeMember &own = *gossip.mutable_self();
+    own.set_vm(this->context.settings.vm.str());
+    own.set_incarnation(this->context.incarnation);
+    own.set_endpoint(endpointOf(this->context.settings.peerAddress));
+    own.set_data_centre(this->peers.dataCentre.str());
+    own.set_leaving(news.leaving);
+    for (const BackendServerId &server : news.owned) {
+        own.add_owned_servers(server.str());
+    }
     gossip.set_content_revision(news.contentRevision);
     gossip.set_published_age_ms(static_cast<std::uint32_t>(news.publishedAge.count()));
     gossip.set_store_reachable(news.storeReachable);
-    gossip.set_leaving(news.leaving);
-    for (const BackendServerId &server : news.owned) {
-        gossip.add_owned_servers(server.str());
-    }
-    // A different part of the members each round, so that all are told in time.
+    return message;
+}
+
+void PeerController::addNews(wire::EdgeGossip &gossip)
+{
+    // New peers at once, and one of the others in turn, so that what was lost is told again.
     const std::size_t count = this->peers.peers.size();
-    const bool fullRound = this->peers.round % roundsPerSeed == 0;
-    const std::size_t first = count == 0 ? 0 : this->peers.round / roundsPerSeed % count;
+    const std::size_t turn = count == 0 ? 0 : this->peers.round % count;
     std::size_t index = 0;
+    for (auto &[vm, peer] : this->peers.peers) {
+        const bool isTurn = index++ == turn;
+        if (peer.newsLeft > 0 || isTurn) {
+            peer.newsLeft -= peer.newsLeft > 0 ? 1 : 0;
+            addMember(gossip, peer);
+        }
+    }
+}
+
+void PeerController::addMembers(wire::EdgeGossip &gossip, Millis now) const
+{
     for (const auto &[vm, peer] : this->peers.peers) {
-        const std::size_t distance = (index++ + count - first) % count;
-        if (!fullRound || distance >= membersPerMessage || !isAlive(this->peers, peer, now)) {
+        if (gossip.members_size() < membersPerMessage && isAlive(this->peers, peer, now)) {
+            addMember(gossip, peer);
+        }
+    }
+}
+
+wire::Envelope PeerController::dataCentreGossip(Millis now) const
+{
+    wire::Envelope message = this->gossip();
+    wire::EdgeGossip &gossip = *message.mutable_edge_gossip();
+    gossip.set_speaks_for_members(true);
+    for (const auto &[vm, peer] : this->peers.peers) {
+        if (peer.dataCentre != this->peers.dataCentre || !isAlive(this->peers, peer, now)) {
             continue;
         }
         wire::EdgeMember &member = *gossip.add_members();
         member.set_vm(vm.str());
+        member.set_incarnation(peer.incarnation);
         member.set_endpoint(peer.endpoint);
         member.set_data_centre(peer.dataCentre.str());
+        member.set_silent_ms(static_cast<std::uint32_t>((now - peer.heardAt).count()));
+        member.set_leaving(peer.leaving);
+        for (const BackendServerId &server : peer.owned) {
+            member.add_owned_servers(server.str());
+        }
     }
     return message;
 }
@@ -124,22 +187,22 @@
     const Millis now = monotonicNow();
     PeerNews news = newsOf(gossip.self());
     news.incarnation = incarnation;
-    news.leaving = gossip.leaving();
     news.storeReachable = gossip.store_reachable();
-    for (const std::string &server : gossip.owned_servers()) {
-        news.owned.insert(BackendServerId(server));
-    }
     const bool isNew = hearPeer(this->peers, news, now);
     if (isNew) {
         this->context.log.write(EventWeight::Notable, "peer_found",
                                 {{"peer", news.vm.str()},
                                  {"data_centre", news.dataCentre.str()},
                                  {"incarnation", incarnation}});
-        this->tell(news.endpoint);
+        wire::Envelope answer = this->gossip();
+        this->addMembers(*answer.mutable_edge_gossip(), now);
+        this->messages.notify(news.endpoint, std::move(answer));
     }
     for (const wire::EdgeMember &member : gossip.members()) {
         const PeerNews told = newsOf(member);
-        if (learnPeer(this->peers, told, now)) {
+        if (gossip.speaks_for_members()) {
+            hearPeer(this->peers, told, now - Millis(member.silent_ms()));
+        } else if (learnPeer(this->peers, told, now) && told.dataCentre == this->peers.dataCentre) {
             this->tell(told.endpoint);
         }
     }
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -52,7 +52,12 @@
 private:
     void round();
     void tell(const std::string &endpoint);
+    void tellSeeds();
+    void noteSilence(Millis now);
     [[nodiscard]] wire::Envelope gossip() const;
+    [[nodiscard]] wire::Envelope dataCentreGossip(Millis now) const;
+    void addNews(wire::EdgeGossip &gossip);
+    void addMembers(wire::EdgeGossip &gossip, Millis now) const;
 
     EdgeContext &context;
     MessageClient &messages;
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -3,18 +3,22 @@
 #include <balsamport/core/rendezvous.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace balsamport {
 
-bool hearPeer(PeerTable &table, const PeerNews &news, Millis now)
+bool hearPeer(PeerTable &table, const PeerNews &news, Millis heardAt)
 {
-    if (news.vm == table.self) {
+    if (news.vm == table.self || news.vm.empty()) {
         return false;
     }
     Peer &peer = table.peers[news.vm];
+    if (heardAt < peer.heardAt) {
+        return false;
+    }
     const bool isNew = peer.incarnation != news.incarnation;
     if (peer.vm.empty()) {
-        peer.firstTold = now;
+        peer.firstTold = heardAt;
     }
     peer.vm = news.vm;
     peer.incarnation = news.incarnation;
@@ -23,7 +27,7 @@
     peer.leaving = news.leaving;
     peer.storeReachable = news.storeReachable;
     peer.owned = news.owned;
-    peer.heardAt = now;
+    peer.heardAt = heardAt;
     return isNew;
 }
 
@@ -58,28 +62,45 @@
 
 bool isAlive(const PeerTable &table, const Peer &peer, Millis now) noexcept
 {
-    return peer.heardAt >= Millis(0) && now - peer.heardAt <= table.timings.aliveTime;
+    const Millis limit = peer.dataCentre == table.dataCentre ? table.timings.nearAlive
+                                                             : table.timings.farAlive;
+    return peer.heardAt >= Millis(0) && now - peer.heardAt <= limit;
 }
 
-std::vector<const Peer *> gossipTargets(PeerTable &table)
+GossipTargets gossipTargets(PeerTable &table, bool leaving, Millis now)
 {
-    std::vector<const Peer *> near;
-    std::vector<const Peer *> far;
+    GossipTargets targets;
+    std::vector<VmId> delegates;
+    if (!leaving) {
+        delegates.push_back(table.self);
+    }
     for (const auto &[vm, peer] : table.peers) {
-        (peer.dataCentre == table.dataCentre ? near : far).push_back(&peer);
+        if (peer.dataCentre != table.dataCentre) {
+            targets.far.push_back(&peer);
+            continue;
+        }
+        targets.near.push_back(&peer);
+        if (!peer.leaving && isAlive(table, peer, now)) {
+            delegates.push_back(vm);
+        }
     }
     const std::uint64_t round = table.round++;
-    // The far period is a multiple of the near one, which is the length of a round.
     const auto roundsPerFar = static_cast<std::uint64_t>(std::max<std::int64_t>(
             1, table.timings.farPeriod.count() / table.timings.nearPeriod.count()));
-    if (round % roundsPerFar == 0 && !far.empty()) {
-        const std::size_t count = std::min(far.size(), table.timings.farPeersPerRound);
-        const std::size_t first = round / roundsPerFar * count % far.size();
-        for (std::size_t i = 0; i < count; ++i) {
-            near.push_back(far[(first + i) % far.size()]);
+    const std::size_t far = targets.far.size();
+    // All of a small fleet every farPeriod, a part of a large one in turn.
+    const std::size_t stride = (far + table.timings.farPeersPerSecond - 1)
+            / std::max<std::size_t>(1, table.timings.farPeersPerSecond);
+    if (round % roundsPerFar != 0 || rendezvousFirst("delegate", delegates) != table.self) {
+        targets.far.clear();
+    } else if (stride > 1) {
+        std::vector<const Peer *> part;
+        for (std::size_t i = round / roundsPerFar % stride; i < far; i += stride) {
+            part.push_back(targets.far[i]);
         }
+        targets.far = std::move(part);
     }
-    return near;
+    return targets;
 }
 
 bool isStoreReader(const PeerTable &table, bool selfReachesStore, Millis now)
--- a/src/edge/place_client.cpp
+++ b/src/edge/place_client.cpp
@@ -120,11 +120,12 @@
     , ownership(orderOwnership)
 { }
 
-std::uint64_t PlaceClient::ask(const BackendServerId &server, PlaceRequest request, Handler handler)
+std::uint64_t PlaceClient::ask(const EngineSite &engine, PlaceRequest request, Handler handler)
 {
+    const BackendServerId &server = engine.id;
     const std::uint64_t place = this->nextPlace++;
     const Millis now = monotonicNow();
-    const std::optional<VmId> owner = ownerOf(this->ownership, this->peers.table(), server, now);
+    const std::optional<VmId> owner = ownerOf(this->ownership, this->peers.table(), engine, now);
     request.key = PlaceKey{this->context.settings.vm, this->context.incarnation, place};
     Asked entry{server, owner.value_or(VmId()), std::move(handler), nullptr};
     if (!owner || *owner == this->context.settings.vm) {
--- a/src/edge/place_client.h
+++ b/src/edge/place_client.h
@@ -22,7 +22,7 @@
     /// or NotOwner where the owner is unknown or silent.
     /// @param request its key is filled in
     /// @return the number of the place, for note()
-    std::uint64_t ask(const BackendServerId &server, PlaceRequest request, Handler handler);
+    std::uint64_t ask(const EngineSite &engine, PlaceRequest request, Handler handler);
 
     /// @brief Tells the owner what became of a place. Ended and Cancelled forget it.
     void note(std::uint64_t place, PlaceEvent event);
--- a/src/edge/published_controller.cpp
+++ b/src/edge/published_controller.cpp
@@ -56,6 +56,10 @@
         return;
     }
     this->stepAt = now;
+    this->context.log.write(EventWeight::Routine, "store_read",
+                            {{"reader", this->isReader()},
+                             {"age_ms", this->age(now)},
+                             {"revision", this->storeRevision}});
     if (this->storeRevision == 0) {
         this->listing.clear();
         this->listRevision = 0;
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -193,7 +193,11 @@
     asked.lastChoice = this->plan.empty();
     const std::weak_ptr<RequestFlow> weak = this->weak_from_this();
     auto number = std::make_shared<std::uint64_t>(0);
-    this->place = this->context.places.ask(server, std::move(asked),
+    const auto known = this->context.state.catalog.servers.find(server);
+    const DataCentreId dataCentre = known == this->context.state.catalog.servers.end()
+            ? DataCentreId()
+            : known->second.entry.dataCentre;
+    this->place = this->context.places.ask(EngineSite{server, dataCentre}, std::move(asked),
                                            [weak, server, number](const PlaceVerdict &verdict) {
                                                if (const auto self = weak.lock()) {
                                                    self->takeVerdict(*number, server, verdict);
