--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -164,6 +164,8 @@
     std::map<PlaceKey, RunningRequest> running;
     Millis prefillUntil; ///< When the granted prompts will have been read.
     std::optional<EngineOrder> orderInProgress;
+    Millis releasedAt; ///< When a place became free last.
+    Millis releaseInterval{250}; ///< Between places that become free, weighted to the newest.
     bool resyncWanted = false; ///< The engine did not behave as believed; read a report.
 };
 
--- a/include/balsamport/edge/server_choice.h
+++ b/include/balsamport/edge/server_choice.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -69,14 +70,40 @@
 /// @return requests a second for the adapter at this daemon
 double noteDemand(AdapterDemand &demand, std::string_view adapter, Millis now);
 
+/// @brief Where adapters were served last, so that they are not loaded elsewhere as well.
+struct AdapterHomes
+{
+    struct Home
+    {
+        BackendServerId server;
+        Millis servedAt;
+
+        bool operator==(const Home &) const = default;
+    };
+    std::map<std::string, Home, std::less<>> homes;
+
+    bool operator==(const AdapterHomes &) const = default;
+};
+
+/// @brief Notes that an engine gave an adapter's request a place.
+void noteHome(AdapterHomes &homes, std::string_view adapter, const BackendServerId &server,
+              Millis now);
+
+/// @return the engine that served the adapter lately, or nothing
+[[nodiscard]] std::optional<BackendServerId> lastHome(const AdapterHomes &homes,
+                                                      std::string_view adapter, Millis now);
+
 /// @brief Ranks the engines for an adapter: its homes in the own region first, one or more by its
-/// demand, the least busy of them first; then the rest of the region; then the other regions.
+/// demand, the least busy of them first; then the rest of the region; then the other regions. An
+/// adapter with little demand has one home in all regions: where it was served last, or the less
+/// busy of its first two engines.
 /// @param requestsPerSecond for the adapter, in the whole region
+/// @param last where this daemon had it served last; nothing if it is not known
 /// @complexity O(n log n)
 [[nodiscard]] std::vector<BackendServerId>
 rankEngines(const std::vector<const ServerEntry *> &servers, const Location &location,
             const ServerExperiences &experiences, std::string_view adapter,
-            double requestsPerSecond, Millis now);
+            double requestsPerSecond, const std::optional<BackendServerId> &last, Millis now);
 
 /// @brief Ranks the replicas of a plain service: the least loaded near one first.
 /// @param random breaks ties, so that daemons do not all choose alike
--- a/scripts/sources.sh
+++ b/scripts/sources.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # Lists the project's own C++ files, without generated code.
-find include src standins tests bench \( -name '*.h' -o -name '*.cpp' \) -print | grep -v '/generated/' | sort
+find include src platform standins tests bench \( -name '*.h' -o -name '*.cpp' \) -print | grep -v '/generated/' | sort
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -19,6 +19,7 @@
     ServerCatalog catalog;
     ServerExperiences experiences;
     AdapterDemand demand;
+    AdapterHomes homes;
     std::map<ServiceId, SharedRetryBudget> retryBudgets;
     CrashMemory crashes;
     bool leaving = false;
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -245,7 +245,8 @@
 void EngineController::tell(Term &term, const PlaceAction &action, Millis now)
 {
     const BackendServerId server = term.server.id;
-    const PlaceRequest fresh{};
+    PlaceRequest fresh;
+    fresh.adapter = AdapterId("?"); // One that is held nowhere.
     if (const auto *grant = std::get_if<GrantPlace>(&action)) {
         const Millis wait = expectedWait(term.places, term.limits, fresh, now);
         this->onVerdict(grant->key, server,
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint32_t maxUnstarted = 4;
 /// Wait that is expected where every place is in use.
 constexpr Millis placeWait{500};
+/// Longer pauses between releases say that no place was wanted, not that none was given.
+constexpr Millis longestRelease{1'000};
 /// A grant that has not ended this long after its deadline was lost with its daemon.
 constexpr Millis lostGrantTime{3'000};
 /// Shortest Retry-After, so that callers do not come back into the same queue.
@@ -134,6 +136,38 @@
             || kvTokensInUse(state) + totalTokens(request) + request.outputTokens <= limit;
 }
 
+/// Places that a new adapter could take now.
+std::size_t availablePlaces(const EnginePlaces &state, const PlaceLimits &limits)
+{
+    const std::size_t unused = limits.engine.adapterPlaces > state.places.size()
+            ? limits.engine.adapterPlaces - state.places.size()
+            : 0;
+    const auto idle
+            = std::count_if(state.places.begin(), state.places.end(), [&state](const auto &entry) {
+                  return entry.second.phase == PlacePhase::Ready && entry.second.users == 0
+                          && !isWaitedFor(state, entry.first);
+              });
+    return unused + static_cast<std::size_t>(idle);
+}
+
+/// Expected time until a new adapter gets a place, after those that wait for one already.
+Millis placeWaitFor(const EnginePlaces &state, const PlaceLimits &limits,
+                    const PlaceRequest &request)
+{
+    std::set<AdapterId> ahead;
+    for (const PlaceRequest &other : state.waiting) {
+        if (!other.adapter.empty() && other.adapter != request.adapter
+            && state.places.count(other.adapter) == 0) {
+            ahead.insert(other.adapter);
+        }
+    }
+    const std::size_t available = availablePlaces(state, limits);
+    if (available > ahead.size()) {
+        return Millis(0);
+    }
+    return state.releaseInterval * static_cast<std::int64_t>(ahead.size() - available + 1);
+}
+
 bool isPromptTurn(const EnginePlaces &state, const PlaceLimits &limits, Millis now)
 {
     return state.prefillUntil <= now + limits.prefillAhead && unstarted(state) < maxUnstarted;
@@ -341,6 +375,14 @@
     }
 }
 
+void noteRelease(EnginePlaces &state, Millis now)
+{
+    constexpr std::int64_t weight = 5; // One part in five for the newest.
+    const Millis sample = std::min(now - state.releasedAt, longestRelease);
+    state.releaseInterval = (state.releaseInterval * (weight - 1) + sample) / weight;
+    state.releasedAt = now;
+}
+
 } // namespace
 
 void submitPlaceRequest(EnginePlaces &state, PlaceRequest request)
@@ -434,8 +476,7 @@
         return std::max(wait, placeWait * 4);
     }
     const Millis load = isWarm(state, request.adapter) ? limits.warmLoad : limits.coldLoad;
-    const bool free = state.places.size() < limits.engine.adapterPlaces || chooseVictim(state);
-    return std::max(wait, free ? load : load + placeWait);
+    return std::max(wait, load + placeWaitFor(state, limits, request));
 }
 
 void notePlaceStarted(EnginePlaces &state, const PlaceKey &key)
@@ -458,6 +499,9 @@
     if (place != state.places.end()) {
         place->second.users -= place->second.users > 0 ? 1 : 0;
         place->second.usedAt = now;
+        if (place->second.users == 0) {
+            noteRelease(state, now);
+        }
     }
     state.running.erase(found);
 }
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -164,7 +164,7 @@
         demand *= static_cast<double>(daemons);
     }
     this->plan = rankEngines(servers, location, state.experiences, this->request.adapter.str(),
-                             demand, now);
+                             demand, lastHome(state.homes, this->request.adapter.str(), now), now);
     this->plan.resize(std::min(this->plan.size(), maxAsks));
 }
 
@@ -224,6 +224,7 @@
         return;
     case PlaceVerdict::Kind::Granted:
         this->place = 0;
+        noteHome(this->context.state.homes, this->request.adapter.str(), server, now);
         this->send(server, number, verdict.version);
         return;
     case PlaceVerdict::Kind::Elsewhere:
--- a/src/edge/server_choice.cpp
+++ b/src/edge/server_choice.cpp
@@ -24,10 +24,12 @@
 constexpr double demandSeconds = 6.0;
 /// Requests a second of one adapter that an engine serves beside others. A mean prompt takes
 /// 92 ms to read, and half of the engine's time is left for the rest.
-constexpr double requestsPerHome = 4.0;
+constexpr double requestsPerHome = 5.0;
 /// Adapters with less demand have one home in all regions: the way between them costs less than
 /// a second load from the store.
 constexpr double demandForRegionalHome = 0.5;
+/// An engine keeps an adapter, or reloads it fast, for about this long after it was served.
+constexpr Millis homeTime{20'000};
 constexpr std::size_t maxDemandEntries = 4096;
 constexpr double millisPerSecond = 1000.0;
 /// Cost of the way to a server, in requests in flight there.
@@ -46,11 +48,18 @@
     return experience.avoidUntil > now || experience.failureShare > failureLimit;
 }
 
+enum CandidateGroup : int {
+    lastServed,
+    home,
+    sameRegion,
+    otherRegion,
+};
+
 struct Candidate
 {
     BackendServerId id;
     bool troubled = false;
-    int group = 0; ///< 0 a home, 1 the rest of the region, 2 other regions.
+    int group = 0; ///< One of CandidateGroup; the lowest goes first.
     std::int64_t waitSteps = 0;
     std::uint64_t score = 0;
 };
@@ -69,6 +78,19 @@
     return a.score != b.score ? a.score > b.score : a.id < b.id;
 }
 
+/// An adapter with little demand chooses between two engines; a busy one has as many as it needs.
+std::size_t homeCount(std::string_view adapter, double requestsPerSecond, std::size_t engines)
+{
+    if (adapter.empty()) {
+        // The base model is everywhere.
+        return engines;
+    }
+    if (requestsPerSecond < demandForRegionalHome) {
+        return 2;
+    }
+    return static_cast<std::size_t>(1 + requestsPerSecond / requestsPerHome);
+}
+
 } // namespace
 
 Distance distanceTo(const Location &location, const DataCentreId &dataCentre)
@@ -113,11 +135,31 @@
     return rate.perSecond;
 }
 
+void noteHome(AdapterHomes &homes, std::string_view adapter, const BackendServerId &server,
+              Millis now)
+{
+    if (homes.homes.size() > maxDemandEntries) {
+        std::erase_if(homes.homes,
+                      [now](const auto &entry) { return now - entry.second.servedAt > homeTime; });
+    }
+    homes.homes.insert_or_assign(std::string(adapter), AdapterHomes::Home{server, now});
+}
+
+std::optional<BackendServerId> lastHome(const AdapterHomes &homes, std::string_view adapter,
+                                        Millis now)
+{
+    const auto found = homes.homes.find(adapter);
+    if (found == homes.homes.end() || now - found->second.servedAt > homeTime) {
+        return std::nullopt;
+    }
+    return found->second.server;
+}
+
 std::vector<BackendServerId> rankEngines(const std::vector<const ServerEntry *> &servers,
                                          const Location &location,
                                          const ServerExperiences &experiences,
                                          std::string_view adapter, double requestsPerSecond,
-                                         Millis now)
+                                         const std::optional<BackendServerId> &last, Millis now)
 {
     const std::uint64_t adapterHash = hash64(adapter);
     const bool regional = adapter.empty() || requestsPerSecond >= demandForRegionalHome;
@@ -130,7 +172,7 @@
         candidate.id = server->id;
         candidate.troubled = isTroubled(experience, now) || !server->holdsModel;
         const bool far = distanceTo(location, server->dataCentre) == Distance::OtherRegion;
-        candidate.group = far && regional ? 2 : 1;
+        candidate.group = far && regional ? otherRegion : sameRegion;
         candidate.waitSteps = hinted ? experience.wait.count() / waitStep.count() : 0;
         candidate.score = rendezvousScore(adapterHash, hash64(server->id.str()));
         candidates.push_back(candidate);
@@ -141,13 +183,13 @@
         }
         return a.score != b.score ? a.score > b.score : a.id < b.id;
     });
-    // The base model is everywhere, so every engine is its home.
-    const auto homes = adapter.empty()
-            ? candidates.size()
-            : static_cast<std::size_t>(1 + requestsPerSecond / requestsPerHome);
+    const std::size_t homes = homeCount(adapter, requestsPerSecond, candidates.size());
     for (std::size_t i = 0; i < std::min(homes, candidates.size()); ++i) {
-        if (candidates[i].group == 1) {
-            candidates[i].group = 0;
+        candidates[i].group = std::min(candidates[i].group, static_cast<int>(home));
+    }
+    for (Candidate &candidate : candidates) {
+        if (!regional && candidate.id == last) {
+            candidate.group = lastServed;
         }
     }
     std::sort(candidates.begin(), candidates.end(), isBetter);
