--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -45,6 +45,7 @@
     AdapterId adapter; ///< Empty for the base model itself.
     std::int32_t priority = 0; ///< 0 goes first.
     Millis objectiveAt; ///< The first piece is late after this.
+    Millis giveUpAt; ///< Refused if it still waits then; filled in by submitPlaceRequest().
     Millis deadlineAt; ///< The caller has gone after this.
     std::uint32_t outputTokens = 0;
     std::vector<PromptPart> parts;
@@ -65,7 +66,8 @@
     Millis elsewhereWait{250}; ///< Longer expected waits send a request to another engine.
     Millis heldElsewhereWait{
             500}; ///< The same where the adapter is held here: a load elsewhere costs more.
-    Millis lateLimit{1'500}; ///< A request that is late by more is refused while it waits.
+    Millis firstPieceTime{120}; ///< From a place to the first piece, for a mean prompt.
+    std::int64_t latePatience = 4; ///< A late request waits for this part of the time it has left.
     std::uint32_t loadsAtOnce = 3; ///< The engine takes four; one is left for a replacement.
     std::size_t warmAdapters = 36; ///< Adapters that an engine keeps in its host's memory.
 
@@ -203,7 +205,8 @@
 using PlaceAction = std::variant<GrantPlace, SendElsewhere, RefusePlace, EngineOrder>;
 
 /// @brief Puts a request into the queue. Decide with nextPlaceActions().
-void submitPlaceRequest(EnginePlaces &state, PlaceRequest request);
+void submitPlaceRequest(EnginePlaces &state, const PlaceLimits &limits, PlaceRequest request,
+                        Millis now);
 
 /// @brief Decides who gets a place now, who is sent away, and which order is given.
 /// @complexity O(q log q) for q waiting requests
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -20,6 +20,9 @@
     ServerExperiences experiences;
     AdapterDemand demand;
     AdapterHomes homes;
+    /// Longest wait that a caller of each route has asked for: a caller that comes back after a
+    /// refusal has that much less time left.
+    std::map<std::string, Millis> callerWaits;
     std::map<ServiceId, SharedRetryBudget> retryBudgets;
     CrashMemory crashes;
     bool leaving = false;
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -142,7 +142,7 @@
         return;
     }
     const PlaceKey key = request.key;
-    submitPlaceRequest(term->places, std::move(request));
+    submitPlaceRequest(term->places, term->limits, std::move(request), monotonicNow());
     this->decide(*term);
     const auto &waiting = term->places.waiting;
     if (std::any_of(waiting.begin(), waiting.end(),
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -65,19 +65,14 @@
     return found == versions.end() ? AdapterVersion() : found->second;
 }
 
-/// On time before late, then by priority, then by the objective.
-bool goesBefore(const PlaceRequest &a, const PlaceRequest &b, Millis now)
+/// By priority, then who has to give up first.
+bool goesBefore(const PlaceRequest &a, const PlaceRequest &b)
 {
-    const bool lateA = a.objectiveAt < now;
-    const bool lateB = b.objectiveAt < now;
-    if (lateA != lateB) {
-        return lateB;
-    }
     if (a.priority != b.priority) {
         return a.priority < b.priority;
     }
-    if (a.objectiveAt != b.objectiveAt) {
-        return a.objectiveAt < b.objectiveAt;
+    if (a.giveUpAt != b.giveUpAt) {
+        return a.giveUpAt < b.giveUpAt;
     }
     return a.key < b.key;
 }
@@ -209,12 +204,11 @@
     return action;
 }
 
-/// Refuses what is over, or so late that others should go first.
-void dropOverdue(EnginePlaces &state, const PlaceLimits &limits, Millis now,
-                 std::vector<PlaceAction> &actions)
+/// Refuses those who have waited for as long as it made sense.
+void dropOverdue(EnginePlaces &state, Millis now, std::vector<PlaceAction> &actions)
 {
     std::erase_if(state.waiting, [&](const PlaceRequest &request) {
-        const bool over = request.deadlineAt <= now || now - request.objectiveAt > limits.lateLimit;
+        const bool over = request.giveUpAt <= now;
         if (over) {
             actions.emplace_back(RefusePlace{request.key, placeWait});
         }
@@ -236,8 +230,7 @@
     if (!request.lastChoice && wait > (held ? limits.heldElsewhereWait : limits.elsewhereWait)) {
         return SendElsewhere{request.key, wait};
     }
-    const Millis latest = std::min(request.deadlineAt, request.objectiveAt + limits.lateLimit);
-    if (now + wait > latest) {
+    if (now + wait > request.giveUpAt) {
         return RefusePlace{request.key, std::max(wait, leastRetryAfter)};
     }
     return std::nullopt;
@@ -385,8 +378,12 @@
 
 } // namespace
 
-void submitPlaceRequest(EnginePlaces &state, PlaceRequest request)
+void submitPlaceRequest(EnginePlaces &state, const PlaceLimits &limits, PlaceRequest request,
+                        Millis now)
 {
+    const Millis lastUseful = request.objectiveAt - limits.firstPieceTime;
+    const Millis left = std::max(request.deadlineAt - now, Millis(0));
+    request.giveUpAt = lastUseful > now ? lastUseful : now + left / limits.latePatience;
     state.waiting.push_back(std::move(request));
 }
 
@@ -402,11 +399,9 @@
         }
         return lost;
     });
-    dropOverdue(state, limits, now, actions);
+    dropOverdue(state, now, actions);
     sendAway(state, limits, now, actions);
-    std::sort(
-            state.waiting.begin(), state.waiting.end(),
-            [now](const PlaceRequest &a, const PlaceRequest &b) { return goesBefore(a, b, now); });
+    std::sort(state.waiting.begin(), state.waiting.end(), goesBefore);
     if (state.synced && state.modelLoaded) {
         grantPlaces(state, limits, versions, now, actions);
     }
@@ -444,7 +439,7 @@
         consider(state.modelCheckAt);
     }
     for (const PlaceRequest &request : state.waiting) {
-        consider(std::min(request.deadlineAt, request.objectiveAt + limits.lateLimit + Millis(1)));
+        consider(request.giveUpAt);
     }
     if (!state.waiting.empty()) {
         consider(state.prefillUntil - limits.prefillAhead);
@@ -457,7 +452,7 @@
 {
     Millis wait = std::max(state.prefillUntil - now, Millis(0));
     for (const PlaceRequest &other : state.waiting) {
-        if (other.key != request.key && goesBefore(other, request, now)) {
+        if (other.key != request.key && goesBefore(other, request)) {
             wait += prefillTime(uncachedTokens(state, other), limits);
         }
     }
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -128,7 +128,11 @@
     this->deadlineAt = this->arrivedAt + wait;
     const Millis objective
             = this->route.objective > Millis(0) ? std::min(this->route.objective, wait) : wait;
-    this->objectiveAt = this->arrivedAt + objective;
+    Millis &longest = this->context.state.callerWaits[this->route.name];
+    const Millis asked = this->request.timeLeft.value_or(longest);
+    longest = std::max(longest, asked);
+    // The objective counts from the caller's first attempt.
+    this->objectiveAt = this->arrivedAt + objective - (longest - asked);
     this->fingerprint
             = Fingerprint(mixHash(hash64(this->request.target), hash64(this->request.body)));
     this->context.state.retryBudgets[this->service].noteRequest(
