Test the edge's decisions, the adapter and the event log without a network

The load patterns named: a burst on one adapter, more adapters than places, many rare adapters, a hot adapter, a grey replica.

--- a/src/edge/published_controller.cpp
+++ b/src/edge/published_controller.cpp
@@ -115,10 +115,10 @@
 {
     this->noteSuccess();
     this->storeRevision = this->listRevision;
-    std::vector<PublishedEntry> changed
+    const std::vector<PublishedEntry> changed
             = replaceEntries(this->published, this->listing, this->listRevision);
     this->listing.clear();
-    this->change(std::move(changed), true);
+    this->change(changed, true);
     this->schedule(callPace);
 }
 
@@ -198,7 +198,7 @@
     this->schedule(firstBackoff * this->failures);
 }
 
-void PublishedController::change(std::vector<PublishedEntry> changed, bool own)
+void PublishedController::change(const std::vector<PublishedEntry> &changed, bool own)
 {
     if (!changed.empty()) {
         this->onChange(changed, own);
@@ -208,8 +208,8 @@
 void PublishedController::takeFromPeer(const std::vector<PublishedEntry> &entries,
                                        std::uint64_t contentRevision, Millis age)
 {
-    std::vector<PublishedEntry> changed = mergeEntries(this->published, entries);
-    this->change(std::move(changed), false);
+    const std::vector<PublishedEntry> changed = mergeEntries(this->published, entries);
+    this->change(changed, false);
     this->confirmFromPeer(contentRevision, age);
 }
 
--- a/src/edge/published_controller.h
+++ b/src/edge/published_controller.h
@@ -48,7 +48,7 @@
     void takeWatch(const Result<HttpAnswer> &answer);
     void noteSuccess();
     void noteFailure(const Error &error);
-    void change(std::vector<PublishedEntry> changed, bool own);
+    void change(const std::vector<PublishedEntry> &changed, bool own);
     [[nodiscard]] std::vector<PublishedEntry>
     withoutHeartbeats(const std::vector<PublishedEntry> &entries) const;
     void call(OutgoingRequest request, std::function<void(const Result<HttpAnswer> &)> handler);
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -318,9 +318,9 @@
             }
         }
         sent->unwritten += piece.size();
-        loop.post([weak, sent, text = std::string(piece)]() mutable {
+        loop.post([weak, sent, text = std::string(piece)] {
             if (const auto self = weak.lock()) {
-                self->takeBody(sent, std::move(text));
+                self->takeBody(sent, text);
             }
         });
         return true;
@@ -354,7 +354,7 @@
     }
 }
 
-void RequestFlow::takeBody(const std::shared_ptr<Attempt> &sent, std::string piece)
+void RequestFlow::takeBody(const std::shared_ptr<Attempt> &sent, const std::string &piece)
 {
     if (this->ended || sent != this->attempt || sent->foreign) {
         return;
@@ -457,7 +457,7 @@
     this->end();
 }
 
-void RequestFlow::endAttempt(std::shared_ptr<Attempt> sent, PlaceEvent event)
+void RequestFlow::endAttempt(const std::shared_ptr<Attempt> &sent, PlaceEvent event)
 {
     sent->abandoned = true;
     this->attempt.reset();
@@ -583,7 +583,7 @@
     }
     if (this->attempt) {
         this->context.edge.http.cancel(this->attempt->exchange);
-        this->endAttempt(this->attempt, PlaceEvent::Ended);
+        this->endAttempt(std::exchange(this->attempt, nullptr), PlaceEvent::Ended);
     }
     if (this->place != 0) {
         this->context.places.note(this->place, PlaceEvent::Cancelled);
@@ -608,7 +608,7 @@
     }
     if (this->attempt) {
         this->context.edge.http.cancel(this->attempt->exchange);
-        this->endAttempt(this->attempt, PlaceEvent::Ended);
+        this->endAttempt(std::exchange(this->attempt, nullptr), PlaceEvent::Ended);
     }
     if (this->place != 0) {
         this->context.places.note(this->place, PlaceEvent::Cancelled);
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -64,13 +64,13 @@
     void send(const BackendServerId &server, std::uint64_t place, AdapterVersion version);
     [[nodiscard]] ExchangeHandlers handlersOf(const std::shared_ptr<Attempt> &attempt);
     void takeHead(const std::shared_ptr<Attempt> &attempt, const ResponseHead &head);
-    void takeBody(const std::shared_ptr<Attempt> &attempt, std::string piece);
+    void takeBody(const std::shared_ptr<Attempt> &attempt, const std::string &piece);
     void relay(const std::shared_ptr<Attempt> &attempt, std::string text);
     void takeEnd(const std::shared_ptr<Attempt> &attempt, const Result<void> &result);
     void finishAnswer(const std::shared_ptr<Attempt> &attempt);
     void takeNotRun(const std::shared_ptr<Attempt> &attempt);
     void takeFailure(const std::shared_ptr<Attempt> &attempt, ErrorCode code);
-    void endAttempt(std::shared_ptr<Attempt> attempt, PlaceEvent event);
+    void endAttempt(const std::shared_ptr<Attempt> &attempt, PlaceEvent event);
     [[nodiscard]] bool mayRepeat() const;
     [[nodiscard]] bool takeRetry(std::string_view reason);
     void tryAgain();
--- a/src/edge/server_choice.cpp
+++ b/src/edge/server_choice.cpp
@@ -49,10 +49,10 @@
 }
 
 enum CandidateGroup : int {
-    lastServed,
-    home,
-    sameRegion,
-    otherRegion,
+    LastServed,
+    Home,
+    SameRegion,
+    OtherRegion,
 };
 
 struct Candidate
@@ -172,7 +172,7 @@
         candidate.id = server->id;
         candidate.troubled = isTroubled(experience, now) || !server->holdsModel;
         const bool far = distanceTo(location, server->dataCentre) == Distance::OtherRegion;
-        candidate.group = far && regional ? otherRegion : sameRegion;
+        candidate.group = far && regional ? OtherRegion : SameRegion;
         candidate.waitSteps = hinted ? experience.wait.count() / waitStep.count() : 0;
         candidate.score = rendezvousScore(adapterHash, hash64(server->id.str()));
         candidates.push_back(candidate);
@@ -185,11 +185,11 @@
     });
     const std::size_t homes = homeCount(adapter, requestsPerSecond, candidates.size());
     for (std::size_t i = 0; i < std::min(homes, candidates.size()); ++i) {
-        candidates[i].group = std::min(candidates[i].group, static_cast<int>(home));
+        candidates[i].group = std::min(candidates[i].group, static_cast<int>(Home));
     }
     for (Candidate &candidate : candidates) {
         if (!regional && candidate.id == last) {
-            candidate.group = lastServed;
+            candidate.group = LastServed;
         }
     }
     std::sort(candidates.begin(), candidates.end(), isBetter);
--- /dev/null
+++ b/tests/src/unit-edge-places.cpp
@@ -0,0 +1,313 @@
+#include <balsamport/edge/engine_places.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace balsamport;
+
+namespace {
+
+constexpr Millis start{10'000};
+constexpr Millis objective{1'000};
+constexpr Millis patience{5'000};
+
+/// One engine, its limits, and a clock that the test moves.
+struct Engine
+{
+    EnginePlaces places;
+    PlaceLimits limits;
+    AdapterVersions versions;
+    Millis now = start;
+    std::uint64_t next = 1;
+
+    explicit Engine(std::uint32_t adapterPlaces = 6)
+    {
+        this->limits.engine.batchSlots = 64;
+        this->limits.engine.kvTokens = 148'252;
+        this->limits.engine.adapterPlaces = adapterPlaces;
+        this->places.base = BaseModelId("m");
+        this->places.modelLoaded = true;
+        this->places.synced = true;
+        this->places.ordersAllowed = true;
+        this->places.releasedAt = start;
+    }
+
+    void hold(const char *adapter, std::uint64_t version = 0)
+    {
+        AdapterPlace &place = this->places.places[AdapterId(adapter)];
+        place.phase = PlacePhase::Ready;
+        place.version = AdapterVersion(version);
+        place.usedAt = this->now;
+    }
+
+    PlaceKey ask(const char *adapter, std::uint32_t tokens = 500, bool lastChoice = true,
+                 std::int32_t priority = 1)
+    {
+        PlaceRequest request;
+        request.key = PlaceKey{VmId("vm"), 1, this->next++};
+        request.base = this->places.base;
+        request.adapter = AdapterId(adapter);
+        request.priority = priority;
+        request.objectiveAt = this->now + objective;
+        request.deadlineAt = this->now + patience;
+        request.parts = {PromptPart{request.key.number, tokens}};
+        request.lastChoice = lastChoice;
+        submitPlaceRequest(this->places, this->limits, request, this->now);
+        return request.key;
+    }
+
+    std::vector<PlaceAction> decide()
+    {
+        return nextPlaceActions(this->places, this->limits, this->versions, this->now);
+    }
+};
+
+template<typename Action>
+std::vector<Action> only(const std::vector<PlaceAction> &actions)
+{
+    std::vector<Action> result;
+    for (const PlaceAction &action : actions) {
+        if (const auto *found = std::get_if<Action>(&action)) {
+            result.push_back(*found);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("an engine's owner gives out places")
+{
+    Engine engine;
+
+    SECTION("a request for a held adapter gets its place at once")
+    {
+        engine.hold("a1");
+        const PlaceKey key = engine.ask("a1");
+        const auto grants = only<GrantPlace>(engine.decide());
+        REQUIRE(grants.size() == 1);
+        REQUIRE(grants.front().key == key);
+
+        SECTION("and its adapter is not unloaded for another while it runs")
+        {
+            for (const char *other : {"a2", "a3", "a4", "a5", "a6"}) {
+                engine.hold(other);
+                const PlaceKey user = engine.ask(other);
+                engine.now += Millis(100);
+                REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
+                notePlaceStarted(engine.places, user);
+            }
+            engine.ask("a7");
+            REQUIRE(only<EngineOrder>(engine.decide()).empty());
+
+            SECTION("but is once it has ended")
+            {
+                notePlaceEnded(engine.places, key, engine.now);
+                const auto orders = only<EngineOrder>(engine.decide());
+                REQUIRE(orders.size() == 1);
+                REQUIRE(orders.front().kind == OrderKind::UnloadAdapter);
+                REQUIRE(orders.front().adapter == AdapterId("a1"));
+            }
+        }
+    }
+
+    SECTION("a missing adapter is loaded, and the request goes when the engine says so")
+    {
+        const PlaceKey key = engine.ask("a1");
+        const auto orders = only<EngineOrder>(engine.decide());
+        REQUIRE(orders.size() == 1);
+        REQUIRE(orders.front().kind == OrderKind::LoadAdapter);
+        noteOrderOutcome(engine.places, engine.limits, OrderOutcome::Accepted, engine.now);
+        REQUIRE(only<GrantPlace>(engine.decide()).empty());
+
+        engine.now += engine.limits.coldLoad;
+        const auto checks = only<EngineOrder>(engine.decide());
+        REQUIRE(checks.size() == 1);
+        REQUIRE(checks.front().repeated);
+        noteOrderOutcome(engine.places, engine.limits, OrderOutcome::AlreadyHolds, engine.now);
+        REQUIRE(only<GrantPlace>(engine.decide()).front().key == key);
+    }
+
+    SECTION("never are more adapters ordered than there are places")
+    {
+        Engine small(2);
+        for (const char *adapter : {"a1", "a2", "a3"}) {
+            small.ask(adapter);
+        }
+        for (int i = 0; i < 3; ++i) {
+            (void)small.decide();
+            noteOrderOutcome(small.places, small.limits, OrderOutcome::Accepted, small.now);
+        }
+        REQUIRE(small.places.places.size() == 2);
+    }
+
+    SECTION("an order that got no answer stops further orders until a report is read")
+    {
+        engine.ask("a1");
+        (void)engine.decide();
+        noteOrderOutcome(engine.places, engine.limits, OrderOutcome::Unknown, engine.now);
+        engine.ask("a2");
+        REQUIRE(only<EngineOrder>(engine.decide()).empty());
+        EngineReport report;
+        report.modelLoaded = true;
+        report.pending = {AdapterId("a1")};
+        applyReport(engine.places, report, engine.now);
+        const auto orders = only<EngineOrder>(engine.decide());
+        REQUIRE(orders.size() == 1);
+        REQUIRE(orders.front().adapter == AdapterId("a2"));
+    }
+
+    SECTION("a newer version replaces the older one before anybody else runs on it")
+    {
+        engine.hold("a1", 3);
+        engine.versions[{BaseModelId("m"), AdapterId("a1")}] = AdapterVersion(4);
+        engine.ask("a1");
+        const auto actions = engine.decide();
+        REQUIRE(only<GrantPlace>(actions).empty());
+        REQUIRE(only<EngineOrder>(actions).front().version == AdapterVersion(4));
+    }
+
+    SECTION("an engine that restarted empty has its model loaded first")
+    {
+        engine.places.modelLoaded = false;
+        engine.ask("a1");
+        const auto actions = engine.decide();
+        REQUIRE(only<GrantPlace>(actions).empty());
+        REQUIRE(only<EngineOrder>(actions).front().kind == OrderKind::LoadModel);
+    }
+
+    SECTION("without the right to order, held adapters are served and nothing is ordered")
+    {
+        engine.places.ordersAllowed = false;
+        engine.hold("a1");
+        engine.ask("a1");
+        engine.ask("a2");
+        const auto actions = engine.decide();
+        REQUIRE(only<GrantPlace>(actions).size() == 1);
+        REQUIRE(only<EngineOrder>(actions).empty());
+    }
+
+    SECTION("a daemon that starts again has lost its requests, and their places are free")
+    {
+        engine.hold("a1");
+        engine.ask("a1");
+        REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
+        dropPlacesOf(engine.places, VmId("vm"), 2, engine.now);
+        REQUIRE(engine.places.running.empty());
+        REQUIRE(engine.places.places.at(AdapterId("a1")).users == 0);
+    }
+}
+
+TEST_CASE("load pattern: a burst on one adapter")
+{
+    Engine engine;
+    engine.hold("hot");
+    constexpr std::uint32_t promptTokens = 2'400;
+
+    SECTION("prompts are handed over one after another, so that running streams do not stall")
+    {
+        for (int i = 0; i < 5; ++i) {
+            engine.ask("hot", promptTokens);
+        }
+        REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
+        engine.now += Millis(40);
+        REQUIRE(only<GrantPlace>(engine.decide()).empty());
+        engine.now += Millis(40);
+        REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
+    }
+
+    SECTION("who could not be served in time is refused at arrival, with the time of its turn")
+    {
+        std::vector<PlaceKey> keys;
+        for (int i = 0; i < 30; ++i) {
+            keys.push_back(engine.ask("hot", promptTokens));
+        }
+        const auto refusals = only<RefusePlace>(engine.decide());
+        REQUIRE_FALSE(refusals.empty());
+        REQUIRE(refusals.front().retryAfter >= Millis(500));
+        // The engine reads about eleven such prompts in the objective's time.
+        REQUIRE(engine.places.waiting.size() <= 11);
+    }
+
+    SECTION("nobody waits on past the time in which an answer would still be early enough")
+    {
+        engine.ask("hot", promptTokens);
+        (void)engine.decide();
+        engine.places.prefillUntil = engine.now + Millis(800);
+        engine.ask("hot", promptTokens);
+        REQUIRE(only<RefusePlace>(engine.decide()).empty());
+        engine.places.prefillUntil = engine.now + Millis(3'000);
+        engine.now += objective;
+        REQUIRE(only<RefusePlace>(engine.decide()).size() == 1);
+    }
+
+    SECTION("the more urgent kind goes first, then who has to give up first")
+    {
+        engine.places.prefillUntil = engine.now + Millis(200);
+        const PlaceKey later = engine.ask("hot", promptTokens, true, 1);
+        const PlaceKey urgent = engine.ask("hot", promptTokens, true, 0);
+        (void)engine.decide();
+        engine.now += Millis(190);
+        REQUIRE(only<GrantPlace>(engine.decide()).front().key == urgent);
+        engine.now += Millis(200);
+        REQUIRE(only<GrantPlace>(engine.decide()).front().key == later);
+    }
+}
+
+TEST_CASE("load pattern: more adapters than places")
+{
+    Engine engine;
+    for (const char *adapter : {"a1", "a2", "a3", "a4", "a5", "a6"}) {
+        engine.hold(adapter);
+        const PlaceKey key = engine.ask(adapter, 100);
+        engine.now += Millis(10);
+        REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
+        notePlaceStarted(engine.places, key);
+    }
+
+    SECTION("a request that has another choice is sent there")
+    {
+        engine.places.releaseInterval = Millis(400);
+        engine.ask("rare", 100, false);
+        REQUIRE(only<SendElsewhere>(engine.decide()).size() == 1);
+    }
+
+    SECTION("a request for an adapter that is held here waits longer before it is sent away")
+    {
+        engine.places.prefillUntil = engine.now + Millis(400);
+        engine.ask("a1", 100, false);
+        REQUIRE(only<SendElsewhere>(engine.decide()).empty());
+    }
+
+    SECTION("each further adapter that waits adds the time until one more place is free")
+    {
+        engine.places.releaseInterval = Millis(200);
+        PlaceRequest request;
+        request.adapter = AdapterId("rare");
+        request.priority = 1;
+        const Millis first = expectedWait(engine.places, engine.limits, request, engine.now);
+        engine.ask("other", 100);
+        (void)engine.decide();
+        const Millis second = expectedWait(engine.places, engine.limits, request, engine.now);
+        REQUIRE(first == engine.limits.coldLoad + Millis(200));
+        REQUIRE(second >= first + Millis(200));
+    }
+
+    SECTION("the adapter that was used longest ago makes way, and a reload of it is quick")
+    {
+        for (std::uint64_t number = 1; number <= 6; ++number) {
+            notePlaceEnded(engine.places, PlaceKey{VmId("vm"), 1, number},
+                           engine.now + Millis(static_cast<std::int64_t>(number)));
+        }
+        engine.now += Millis(100);
+        engine.ask("rare", 100);
+        REQUIRE(only<EngineOrder>(engine.decide()).front().adapter == AdapterId("a1"));
+        noteOrderOutcome(engine.places, engine.limits, OrderOutcome::AlreadyHolds, engine.now);
+        REQUIRE(engine.places.warm.front() == AdapterId("a1"));
+        PlaceRequest again;
+        again.adapter = AdapterId("a1");
+        REQUIRE(expectedWait(engine.places, engine.limits, again, engine.now)
+                == engine.limits.warmLoad);
+    }
+}
--- /dev/null
+++ b/tests/src/unit-edge-state.cpp
@@ -0,0 +1,423 @@
+#include <balsamport/edge/crash_memory.h>
+#include <balsamport/edge/order_ownership.h>
+#include <balsamport/edge/peers.h>
+#include <balsamport/edge/published.h>
+#include <balsamport/edge/server_catalog.h>
+#include <balsamport/edge/server_choice.h>
+#include <balsamport/edge/service_config.h>
+#include <balsamport/edge/shared_retry_budget.h>
+
+#include <catch2/catch.hpp>
+
+using namespace balsamport;
+
+namespace {
+
+ServerEntry server(const char *id, const char *dataCentre)
+{
+    ServerEntry entry;
+    entry.id = BackendServerId(id);
+    entry.service = ServiceId("advice");
+    entry.address = "10.0.0.1:80";
+    entry.dataCentre = DataCentreId(dataCentre);
+    entry.slots = 6;
+    return entry;
+}
+
+PeerNews news(const char *vm, const char *dataCentre, std::uint64_t run = 1)
+{
+    PeerNews peer;
+    peer.vm = VmId(vm);
+    peer.incarnation = run;
+    peer.endpoint = std::string("tcp://") + vm;
+    peer.dataCentre = DataCentreId(dataCentre);
+    peer.storeReachable = true;
+    return peer;
+}
+
+PeerTable tableOf(const char *self, const char *dataCentre)
+{
+    PeerTable table;
+    table.self = VmId(self);
+    table.dataCentre = DataCentreId(dataCentre);
+    return table;
+}
+
+Location twoRegions()
+{
+    Location location;
+    location.dataCentre = DataCentreId("a");
+    location.regions = {{DataCentreId("a"), RegionId("east")},
+                        {DataCentreId("b"), RegionId("east")},
+                        {DataCentreId("c"), RegionId("west")}};
+    return location;
+}
+
+} // namespace
+
+TEST_CASE("routes are found by host and longest prefix")
+{
+    EdgeConfig config;
+    EdgeRoute wide;
+    wide.host = "Shop.Example";
+    wide.prefix = "/a/";
+    wide.name = "wide";
+    EdgeRoute narrow = wide;
+    narrow.prefix = "/a/b/";
+    narrow.name = "narrow";
+    narrow.targets = {{ServiceId("s1"), 90}, {ServiceId("s2"), 10}, {ServiceId("s3"), 0}};
+    addRoute(config, wide);
+    addRoute(config, narrow);
+
+    REQUIRE(findRoute(config, "shop.example:8080", "/a/b/c")->name == "narrow");
+    REQUIRE(findRoute(config, "shop.example", "/a/c")->name == "wide");
+    REQUIRE(findRoute(config, "shop.example", "/a") == nullptr);
+    REQUIRE(findRoute(config, "other.example", "/a/b/c") == nullptr);
+
+    SECTION("weights share out the requests, and a weight of 0 gets none")
+    {
+        std::map<ServiceId, int> counts;
+        for (std::uint64_t hash = 0; hash < 1'000; ++hash) {
+            ++counts[*chooseService(narrow, hash)];
+        }
+        REQUIRE(counts[ServiceId("s1")] == 900);
+        REQUIRE(counts[ServiceId("s2")] == 100);
+        REQUIRE(counts.count(ServiceId("s3")) == 0);
+        REQUIRE(chooseService(wide, 1) == nullptr);
+    }
+}
+
+TEST_CASE("published entries only move forward")
+{
+    PublishedState state;
+    REQUIRE(mergeEntries(state, {{"k", "new", 7, false}}).size() == 1);
+    REQUIRE(mergeEntries(state, {{"k", "old", 5, false}}).empty());
+    REQUIRE(state.entries.at("k").value == "new");
+
+    SECTION("a deleted entry is not brought back by an older copy")
+    {
+        REQUIRE(mergeEntries(state, {{"k", "", 9, true}}).size() == 1);
+        REQUIRE(mergeEntries(state, {{"k", "new", 7, false}}).empty());
+        REQUIRE(state.entries.at("k").deleted);
+    }
+
+    SECTION("a listing deletes what it lacks, unless that is newer than the listing")
+    {
+        (void)mergeEntries(state, {{"later", "x", 12, false}});
+        const auto changed = replaceEntries(state, {}, 10);
+        REQUIRE(changed.size() == 1);
+        REQUIRE(changed.front().key == "k");
+        REQUIRE_FALSE(state.entries.at("later").deleted);
+    }
+
+    SECTION("a peer gets what it lacks")
+    {
+        (void)mergeEntries(state, {{"l", "x", 9, false}});
+        REQUIRE(entriesSince(state, 7).size() == 1);
+        REQUIRE(state.contentRevision == 9);
+    }
+}
+
+TEST_CASE("servers come and go")
+{
+    ServerCatalog catalog;
+    REQUIRE(upsertServer(catalog, server("s1", "a")));
+    REQUIRE_FALSE(upsertServer(catalog, server("s1", "a")));
+    REQUIRE(usableServers(catalog, ServiceId("advice")).size() == 1);
+
+    SECTION("a draining server gets no new work")
+    {
+        ServerEntry draining = server("s1", "a");
+        draining.draining = true;
+        upsertServer(catalog, draining);
+        REQUIRE(usableServers(catalog, ServiceId("advice")).empty());
+    }
+
+    SECTION("while the store is well, a deleted server is gone at once")
+    {
+        REQUIRE(removeServer(catalog, BackendServerId("s1"), Millis(1'000)));
+        REQUIRE(catalog.servers.empty());
+    }
+
+    SECTION("after trouble at the store, a lapsed server stays until it should be listed again")
+    {
+        noteStoreTrouble(catalog, Millis(1'000));
+        REQUIRE_FALSE(removeServer(catalog, BackendServerId("s1"), Millis(1'100)));
+        REQUIRE(usableServers(catalog, ServiceId("advice")).size() == 1);
+        REQUIRE(expireServers(catalog, Millis(1'000) + relistTime).empty());
+
+        SECTION("and is gone if it is not")
+        {
+            REQUIRE(expireServers(catalog, Millis(1'001) + relistTime).size() == 1);
+        }
+        SECTION("and stays if it is")
+        {
+            upsertServer(catalog, server("s1", "a"));
+            REQUIRE(expireServers(catalog, Millis(1'001) + relistTime).empty());
+        }
+    }
+}
+
+TEST_CASE("daemons know each other by gossip")
+{
+    PeerTable table = tableOf("v1", "a");
+    REQUIRE(learnPeer(table, news("v2", "a"), Millis(0)));
+    REQUIRE_FALSE(isAlive(table, table.peers.at(VmId("v2")), Millis(0)));
+    REQUIRE(hearPeer(table, news("v2", "a"), Millis(100)));
+    REQUIRE_FALSE(hearPeer(table, news("v2", "a"), Millis(600)));
+    REQUIRE(isAlive(table, table.peers.at(VmId("v2")), Millis(700)));
+
+    SECTION("a daemon that starts again is noticed")
+    {
+        REQUIRE(hearPeer(table, news("v2", "a", 2), Millis(700)));
+    }
+
+    SECTION("older word of a peer does not undo newer")
+    {
+        REQUIRE_FALSE(hearPeer(table, news("v2", "a", 9), Millis(500)));
+        REQUIRE(table.peers.at(VmId("v2")).incarnation == 1);
+    }
+
+    SECTION("a silent peer stops being alive and is forgotten later")
+    {
+        REQUIRE_FALSE(isAlive(table, table.peers.at(VmId("v2")), Millis(3'000)));
+        REQUIRE(forgetPeers(table, Millis(3'000)).empty());
+        REQUIRE(forgetPeers(table, Millis(30'000)).size() == 1);
+    }
+
+    SECTION("only one daemon of a data centre speaks to the others")
+    {
+        hearPeer(table, news("v3", "b"), Millis(600));
+        PeerTable other = tableOf("v2", "a");
+        hearPeer(other, news("v1", "a"), Millis(600));
+        hearPeer(other, news("v3", "b"), Millis(600));
+        const bool own = !gossipTargets(table, false, Millis(700)).far.empty();
+        const bool others = !gossipTargets(other, false, Millis(700)).far.empty();
+        REQUIRE(own != others);
+    }
+
+    SECTION("in a large fleet the delegate tells a part at a time, and all in turn")
+    {
+        PeerTable large = tableOf("v1", "a");
+        for (int i = 0; i < 100; ++i) {
+            hearPeer(large, news(("f" + std::to_string(i)).c_str(), "b"), Millis(0));
+        }
+        std::set<VmId> told;
+        for (int round = 0; round < 10; ++round) {
+            const GossipTargets targets = gossipTargets(large, false, Millis(100));
+            REQUIRE(targets.far.size() <= large.timings.farPeersPerSecond);
+            for (const Peer *peer : targets.far) {
+                told.insert(peer->vm);
+            }
+        }
+        REQUIRE(told.size() == 100);
+    }
+
+    SECTION("one daemon of a data centre reads the store, and another when it cannot")
+    {
+        PeerTable other = tableOf("v2", "a");
+        hearPeer(other, news("v1", "a"), Millis(600));
+        REQUIRE(isStoreReader(table, true, Millis(700)) != isStoreReader(other, true, Millis(700)));
+        REQUIRE_FALSE(isStoreReader(table, false, Millis(700)));
+        PeerNews blind = news("v2", "a");
+        blind.storeReachable = false;
+        hearPeer(table, blind, Millis(800));
+        REQUIRE(isStoreReader(table, true, Millis(900)));
+    }
+}
+
+TEST_CASE("one daemon gives orders to an engine")
+{
+    const std::vector<EngineSite> engines{{BackendServerId("e1"), DataCentreId("a")}};
+    const OwnershipTimings timings;
+    OrderOwnership state;
+    PeerTable peers = tableOf("v1", "a");
+
+    SECTION("nobody claims before peers could be heard")
+    {
+        REQUIRE(updateOwnership(state, timings, engines, peers, false, Millis(100)).gained.empty());
+        REQUIRE(updateOwnership(state, timings, engines, peers, false, timings.settle).gained.size()
+                == 1);
+        REQUIRE(ownerOf(state, peers, engines.front(), timings.settle) == VmId("v1"));
+    }
+
+    SECTION("a peer's claim holds, also for a while after it falls silent")
+    {
+        PeerNews owner = news("v2", "a");
+        owner.owned = {BackendServerId("e1")};
+        hearPeer(peers, owner, Millis(5'000));
+        REQUIRE(updateOwnership(state, timings, engines, peers, false, Millis(5'100))
+                        .gained.empty());
+        REQUIRE(ownerOf(state, peers, engines.front(), Millis(5'100)) == VmId("v2"));
+        REQUIRE(updateOwnership(state, timings, engines, peers, false, Millis(7'500))
+                        .gained.empty());
+        REQUIRE(updateOwnership(state, timings, engines, peers, false, Millis(7'700)).gained.size()
+                == 1);
+    }
+
+    SECTION("of two that claim, the one that ranks lower gives up")
+    {
+        PeerTable other = tableOf("v2", "a");
+        OrderOwnership otherState;
+        PeerNews claim1 = news("v1", "a");
+        PeerNews claim2 = news("v2", "a");
+        claim1.owned = claim2.owned = {BackendServerId("e1")};
+        state.owned = otherState.owned = {BackendServerId("e1")};
+        hearPeer(peers, claim2, Millis(5'000));
+        hearPeer(other, claim1, Millis(5'000));
+        const auto lost1
+                = updateOwnership(state, timings, engines, peers, false, Millis(5'100)).lost;
+        const auto lost2
+                = updateOwnership(otherState, timings, engines, other, false, Millis(5'100)).lost;
+        REQUIRE(lost1.size() + lost2.size() == 1);
+    }
+
+    SECTION("an engine of another data centre is claimed only if nobody there lives")
+    {
+        const std::vector<EngineSite> far{{BackendServerId("e9"), DataCentreId("b")}};
+        hearPeer(peers, news("v9", "b"), Millis(20'000));
+        REQUIRE(updateOwnership(state, timings, far, peers, false, Millis(20'100)).gained.empty());
+        REQUIRE(ownerOf(state, peers, far.front(), Millis(20'100)) == VmId("v9"));
+        REQUIRE(updateOwnership(state, timings, far, peers, false, Millis(26'000)).gained.size()
+                == 1);
+    }
+
+    SECTION("a daemon that stops owns nothing")
+    {
+        state.owned = {BackendServerId("e1")};
+        REQUIRE(updateOwnership(state, timings, engines, peers, true, Millis(9'000)).lost.size()
+                == 1);
+    }
+
+    SECTION("fencing numbers rise with each term and differ between daemons")
+    {
+        REQUIRE(fencingNumberFor(10, 4, VmId("v1")) > fencingNumberFor(10, 3, VmId("v2")));
+        REQUIRE(fencingNumberFor(11, 3, VmId("v2")) > fencingNumberFor(10, 3, VmId("v1")));
+        REQUIRE(fencingNumberFor(10, 3, VmId("v1")) != fencingNumberFor(10, 3, VmId("v2")));
+    }
+}
+
+TEST_CASE("engines are chosen for an adapter")
+{
+    const Location location = twoRegions();
+    const ServerEntry e1 = server("e1", "a");
+    const ServerEntry e2 = server("e2", "b");
+    const ServerEntry e3 = server("e3", "c");
+    const ServerEntry e4 = server("e4", "c");
+    const std::vector<const ServerEntry *> servers{&e1, &e2, &e3, &e4};
+    ServerExperiences experiences;
+    const Millis now(1'000);
+
+    SECTION("load pattern: many rare adapters. Each has the same home for callers of all regions")
+    {
+        Location west = location;
+        west.dataCentre = DataCentreId("c");
+        for (int i = 0; i < 50; ++i) {
+            const std::string adapter = "rare" + std::to_string(i);
+            REQUIRE(rankEngines(servers, location, experiences, adapter, 0.1, {}, now).front()
+                    == rankEngines(servers, west, experiences, adapter, 0.1, {}, now).front());
+        }
+    }
+
+    SECTION("load pattern: many rare adapters. One stays where it was served last")
+    {
+        const BackendServerId last("e4");
+        REQUIRE(rankEngines(servers, location, experiences, "rare", 0.1, last, now).front()
+                == last);
+        AdapterHomes homes;
+        noteHome(homes, "rare", last, now);
+        REQUIRE(lastHome(homes, "rare", now + Millis(1'000)) == last);
+        REQUIRE_FALSE(lastHome(homes, "rare", now + Millis(60'000)));
+    }
+
+    SECTION("load pattern: a hot adapter. It has as many homes in the region as it needs")
+    {
+        const auto ranked = rankEngines(servers, location, experiences, "hot", 8.0, {}, now);
+        REQUIRE((ranked[0] == BackendServerId("e1") || ranked[0] == BackendServerId("e2")));
+        REQUIRE((ranked[1] == BackendServerId("e1") || ranked[1] == BackendServerId("e2")));
+        experiences[ranked[0]].wait = Millis(600);
+        experiences[ranked[0]].waitToldAt = now;
+        REQUIRE(rankEngines(servers, location, experiences, "hot", 8.0, {}, now).front()
+                == ranked[1]);
+    }
+
+    SECTION("an engine that cannot be reached, or has no model, comes last")
+    {
+        const auto ranked = rankEngines(servers, location, experiences, "x", 0.1, {}, now);
+        noteUnreachable(experiences[ranked.front()], now);
+        REQUIRE(rankEngines(servers, location, experiences, "x", 0.1, ranked.front(), now).back()
+                == ranked.front());
+    }
+
+    SECTION("load pattern: a grey replica. It is left out within a few failed answers")
+    {
+        ServerExperience &grey = experiences[BackendServerId("e1")];
+        for (int i = 0; i < 6; ++i) {
+            noteAnswer(grey, true);
+        }
+        REQUIRE(rankReplicas(servers, location, experiences, 1, now).back()
+                == BackendServerId("e1"));
+    }
+
+    SECTION("plain replicas: the near one first, until it has more in progress")
+    {
+        REQUIRE(rankReplicas(servers, location, experiences, 1, now).front()
+                == BackendServerId("e1"));
+        experiences[BackendServerId("e1")].inFlight = 1;
+        REQUIRE(rankReplicas(servers, location, experiences, 1, now).front()
+                == BackendServerId("e2"));
+    }
+
+    SECTION("demand decays")
+    {
+        AdapterDemand demand;
+        double rate = 0;
+        for (int i = 0; i < 100; ++i) {
+            rate = noteDemand(demand, "a", Millis(i * 100));
+        }
+        REQUIRE(rate > 6);
+        REQUIRE(noteDemand(demand, "a", Millis(60'000)) < 1);
+    }
+}
+
+TEST_CASE("second sends stay within the share of this daemon")
+{
+    const RetryBudgetLimits limits;
+    SharedRetryBudget budget;
+    int taken = 0;
+    while (budget.take(limits, 8, Millis(0))) {
+        ++taken;
+    }
+    REQUIRE(taken * 8 <= limits.slack);
+    for (int i = 0; i < 100; ++i) {
+        budget.noteRequest(limits, Millis(500));
+    }
+    int more = 0;
+    while (budget.take(limits, 8, Millis(600))) {
+        ++more;
+    }
+    REQUIRE(more > 0);
+    REQUIRE(taken + more <= limits.slack / 8 + limits.ratio * 100);
+    REQUIRE(budget.take(limits, 8, Millis(30'000)));
+}
+
+TEST_CASE("a request that crashes its servers is remembered")
+{
+    CrashMemory memory;
+    const Fingerprint crasher(7);
+    REQUIRE(noteCrash(memory, crasher, Millis(0)) == 1);
+    REQUIRE_FALSE(isPoison(memory, crasher, Millis(10)));
+
+    SECTION("two crashes are enough, also if a peer saw them")
+    {
+        learnCrashes(memory, crasher, crashLimit, Millis(20));
+        REQUIRE(isPoison(memory, crasher, Millis(30)));
+        REQUIRE_FALSE(isPoison(memory, crasher, Millis(30) + crashMemoryTime));
+    }
+
+    SECTION("a request that ran to its end is cleared")
+    {
+        noteSurvival(memory, crasher);
+        REQUIRE(memory.entries.empty());
+    }
+}
--- /dev/null
+++ b/tests/src/unit-event-log.cpp
@@ -0,0 +1,102 @@
+#include <balsamport/core/event_log.h>
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+using namespace balsamport;
+
+namespace {
+
+/// A pipe whose reading end the test holds.
+struct Pipe
+{
+    Pipe()
+    {
+        REQUIRE(::pipe(this->ends.data()) == 0);
+        ::fcntl(this->ends[0], F_SETFL, O_NONBLOCK);
+    }
+    ~Pipe()
+    {
+        ::close(this->ends[0]);
+        ::close(this->ends[1]);
+    }
+    Pipe(const Pipe &) = delete;
+    Pipe &operator=(const Pipe &) = delete;
+
+    [[nodiscard]] std::string readAll() const
+    {
+        std::string text;
+        std::array<char, 4096> buffer{};
+        ssize_t count = 0;
+        while ((count = ::read(this->ends[0], buffer.data(), buffer.size())) > 0) {
+            text.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+        return text;
+    }
+
+    std::array<int, 2> ends{};
+};
+
+} // namespace
+
+TEST_CASE("the log writes one JSON object a line")
+{
+    const Pipe pipe;
+    {
+        EventLog log(pipe.ends[1], "vm-1");
+        log.write(EventWeight::Notable, "refused",
+                  {{"request", "a\"b\n"}, {"wait_ms", Millis(12)}, {"last", true}});
+    }
+    const std::string text = pipe.readAll();
+    REQUIRE(text.find(
+                    R"("node":"vm-1","event":"refused","request":"a\"b\n","wait_ms":12,"last":true})")
+            != std::string::npos);
+    REQUIRE(text.find('\n') == text.size() - 1);
+}
+
+TEST_CASE("the log is bounded")
+{
+    const Pipe pipe;
+
+    SECTION("routine lines go first, and what was dropped is told")
+    {
+        EventLogLimits limits;
+        limits.routinePerSecond = 10;
+        {
+            EventLog log(pipe.ends[1], "vm-1", limits);
+            for (int i = 0; i < 100; ++i) {
+                log.write(EventWeight::Routine, "served", {});
+            }
+            log.write(EventWeight::Notable, "refused", {});
+            log.write(EventWeight::Vital, "stop", {});
+            REQUIRE(log.dropped() == 90);
+            ::usleep(1'100'000);
+            log.write(EventWeight::Vital, "stop", {});
+        }
+        const std::string text = pipe.readAll();
+        REQUIRE(text.find("refused") != std::string::npos);
+        REQUIRE(text.find(R"("event":"log_dropped","lines":90,"total":90)") != std::string::npos);
+    }
+
+    SECTION("a reader that stops blocks nobody")
+    {
+        EventLogLimits limits;
+        limits.notablePerSecond = 1'000'000;
+        limits.queueBytes = 100'000;
+        const Millis before = monotonicNow();
+        {
+            EventLog log(pipe.ends[1], "vm-1", limits);
+            const std::string filler(150, 'x');
+            for (int i = 0; i < 20'000; ++i) {
+                log.write(EventWeight::Notable, "refused", {{"text", filler}});
+            }
+            REQUIRE(log.dropped() > 0);
+        }
+        REQUIRE(monotonicNow() - before < Millis(5'000));
+    }
+}
--- /dev/null
+++ b/tests/src/unit-platform.cpp
@@ -0,0 +1,318 @@
+#include "entries.h"
+#include "settings_file.h"
+#include "wire_dialect.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <fixed_seed.h>
+
+using namespace balsamport;
+using namespace balsamport::platform;
+
+namespace {
+
+constexpr const char *settingsText = R"(
+node: "front-a-1"
+ip: "127.0.0.1"
+zone: "a"
+zones: {a: "east", b: "west"}
+listen: {front: "127.0.0.1:1", ready: "127.0.0.1:2", control: "127.0.0.1:3"}
+seeds: ["127.0.0.1:3", "127.0.0.2:3"]
+bounds: {retry_budget_ratio: 0.1, budget_slack: 40, budget_window_s: 5, lease_ms: 2500, grace_s: 6}
+platform: {address: "127.0.0.1:9"}
+)";
+
+constexpr const char *configText = R"({"version":7,"routes":[
+ {"name":"r1","host":"h.example","prefix":"/a/","kind":"streaming","timeout_ms":12000,
+  "target_latency_ms":1000,"priority":1,"service":"llm","max_attempts":2,"resumable":true,
+  "target_gap_ms":400},
+ {"name":"r2","host":"h.example","prefix":"/b/","kind":"safe","timeout_ms":1000,
+  "traffic_split":[{"service":"app","weight":90},{"service":"llm","weight":10}]}],
+ "services":[{"name":"llm","max_connections":370,"engine":{"slots":64,"kv_capacity":148252,
+  "models":[{"name":"m","weights_mb":65500.0}],"adapter_slots":6,"loads_per_s":2.4}},
+  {"name":"app","max_connections":110}]})";
+
+constexpr const char *serverText
+        = R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":64,"state":"ready",)"
+          R"("models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,"born":17})";
+
+IncomingRequest callerRequest()
+{
+    IncomingRequest incoming;
+    incoming.method = "POST";
+    incoming.target = "/a/2f?x=1";
+    incoming.path = "/a/2f";
+    incoming.headers = {{"Host", "h.example"},
+                        {"X-Request-Id", "id1"},
+                        {"X-Model", "m/a17"},
+                        {"X-Token-Usage", "1460,80"},
+                        {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+                        {"X-Deadline-Ms", "5000"},
+                        {"Connection", "keep-alive, X-Private"},
+                        {"X-Private", "1"},
+                        {"x-hold", "stolen"},
+                        {"X-Custom", "kept"}};
+    incoming.body = "body";
+    return incoming;
+}
+
+} // namespace
+
+TEST_CASE("the settings file of the platform")
+{
+    const auto read = readSettings(settingsText, 9464);
+    REQUIRE(read.has_value());
+    const EdgeSettings &settings = read.value();
+    REQUIRE(settings.vm == VmId("front-a-1"));
+    REQUIRE(settings.peerAddress == "127.0.0.1:3");
+    REQUIRE(settings.metricsAddress == "127.0.0.1:9464");
+    REQUIRE(settings.retryBudget.window == Millis(5'000));
+    REQUIRE(settings.leaseTime == Millis(2'500));
+    REQUIRE(settings.stopTime == Millis(6'000));
+    REQUIRE(settings.location.regions.at(DataCentreId("b")) == RegionId("west"));
+
+    SECTION("a missing field is named")
+    {
+        const auto missing = readSettings("node: x\nzone: a\n", 0);
+        REQUIRE(missing.error().code == ErrorCode::SettingMissing);
+        REQUIRE(missing.error().detail.find("listen.front") != std::string::npos);
+    }
+
+    SECTION("text that is no mapping is refused")
+    {
+        REQUIRE(readSettings("- 1\n- 2\n", 0).error().code == ErrorCode::SettingInvalid);
+        REQUIRE(readSettings("{\"a\": [", 0).error().code == ErrorCode::SettingInvalid);
+        REQUIRE(readSettingsFile("/nonexistent/settings", 0).error().code
+                == ErrorCode::SettingFileUnreadable);
+    }
+}
+
+TEST_CASE("entries of the store")
+{
+    SECTION("a configuration")
+    {
+        const auto meaning = readEntry({"op/config", configText, 3, false});
+        REQUIRE(meaning.has_value());
+        const auto &config = std::get<EdgeConfig>(meaning.value());
+        REQUIRE(config.version == 7);
+        const EdgeRoute *route = findRoute(config, "h.example", "/a/x");
+        REQUIRE(route->streaming);
+        REQUIRE(route->resumable);
+        REQUIRE(route->repeatability == Repeatability::AtMostOnce);
+        REQUIRE(route->objective == Millis(1'000));
+        REQUIRE(findRoute(config, "h.example", "/b/x")->targets.size() == 2);
+        REQUIRE(config.services.at(ServiceId("llm")).engine->adapterPlaces == 6);
+        REQUIRE_FALSE(config.services.at(ServiceId("app")).engine);
+    }
+
+    SECTION("a replica, also one that holds no model after its restart")
+    {
+        const auto meaning = readEntry({"servers/i-1", serverText, 3, false});
+        const auto &entry = std::get<ServerEntry>(meaning.value());
+        REQUIRE(entry.id == BackendServerId("i-1"));
+        REQUIRE(entry.startedAtWallMs == 17);
+        REQUIRE(entry.holdsModel);
+        std::string empty = serverText;
+        const std::string models = R"([{"name":"m","version":1,"adapters":[]}])";
+        empty.replace(empty.find(models), models.size(), "[]");
+        REQUIRE_FALSE(std::get<ServerEntry>(readEntry({"servers/i-1", empty, 4, false}).value())
+                              .holdsModel);
+    }
+
+    SECTION("a version of an adapter")
+    {
+        const auto meaning = readEntry(
+                {"op/version/m.a3", R"({"model":"m","adapter":"a3","version":2})", 3, false});
+        REQUIRE(std::get<AdapterDeclaration>(meaning.value()).version == AdapterVersion(2));
+    }
+
+    SECTION("entries of other writers are refused, and harm nothing else")
+    {
+        for (const char *text :
+             {"", "{", "[]", "null", "\xff\xfe", "{\"service\":1}",
+              R"({"service":"llm","address":"x","zone":"a","slots":1,"state":"sleeping"})",
+              R"({"service":"llm","address":"x","zone":"a","slots":"1","state":"ready"})"}) {
+            REQUIRE(readEntry({"servers/x", text, 1, false}).error().code
+                    == ErrorCode::ConfigInvalidValue);
+        }
+        REQUIRE(readEntry({"op/config", "{\"version\":1}", 1, false}).has_error());
+        REQUIRE(readEntry({"op/version/m.a", "{}", 1, false}).has_error());
+        REQUIRE(std::holds_alternative<UnrelatedEntry>(
+                readEntry({"my/leader", "whatever", 1, false}).value()));
+    }
+
+    SECTION("any bytes are read without harm")
+    {
+        const bool held = rc::check([](const std::string &text) {
+            for (const char *key : {"op/config", "servers/x", "op/version/m.a"}) {
+                (void)readEntry({key, text, 1, false});
+            }
+            (void)readPage(HttpAnswer{200, {}, text});
+            (void)readReport(HttpAnswer{200, {}, text}, BaseModelId("m"));
+            (void)readSettings(text, 0);
+        });
+        REQUIRE(held);
+    }
+}
+
+TEST_CASE("a caller's request")
+{
+    const auto read = readRequest(callerRequest());
+    REQUIRE(read.has_value());
+    const CallerRequest &request = read.value();
+    REQUIRE(request.id == RequestId("id1"));
+    REQUIRE(request.base == BaseModelId("m"));
+    REQUIRE(request.adapter == AdapterId("a17"));
+    REQUIRE(request.outputTokens == 80);
+    REQUIRE(request.promptParts.size() == 3);
+    REQUIRE(request.promptParts.front() == PromptPart{0x5c1e07a2, 800});
+    REQUIRE(request.timeLeft == Millis(5'000));
+
+    SECTION("is passed on with the system's own headers and without the connection's")
+    {
+        Dispatch dispatch;
+        dispatch.server = BackendServerId("i-1");
+        dispatch.address = "10.0.0.9:80";
+        dispatch.timeLeft = Millis(4'200);
+        dispatch.version = AdapterVersion(3);
+        dispatch.resumeAfter = "12";
+        dispatch.engine = true;
+        const OutgoingRequest outgoing = writeRequest(request, dispatch);
+        REQUIRE(outgoing.target == "/a/2f?x=1");
+        REQUIRE(outgoing.body == "body");
+        REQUIRE(findHeader(outgoing.headers, "X-Deadline-Ms") == "4200");
+        REQUIRE(findHeader(outgoing.headers, "X-Expect-Instance") == "i-1");
+        REQUIRE(findHeader(outgoing.headers, "X-Expect-Version") == "3");
+        REQUIRE(findHeader(outgoing.headers, "Last-Event-Id") == "12");
+        REQUIRE(findHeader(outgoing.headers, "X-Custom") == "kept");
+        REQUIRE_FALSE(findHeader(outgoing.headers, "X-Hold"));
+        REQUIRE_FALSE(findHeader(outgoing.headers, "X-Private"));
+    }
+
+    SECTION("without an id it is refused")
+    {
+        IncomingRequest anonymous = callerRequest();
+        anonymous.headers.erase(anonymous.headers.begin() + 1);
+        REQUIRE(readRequest(anonymous).error().code == ErrorCode::InvalidHeader);
+    }
+
+    SECTION("with odd numbers it is served as well as it can be")
+    {
+        IncomingRequest odd = callerRequest();
+        odd.headers[4].value = "zz:1,5:x,:";
+        odd.headers[5].value = "-3";
+        const CallerRequest served = readRequest(odd).value();
+        REQUIRE_FALSE(served.timeLeft);
+        REQUIRE(served.promptParts == std::vector<PromptPart>{PromptPart{0, 1'460}});
+    }
+}
+
+TEST_CASE("a replica's answer")
+{
+    CallerRequest request;
+    request.id = RequestId("id1");
+    ResponseHead head{200,
+                      {{"X-Request-Id", "id1"},
+                       {"X-Response-Seal", "seal"},
+                       {"Keep-Alive", "timeout=15"},
+                       {"Transfer-Encoding", "chunked"}}};
+
+    SECTION("whole and sealed")
+    {
+        const ServerAnswer answer = readAnswer(request, head);
+        REQUIRE(answer.belongsToRequest);
+        REQUIRE(answer.valid);
+        REQUIRE(answer.keepAlive == Millis(15'000));
+        REQUIRE(findHeader(answer.headers, "X-Response-Seal") == "seal");
+        REQUIRE_FALSE(findHeader(answer.headers, "Transfer-Encoding"));
+    }
+
+    SECTION("a success without its seal, or encoded, is none")
+    {
+        head.headers[1].name = "X-Other";
+        REQUIRE_FALSE(readAnswer(request, head).valid);
+        head.headers[1].name = "X-Response-Seal";
+        head.headers.push_back({"Content-Encoding", "gzip"});
+        REQUIRE_FALSE(readAnswer(request, head).valid);
+    }
+
+    SECTION("an answer to another request is known by its id, even if it says not-run")
+    {
+        head.headers[0].value = "id0";
+        head.headers.push_back({"X-Not-Executed", "1"});
+        const ServerAnswer answer = readAnswer(request, head);
+        REQUIRE_FALSE(answer.belongsToRequest);
+        REQUIRE_FALSE(answer.didNotRun);
+    }
+
+    SECTION("only what says so has not run")
+    {
+        REQUIRE(readAnswer(request, {503, {{"X-Not-Executed", "1"}}}).didNotRun);
+        REQUIRE(readAnswer(request, {421, {}}).didNotRun);
+        REQUIRE_FALSE(readAnswer(request, {503, {{"X-Request-Id", "id1"}}}).didNotRun);
+        REQUIRE_FALSE(readAnswer(request, {500, {{"X-Request-Id", "id1"}}}).didNotRun);
+    }
+}
+
+TEST_CASE("the store's pages")
+{
+    const auto page = readPage(HttpAnswer{
+            200,
+            {},
+            R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412},)"
+            R"({"key":"b","revision":413,"deleted":true},{"key":"c","value":"!!","revision":4}],)"
+            R"("current_rev":413})"});
+    REQUIRE(page.has_value());
+    REQUIRE(page.value().revision == 413);
+    REQUIRE(page.value().entries.size() == 2);
+    REQUIRE(page.value().entries[0].value == "node-1");
+    REQUIRE(page.value().entries[1].deleted);
+    REQUIRE(readPage(HttpAnswer{410, {}, {}}).value().historyLost);
+    REQUIRE(readPage(HttpAnswer{429, {}, {}}).error().code == ErrorCode::RateLimited);
+    REQUIRE(readPage(HttpAnswer{503, {}, {}}).error().code == ErrorCode::PlatformUnavailable);
+    REQUIRE(readPage(HttpAnswer{200, {}, "{}"}).error().code == ErrorCode::BadResponse);
+
+    SECTION("values of every length come through")
+    {
+        const std::string one = R"({"items":[{"key":"k","value":"YQ==","revision":1}],)"
+                                R"("has_more":true,"current_rev":1})";
+        const auto padded = readPage(HttpAnswer{200, {}, one});
+        REQUIRE(padded.value().entries.front().value == "a");
+        REQUIRE(padded.value().more);
+    }
+}
+
+TEST_CASE("orders and reports")
+{
+    ServerEntry server;
+    server.id = BackendServerId("i-1");
+    server.address = "10.0.0.9:80";
+    const EngineOrder order{OrderKind::LoadAdapter, BaseModelId("m"), AdapterId("a3"),
+                            AdapterVersion(2), false};
+    const OutgoingRequest request
+            = writeOrder(server, order, OrderStamp{VmId("v1"), FencingNumber(41), 2});
+    REQUIRE(request.body
+            == R"({"operation":"load","model":"m","adapter":"a3","version":2,"expect":2,)"
+               R"("holder":"v1","fencing_token":41})");
+    REQUIRE(readOrderOutcome({202, {}, {}}) == OrderOutcome::Accepted);
+    REQUIRE(readOrderOutcome({200, {}, {}}) == OrderOutcome::AlreadyHolds);
+    REQUIRE(readOrderOutcome({409, {}, {}}) == OrderOutcome::Conflict);
+    REQUIRE(readOrderOutcome({412, {}, {}}) == OrderOutcome::Fenced);
+    REQUIRE(readOrderOutcome({421, {}, {}}) == OrderOutcome::Refused);
+
+    const auto report = readReport(
+            HttpAnswer{200,
+                       {},
+                       R"({"stage":"both","models":[{"name":"m","version":1,"adapters":["a3@2"]}],)"
+                       R"("busy":false,"sequence":5,"waiting":1,"running":12,)"
+                       R"("pending":["m/a4@1","other/a5@1"],"runs":[["r1",900,3,4]]})"},
+            BaseModelId("m"));
+    REQUIRE(report.has_value());
+    REQUIRE(report.value().orderCount == 5);
+    REQUIRE(report.value().adapters.at(AdapterId("a3")) == AdapterVersion(2));
+    REQUIRE(report.value().pending == std::set<AdapterId>{AdapterId("a4")});
+    REQUIRE(report.value().runs.at(RequestId("r1")) == 900);
+    REQUIRE(readReport(HttpAnswer{503, {}, {}}, BaseModelId("m")).error().code
+            == ErrorCode::BadResponse);
+}
