--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -169,7 +169,12 @@
     }
     this->plan = rankEngines(servers, location, state.experiences, this->request.adapter.str(),
                              demand, lastHome(state.homes, this->request.adapter.str(), now), now);
-    this->plan.resize(std::min(this->plan.size(), maxAsks));
+    this->plan.resize(std::min(this->plan.size(), maxAsks - 1));
+    // Back to the first one to wait there: a third engine would have to load the adapter as well.
+    if (!this->plan.empty()) {
+        const BackendServerId first = this->plan.front();
+        this->plan.push_back(first);
+    }
 }
 
 void RequestFlow::askNext()
--- a/src/edge/server_choice.cpp
+++ b/src/edge/server_choice.cpp
@@ -27,7 +27,7 @@
 constexpr double requestsPerHome = 5.0;
 /// Adapters with less demand have one home in all regions: the way between them costs less than
 /// a second load from the store.
-constexpr double demandForRegionalHome = 0.5;
+constexpr double demandForRegionalHome = 1.5;
 /// An engine keeps an adapter, or reloads it fast, for about this long after it was served.
 constexpr Millis homeTime{20'000};
 constexpr std::size_t maxDemandEntries = 4096;
