--- /dev/null
+++ b/standins/platform/replica_standin.cpp
@@ -0,0 +1,282 @@
+#include "replica_standin.h"
+
+#include <fmt/format.h>
+#include <rapidjson/document.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace balsamport::standins {
+
+namespace {
+
+constexpr int okStatus = 200;
+constexpr int accepted = 202;
+constexpr int badRequest = 400;
+constexpr int conflict = 409;
+constexpr int misdirected = 421;
+constexpr int serverError = 500;
+constexpr int unavailable = 503;
+constexpr const char *modelName = "m";
+
+std::string headerOf(const IncomingRequest &request, const char *name)
+{
+    return findHeader(request.headers, name).value_or(std::string());
+}
+
+std::string eventText(const std::string &id, std::uint32_t number)
+{
+    return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+}
+
+} // namespace
+
+Result<std::unique_ptr<ReplicaStandin>> ReplicaStandin::start(ReplicaOptions options)
+{
+    std::unique_ptr<ReplicaStandin> replica(new ReplicaStandin());
+    replica->options = std::move(options);
+    replica->bornAt = wallNow().count();
+    HttpServerSettings settings;
+    settings.address = replica->options.address;
+    settings.threads = 1;
+    auto server = HttpServer::start(settings,
+                                    [raw = replica.get()](const auto &request, const auto &writer) {
+                                        raw->serve(request, writer);
+                                    });
+    if (server.has_error()) {
+        return server.error();
+    }
+    replica->server = std::move(server).value();
+    return replica;
+}
+
+ReplicaStandin::~ReplicaStandin()
+{
+    this->tasks.reset();
+    this->server.reset();
+}
+
+std::string ReplicaStandin::description(bool draining) const
+{
+    const std::lock_guard lock(this->mutex);
+    const std::string &address
+            = this->options.announced.empty() ? this->options.address : this->options.announced;
+    return fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},)"
+                       R"("state":"{}","models":[{{"name":"{}"}}],"sequence":{},"born":{}}})",
+                       this->options.service, address, this->options.dataCentre,
+                       this->options.engine ? 64 : 6, draining ? "draining" : "ready", modelName,
+                       this->orderCount, this->bornAt);
+}
+
+void ReplicaStandin::setFaults(const ReplicaFaults &newFaults)
+{
+    const std::lock_guard lock(this->mutex);
+    this->faults = newFaults;
+}
+
+void ReplicaStandin::restart()
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->generation;
+    this->orderCount = 0;
+    this->adapters.clear();
+    this->pending.clear();
+    this->users.clear();
+    this->seenOrders.clear();
+    this->bornAt = std::max(this->bornAt + 1, wallNow().count());
+}
+
+std::map<std::string, std::uint32_t> ReplicaStandin::runs() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->runCounts;
+}
+
+std::vector<SeenOrder> ReplicaStandin::orders() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->seenOrders;
+}
+
+bool ReplicaStandin::wasOverfilled() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->overfilled;
+}
+
+std::uint32_t ReplicaStandin::misses() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->missCount;
+}
+
+bool ReplicaStandin::chance(double share)
+{
+    // A small generator of its own, so that a run repeats with its seed.
+    constexpr std::uint64_t factor = 6364136223846793005U;
+    constexpr std::uint64_t step = 1442695040888963407U;
+    constexpr int usedBits = 33;
+    constexpr double range = 2147483648.0;
+    this->random = this->random * factor + step;
+    return static_cast<double>(this->random >> usedBits) / range < share;
+}
+
+void ReplicaStandin::serve(const std::shared_ptr<const IncomingRequest> &request,
+                           const std::shared_ptr<ResponseWriter> &writer)
+{
+    const std::lock_guard lock(this->mutex);
+    const std::string expected = headerOf(*request, "X-Expect-Instance");
+    if (!expected.empty() && expected != this->options.id) {
+        writer->send(HttpAnswer{misdirected, {{"X-Instance-Id", this->options.id}}, ""});
+    } else if (request->path == "/v1/report") {
+        this->serveReport(writer);
+    } else if (request->path == "/v1/order") {
+        this->serveOrder(*request, writer);
+    } else {
+        this->serveRequest(*request, writer);
+    }
+}
+
+void ReplicaStandin::serveReport(const std::shared_ptr<ResponseWriter> &writer)
+{
+    std::string held;
+    for (const auto &[name, version] : this->adapters) {
+        held += (held.empty() ? "\"" : ",\"") + name + "@" + std::to_string(version) + "\"";
+    }
+    std::string loading;
+    for (const auto &[name, ready] : this->pending) {
+        loading += (loading.empty() ? "\"" : ",\"") + std::string(modelName) + "/" + name + "@1\"";
+    }
+    writer->send(HttpAnswer{
+            okStatus,
+            {{"Content-Type", "application/json"}},
+            fmt::format(
+                    R"({{"stage":"both","models":[{{"name":"{}","version":1,"adapters":[{}]}}],)"
+                    R"("busy":false,"sequence":{},"waiting":0,"running":0,"pending":[{}]}})",
+                    modelName, held, this->orderCount, loading)});
+}
+
+void ReplicaStandin::serveOrder(const IncomingRequest &request,
+                                const std::shared_ptr<ResponseWriter> &writer)
+{
+    rapidjson::Document order;
+    order.Parse(request.body.c_str());
+    if (order.HasParseError() || !order.IsObject() || !order.HasMember("holder")
+        || !order.HasMember("fencing_token")) {
+        writer->send(HttpAnswer{badRequest, {}, ""});
+        return;
+    }
+    SeenOrder seen;
+    seen.holder = order["holder"].GetString();
+    seen.fencingNumber = order["fencing_token"].GetUint64();
+    seen.at = monotonicNow();
+    const bool counted
+            = !order.HasMember("expect") || order["expect"].GetUint64() == this->orderCount;
+    const std::string adapter = order.HasMember("adapter") ? order["adapter"].GetString() : "";
+    const std::uint64_t version = order.HasMember("version") ? order["version"].GetUint64() : 1;
+    seen.status = !counted ? conflict
+                           : this->carryOut(order["operation"].GetString(), adapter, version);
+    this->seenOrders.push_back(seen);
+    writer->send(HttpAnswer{seen.status, {}, ""});
+}
+
+int ReplicaStandin::carryOut(const std::string &operation, const std::string &adapter,
+                             std::uint64_t version)
+{
+    if (adapter.empty()) {
+        return okStatus; // The model is always there.
+    }
+    if (operation == "unload") {
+        if (this->users[adapter] > 0) {
+            return accepted;
+        }
+        ++this->orderCount;
+        this->adapters.erase(adapter);
+        return okStatus;
+    }
+    if (this->pending.count(adapter) != 0) {
+        return accepted;
+    }
+    const auto held = this->adapters.find(adapter);
+    if (held != this->adapters.end() && held->second == version) {
+        return okStatus;
+    }
+    this->adapters.erase(adapter);
+    ++this->orderCount;
+    if (this->adapters.size() + this->pending.size() >= this->options.adapterPlaces) {
+        this->overfilled = true;
+    }
+    this->pending[adapter] = monotonicNow() + this->options.loadTime;
+    this->tasks->after(this->options.loadTime, [this, adapter, version, own = this->generation] {
+        const std::lock_guard lock(this->mutex);
+        if (own == this->generation) {
+            this->pending.erase(adapter);
+            this->adapters[adapter] = version;
+        }
+    });
+    return accepted;
+}
+
+void ReplicaStandin::serveRequest(const IncomingRequest &request,
+                                  const std::shared_ptr<ResponseWriter> &writer)
+{
+    const std::string id = headerOf(request, "X-Request-Id");
+    const std::string model = headerOf(request, "X-Model");
+    const std::string adapter
+            = model.find('/') == std::string::npos ? "" : model.substr(model.find('/') + 1);
+    const HttpHeaders headers{{"X-Request-Id", id}, {"X-Response-Seal", "seal-" + id}};
+    if (this->chance(this->faults.shedShare)) {
+        writer->send(HttpAnswer{unavailable, {{"X-Not-Executed", "1"}}, ""});
+        return;
+    }
+    if (this->options.engine && !adapter.empty() && this->adapters.count(adapter) == 0) {
+        ++this->missCount;
+        writer->send(HttpAnswer{misdirected, {{"X-Instance-Id", this->options.id}}, ""});
+        return;
+    }
+    ++this->runCounts[id];
+    if (this->chance(this->faults.dropShare)) {
+        writer->abort();
+        return;
+    }
+    if (this->chance(this->faults.failShare)) {
+        writer->send(HttpAnswer{serverError, headers, "failed"});
+        return;
+    }
+    if (!this->options.engine) {
+        this->tasks->after(this->options.workTime, [id, headers, writer] {
+            writer->send(HttpAnswer{okStatus, headers, "done " + id});
+        });
+        return;
+    }
+    ++this->users[adapter];
+    writer->startStream(okStatus, headers);
+    const std::string resumed = headerOf(request, "Last-Event-Id");
+    const auto first = static_cast<std::uint32_t>(std::strtoul(resumed.c_str(), nullptr, 10)) + 1;
+    const std::uint32_t last
+            = this->chance(this->faults.cutShare) ? this->options.events / 2 : this->options.events;
+    this->sendEvent(id, first, last, adapter, writer);
+}
+
+void ReplicaStandin::sendEvent(const std::string &id, std::uint32_t number, std::uint32_t last,
+                               const std::string &adapter,
+                               const std::shared_ptr<ResponseWriter> &writer)
+{
+    this->tasks->after(this->options.workTime, [this, id, number, last, adapter, writer] {
+        const std::lock_guard lock(this->mutex);
+        if (number <= last && !writer->isGone()) {
+            writer->write(eventText(id, number), {});
+            this->sendEvent(id, number + 1, last, adapter, writer);
+            return;
+        }
+        std::uint32_t &count = this->users[adapter];
+        count -= count > 0 ? 1 : 0;
+        if (last == this->options.events) {
+            writer->finish();
+        } else {
+            writer->abort();
+        }
+    });
+}
+
+} // namespace balsamport::standins
--- /dev/null
+++ b/tests/e2e/e2e-edge.cpp
@@ -0,0 +1,119 @@
+#include "edge_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace balsamport;
+using namespace balsamport::testing;
+
+namespace {
+
+constexpr int okStatus = 200;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+constexpr Millis startTime{10'000};
+
+} // namespace
+
+TEST_CASE("the edge daemon on the users' platform")
+{
+    EdgeWorld world(2);
+    world.startAll();
+    REQUIRE(eventually(startTime, [&] { return world.store->calls() > 2; }));
+    REQUIRE_FALSE(world.isReady(0));
+    REQUIRE(world.call(0, "/book/1", "early").status == unavailable);
+
+    world.configure();
+    REQUIRE(eventually(startTime, [&] { return world.allReady(); }));
+
+    SECTION("serves each kind of request")
+    {
+        REQUIRE(world.call(0, "/book/1", "b1").body == "done b1");
+        REQUIRE(world.call(1, "/look/1", "l1").body == "done l1");
+        REQUIRE(world.call(0, "/none/1", "n1").status == notFound);
+        // The owner may give orders once the lease of an earlier one would be over.
+        int tries = 0;
+        REQUIRE(eventually(startTime, [&] {
+            const std::string id = "c" + std::to_string(++tries);
+            return world.call(0, "/chat/1", id, "a1").body == EdgeWorld::wholeStream(id);
+        }));
+        REQUIRE(world.call(1, "/once/1", "o1", "a1").body == EdgeWorld::wholeStream("o1"));
+        REQUIRE(world.call(1, "/once/1", "o2").body == EdgeWorld::wholeStream("o2"));
+    }
+
+    SECTION("a booking whose answer is lost is not run again, and is not called not-run")
+    {
+        for (const char *id : {"s1", "s2"}) {
+            world.replicas.at(id).standin->setFaults({0, 1.0, 0, 0});
+        }
+        constexpr int badGateway = 502;
+        REQUIRE(world.call(0, "/book/1", "b1").status == badGateway);
+        REQUIRE(world.runs().at("b1") == 1);
+    }
+
+    SECTION("a booking that a replica did not run is sent to another one")
+    {
+        world.replicas.at("s1").standin->setFaults({0, 0, 1.0, 0});
+        REQUIRE(world.call(0, "/book/1", "b1").body == "done b1");
+        REQUIRE(world.runs().at("b1") == 1);
+    }
+
+    SECTION("a look-up whose replica fails is answered by another one")
+    {
+        world.replicas.at("s1").standin->setFaults({1.0, 0, 0, 0});
+        REQUIRE(world.call(0, "/look/1", "l1").body == "done l1");
+    }
+
+    SECTION("a draining replica gets no new work")
+    {
+        world.announce("s1", true);
+        sleepFor(Millis(2'000));
+        for (int i = 0; i < 10; ++i) {
+            REQUIRE(world.call(0, "/book/1", "d" + std::to_string(i)).status == okStatus);
+        }
+        REQUIRE(world.replicas.at("s1").standin->runs().empty());
+    }
+
+    SECTION("a configuration that comes while one daemon cannot reach the store is in force there")
+    {
+        world.store->dropHistory();
+        world.configure(3'000);
+        REQUIRE(eventually(Millis(3'000), [&] {
+            return world.logText(0).find("\"event\":\"config_in_force\",\"version\":2")
+                    != std::string::npos
+                    && world.logText(1).find("\"event\":\"config_in_force\",\"version\":2")
+                    != std::string::npos;
+        }));
+    }
+
+    SECTION("servers that lapse while the store is down are kept until it is back and listed them")
+    {
+        world.store->setDown(true);
+        sleepFor(Millis(2'500));
+        REQUIRE(world.call(0, "/book/1", "b1").status == okStatus);
+        world.store->remove("servers/s1");
+        world.store->remove("servers/s2");
+        world.store->setDown(false);
+        sleepFor(Millis(1'500));
+        REQUIRE(world.call(0, "/book/1", "b2").status == okStatus);
+        world.announce("s1", false);
+        sleepFor(Millis(4'000));
+        REQUIRE(world.call(0, "/book/1", "b3").status == okStatus);
+        REQUIRE(world.replicas.at("s2").standin->runs().count("b3") == 0);
+    }
+
+    SECTION("a stop ends what is in progress and takes nothing new after the announcement")
+    {
+        REQUIRE(eventually(startTime,
+                           [&] { return world.call(0, "/chat/1", "w", "a1").status == okStatus; }));
+        CallerView seen;
+        std::thread caller([&] { seen = world.call(0, "/once/1", "last", "a1"); });
+        sleepFor(Millis(30));
+        world.edges[0].process->terminate();
+        REQUIRE(eventually(Millis(1'000), [&] { return !world.isReady(0); }));
+        caller.join();
+        REQUIRE(seen.body == EdgeWorld::wholeStream("last"));
+        REQUIRE(eventually(Millis(8'000), [&] {
+            return world.logText(0).find("\"event\":\"stop\"") != std::string::npos;
+        }));
+    }
+}
--- /dev/null
+++ b/tests/e2e/edge_world.h
@@ -0,0 +1,253 @@
+#ifndef BALSAMPORT_TESTS_EDGE_WORLD_H
+#define BALSAMPORT_TESTS_EDGE_WORLD_H
+
+#include "link_proxy.h"
+#include "process_fixture.h"
+
+#include <replica_standin.h>
+#include <store_standin.h>
+
+#include <fmt/format.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace balsamport::testing {
+
+/// @brief A loopback port that is free, below those that the system gives out by itself. No port is
+/// returned twice.
+inline std::uint16_t freePort()
+{
+    constexpr std::uint16_t firstPort = 24'000;
+    static std::uint16_t next = firstPort;
+    asio::io_context context;
+    while (true) {
+        asio::ip::tcp::acceptor acceptor(context);
+        asio::error_code failure;
+        const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), next++);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(endpoint, failure);
+        if (!failure) {
+            return endpoint.port();
+        }
+    }
+}
+
+inline std::string freeAddress()
+{
+    return "127.0.0.1:" + std::to_string(freePort());
+}
+
+/// @brief The answer to one request, as its caller saw it.
+struct CallerView
+{
+    int status = 0; ///< 0 where the connection ended without a whole answer.
+    std::string body;
+    bool connected = true; ///< A byte of the request may have left.
+};
+
+/// @brief A store, engines, plain replicas and edge daemons on loopback, with links that the test
+/// can disturb.
+class EdgeWorld
+{
+public:
+    struct Edge
+    {
+        std::string name;
+        std::string dataCentre;
+        std::string front = freeAddress();
+        std::string ready = freeAddress();
+        std::string control = freeAddress();
+        std::unique_ptr<Process> process;
+    };
+    struct Replica
+    {
+        std::unique_ptr<standins::ReplicaStandin> standin;
+        std::unique_ptr<LinkProxy> link;
+    };
+
+    explicit EdgeWorld(std::size_t edgeCount)
+    {
+        this->store = standins::StoreStandin::start(this->storeAddress).value();
+        this->storeLink = std::make_unique<LinkProxy>(this->storeAddress);
+        for (std::size_t i = 0; i < edgeCount; ++i) {
+            Edge edge;
+            edge.name = "edge-" + std::to_string(i + 1);
+            edge.dataCentre = i % 2 == 0 ? "a" : "b";
+            this->edges.push_back(std::move(edge));
+        }
+        this->addReplica("e1", "llm", "a", true);
+        this->addReplica("e2", "llm", "b", true);
+        this->addReplica("s1", "app", "a", false);
+        this->addReplica("s2", "app", "b", false);
+    }
+
+    void addReplica(const std::string &id, const std::string &service,
+                    const std::string &dataCentre, bool engine)
+    {
+        standins::ReplicaOptions options;
+        options.id = id;
+        options.service = service;
+        options.dataCentre = dataCentre;
+        options.address = freeAddress();
+        options.engine = engine;
+        Replica replica;
+        replica.link = std::make_unique<LinkProxy>(options.address);
+        options.announced = replica.link->address();
+        replica.standin = standins::ReplicaStandin::start(options).value();
+        this->replicas.emplace(id, std::move(replica));
+        this->announce(id, false);
+    }
+
+    void announce(const std::string &id, bool draining)
+    {
+        const standins::ReplicaStandin &standin = *this->replicas.at(id).standin;
+        this->store->put(standin.key(), standin.description(draining));
+    }
+
+    /// @brief Publishes the next version of the configuration.
+    void configure(int timeoutMs = 4'000)
+    {
+        this->store->put("op/config",
+                         fmt::format(R"({{"version":{},"routes":[
+ {{"name":"chat","host":"h","prefix":"/chat/","kind":"streaming","timeout_ms":{},
+   "target_latency_ms":1000,"priority":1,"service":"llm","max_attempts":2,"resumable":true}},
+ {{"name":"once","host":"h","prefix":"/once/","kind":"streaming","timeout_ms":{},
+   "target_latency_ms":1000,"priority":0,"service":"llm","max_attempts":1}},
+ {{"name":"book","host":"h","prefix":"/book/","kind":"unsafe","timeout_ms":1000,
+   "target_latency_ms":200,"priority":2,"service":"app","max_attempts":1}},
+ {{"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout_ms":1000,
+   "target_latency_ms":200,"priority":2,"service":"app","max_attempts":2}}],
+ "services":[{{"name":"llm","max_connections":370,"engine":{{"slots":64,"kv_capacity":148252,
+  "models":[{{"name":"m","weights_mb":65500}}],"adapter_slots":6,"loads_per_s":2.4}}}},
+  {{"name":"app","max_connections":110}}]}})",
+                                     ++this->configVersion, timeoutMs, timeoutMs));
+    }
+
+    void startEdge(std::size_t index)
+    {
+        Edge &edge = this->edges[index];
+        const std::string file = edge.name + ".yaml";
+        std::string seeds;
+        for (const Edge &other : this->edges) {
+            seeds += (seeds.empty() ? "\"" : ", \"") + other.control + "\"";
+        }
+        this->folder.write(file,
+                           fmt::format("node: \"{}\"\nip: \"127.0.0.1\"\nzone: \"{}\"\n"
+                                       "zones: {{a: \"east\", b: \"west\"}}\n"
+                                       "listen: {{front: \"{}\", ready: \"{}\", control: \"{}\"}}\n"
+                                       "seeds: [{}]\nbounds: {{lease_ms: 3000, grace_s: 8}}\n"
+                                       "platform: {{address: \"{}\"}}\n",
+                                       edge.name, edge.dataCentre, edge.front, edge.ready,
+                                       edge.control, seeds, this->storeLink->address()));
+        edge.process = std::make_unique<Process>(
+                "balsamport-edge",
+                std::vector<std::string>{"--settings", (this->folder.path() / file).string()},
+                (this->folder.path() / (edge.name + ".log")).string());
+    }
+
+    void startAll()
+    {
+        for (std::size_t i = 0; i < this->edges.size(); ++i) {
+            this->startEdge(i);
+        }
+    }
+
+    [[nodiscard]] bool isReady(std::size_t index)
+    {
+        OutgoingRequest request;
+        request.url = "http://" + this->edges[index].ready + "/v1/ready";
+        request.timeout = Millis(1'000);
+        request.freshConnection = true;
+        constexpr int okStatus = 200;
+        const auto answer = this->http.fetch(request);
+        return answer.has_value() && answer.value().status == okStatus;
+    }
+
+    [[nodiscard]] bool allReady()
+    {
+        for (std::size_t i = 0; i < this->edges.size(); ++i) {
+            if (!this->isReady(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// @brief Builds a caller's request.
+    [[nodiscard]] OutgoingRequest request(std::size_t edge, const std::string &path,
+                                          const std::string &id, const std::string &adapter) const
+    {
+        OutgoingRequest request;
+        request.url = "http://" + this->edges[edge].front + path;
+        request.method = path.rfind("/look", 0) == 0 ? "GET" : "POST";
+        request.headers = {{"Host", "h"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "4000"}};
+        if (path.rfind("/chat", 0) == 0 || path.rfind("/once", 0) == 0) {
+            request.headers.push_back({"X-Model", adapter.empty() ? "m" : "m/" + adapter});
+            request.headers.push_back({"X-Token-Usage", "400,24"});
+            request.headers.push_back({"X-Prompt-Prefix", "a1:150,b2:250"});
+        }
+        request.body = request.method == "POST" ? "body of " + id : std::string();
+        request.connectTimeout = Millis(1'000);
+        request.timeout = Millis(6'000);
+        return request;
+    }
+
+    [[nodiscard]] CallerView call(std::size_t edge, const std::string &path, const std::string &id,
+                                  const std::string &adapter = {})
+    {
+        const auto answer = this->http.fetch(this->request(edge, path, id, adapter));
+        if (answer.has_value()) {
+            return CallerView{answer.value().status, answer.value().body, true};
+        }
+        return CallerView{0, {}, answer.error().code != ErrorCode::ConnectFailed};
+    }
+
+    /// @return how often a request ran, over all replicas
+    [[nodiscard]] std::map<std::string, std::uint32_t> runs() const
+    {
+        std::map<std::string, std::uint32_t> total;
+        for (const auto &[id, replica] : this->replicas) {
+            for (const auto &[request, count] : replica.standin->runs()) {
+                total[request] += count;
+            }
+        }
+        return total;
+    }
+
+    /// @return the whole body of a stream
+    [[nodiscard]] static std::string wholeStream(const std::string &id)
+    {
+        constexpr int events = 8;
+        std::string text;
+        for (int i = 1; i <= events; ++i) {
+            text += fmt::format("id: {}\ndata: {} {}\n\n", i, id, i);
+        }
+        return text;
+    }
+
+    [[nodiscard]] std::string logText(std::size_t index) const
+    {
+        std::ifstream file(this->folder.path() / (this->edges[index].name + ".log"));
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+    MachineLock lock;
+    TemporaryFolder folder;
+    std::string storeAddress = freeAddress();
+    std::unique_ptr<standins::StoreStandin> store;
+    std::unique_ptr<LinkProxy> storeLink;
+    std::vector<Edge> edges;
+    std::map<std::string, Replica> replicas;
+    HttpClient http;
+    int configVersion = 0;
+};
+
+} // namespace balsamport::testing
+
+#endif
