--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # make fuzz runs 25,000 histories of each kind for each seed.
 FUZZ_SEEDS ?= 1 2 3 4
 
-.PHONY: packages build test e2e fuzz demo load-demo bench-policy plot-policy capacity format format-check lint proto clean
+.PHONY: packages build test e2e fuzz demo load-demo bench-policy plot-policy capacity format format-check lint proto clean soak platform-names
 
 packages:
 	sh scripts/packages.sh
@@ -48,6 +48,14 @@
 lint: build
 	sh scripts/sources.sh | grep '\.cpp$$' | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
 
+# Fifty seeds, one after another.
+soak: build
+	$(BUILD)/soak-edge --seed $$(seq 1 50) --seconds 20
+
+# No name of the users' platform may stand outside platform/, its stand-ins and their tests.
+platform-names:
+	! git grep -nE 'X-Response-Seal|X-Not-Executed|X-Expect-|X-Request-Urgency|X-Token-Usage|kv-range|kv-watch|BALSAMPORT_NODE_FILE|fencing_token|adapter_slots' -- src include
+
 proto:
 	protoc --proto_path=src/wire --cpp_out=src/wire/generated src/wire/balsamport.proto
 
--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -49,12 +49,71 @@
 constexpr MetricInfo connections{"balsamport_connections", MetricKind::Gauge, "",
                                  "Callers' connections that are open"};
 
+constexpr MetricInfo edgeAnswers{"balsamport_edge_answers_total", MetricKind::Counter, "outcome",
+                                 "Answers of the edge daemon by outcome"};
+constexpr MetricInfo edgeFailures{"balsamport_edge_failures_total", MetricKind::Counter, "error",
+                                  "Requests that the edge daemon refused or failed, by error"};
+constexpr MetricInfo edgeFirstPiece{"balsamport_edge_first_piece_seconds", MetricKind::Summary,
+                                    "route", "From a request's arrival to its first piece"};
+constexpr MetricInfo edgeWait{"balsamport_edge_wait_seconds", MetricKind::Summary, "",
+                              "From a request's arrival until it was sent to a backend server"};
+constexpr MetricInfo edgeRetries{"balsamport_edge_retries_total", MetricKind::Counter, "reason",
+                                 "Second sends that the shared budget allowed"};
+constexpr MetricInfo edgeOrders{"balsamport_edge_orders_total", MetricKind::Counter, "outcome",
+                                "Orders given to engines, by the engine's answer"};
+constexpr MetricInfo edgeLoadTime{"balsamport_edge_load_seconds", MetricKind::Summary, "",
+                                  "From the order to load an adapter until it is in place"};
+constexpr MetricInfo edgePeers{"balsamport_edge_live_daemons", MetricKind::Gauge, "",
+                               "Daemons that are alive as this one sees it, itself included"};
+constexpr MetricInfo edgeOwned{"balsamport_edge_owned_engines", MetricKind::Gauge, "",
+                               "Engines that this daemon gives orders to"};
+constexpr MetricInfo edgeWaiting{"balsamport_edge_waiting_requests", MetricKind::Gauge, "",
+                                 "Requests that wait for a place on the engines owned here"};
+constexpr MetricInfo edgePublishedAge{"balsamport_edge_published_age_seconds", MetricKind::Gauge,
+                                      "", "Since the platform's entries were last confirmed"};
+constexpr MetricInfo edgeConfigVersion{"balsamport_edge_config_version", MetricKind::Gauge, "",
+                                       "Version of the configuration in force"};
+constexpr MetricInfo edgeStoreCalls{"balsamport_edge_store_calls_total", MetricKind::Counter, "",
+                                    "Calls of this daemon to the platform's store"};
+constexpr MetricInfo logDrops{"balsamport_log_dropped_lines", MetricKind::Gauge, "",
+                              "Log lines that were dropped since the start"};
+
 /// Every metric; docs/METRICS.md lists the same.
 inline constexpr std::array all{
-        requests,      outcomes,      refusals,    firstToken,  loadStall,
-        queueWait,     claimLatency,  retries,     batchFill,   queueDepth,
-        loads,         linkBytes,     revision,    revisionAge, platformReachable,
-        platformCalls, viewConfirmed, quarantined, wireBytes,   connections,
+        requests,
+        outcomes,
+        refusals,
+        firstToken,
+        loadStall,
+        queueWait,
+        claimLatency,
+        retries,
+        batchFill,
+        queueDepth,
+        loads,
+        linkBytes,
+        revision,
+        revisionAge,
+        platformReachable,
+        platformCalls,
+        viewConfirmed,
+        quarantined,
+        wireBytes,
+        connections,
+        edgeAnswers,
+        edgeFailures,
+        edgeFirstPiece,
+        edgeWait,
+        edgeRetries,
+        edgeOrders,
+        edgeLoadTime,
+        edgePeers,
+        edgeOwned,
+        edgeWaiting,
+        edgePublishedAge,
+        edgeConfigVersion,
+        edgeStoreCalls,
+        logDrops,
 };
 
 } // namespace balsamport::metric
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -5,6 +5,7 @@
 #include "published_controller.h"
 #include "request_flow.h"
 
+#include <balsamport/core/metric_names.h>
 #include <balsamport/http/http_server.h>
 #include <balsamport/wire/message_server.h>
 
@@ -53,6 +54,7 @@
     [[nodiscard]] Result<void> listen();
     void begin();
     void tick();
+    void updateGauges(Millis now);
     void checkPause(Millis now);
     void updateEngines(Millis now);
     void takeChanges(const std::vector<PublishedEntry> &changed, bool own);
@@ -202,10 +204,25 @@
                         {{"server", server.str()}, {"reason", "not listed again"}});
     }
     this->updateEngines(now);
+    this->updateGauges(now);
     this->lastTick = now;
     this->tickTimer->set(tickTime, [this] { this->tick(); });
 }
 
+void EdgeDaemon::Impl::updateGauges(Millis now)
+{
+    constexpr double millisPerSecond = 1000.0;
+    MetricsRegistry &metrics = this->context.metrics;
+    metrics.gauge(metric::edgePeers).set(static_cast<double>(this->peers.liveDaemons()));
+    metrics.gauge(metric::edgeOwned).set(static_cast<double>(this->ownership.owned.size()));
+    metrics.gauge(metric::edgeWaiting).set(static_cast<double>(this->engines.waitingRequests()));
+    metrics.gauge(metric::edgePublishedAge)
+            .set(static_cast<double>(this->published.age(now).count()) / millisPerSecond);
+    metrics.gauge(metric::edgeConfigVersion)
+            .set(this->state.config ? static_cast<double>(this->state.config->version) : 0);
+    metrics.gauge(metric::logDrops).set(static_cast<double>(this->log.dropped()));
+}
+
 void EdgeDaemon::Impl::checkPause(Millis now)
 {
     const Millis gap = now - this->lastTick;
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -1,5 +1,6 @@
 #include "engine_controller.h"
 
+#include <balsamport/core/metric_names.h>
 #include <balsamport/edge/order_ownership.h>
 
 #include <algorithm>
@@ -397,6 +398,15 @@
                              {"outcome", nameOf(outcome)},
                              {"status", answer.has_value() ? answer.value().status : 0},
                              {"order_count", term->orderCount}});
+    this->context.metrics.counter(metric::edgeOrders, nameOf(outcome)).add();
+    const auto place = term->places.places.find(order.adapter);
+    if (order.kind == OrderKind::LoadAdapter && outcome == OrderOutcome::AlreadyHolds
+        && place != term->places.places.end()) {
+        constexpr double millisPerSecond = 1000.0;
+        const Millis took = monotonicNow() - place->second.loadStartedAt;
+        this->context.metrics.summary(metric::edgeLoadTime)
+                .observe(static_cast<double>(took.count()) / millisPerSecond, monotonicNow());
+    }
     noteOrderOutcome(term->places, term->limits, outcome, monotonicNow());
     if (term->places.resyncWanted) {
         this->reportAfter(*term, reportLag);
--- a/src/edge/published_controller.cpp
+++ b/src/edge/published_controller.cpp
@@ -1,5 +1,7 @@
 #include "published_controller.h"
 
+#include <balsamport/core/metric_names.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -73,6 +75,7 @@
 void PublishedController::call(OutgoingRequest request,
                                std::function<void(const Result<HttpAnswer> &)> handler)
 {
+    this->context.metrics.counter(metric::edgeStoreCalls).add();
     request.timeout += callTimeout;
     request.connectTimeout = callTimeout;
     fetchOnLoop(this->context, std::move(request), std::move(handler));
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -1,6 +1,7 @@
 #include "request_flow.h"
 
 #include <balsamport/core/hash.h>
+#include <balsamport/core/metric_names.h>
 
 #include <fmt/format.h>
 
@@ -38,6 +39,12 @@
 constexpr int firstRedirect = 300;
 constexpr int firstServerError = 500;
 
+double secondsOf(Millis time)
+{
+    constexpr double millisPerSecond = 1000.0;
+    return static_cast<double>(time.count()) / millisPerSecond;
+}
+
 Millis left(Millis at, Millis now)
 {
     return std::max(at - now, Millis(0));
@@ -153,6 +160,7 @@
     if (!this->engine) {
         this->plan = rankReplicas(servers, location, state.experiences,
                                   hash64(this->request.id.str()), now);
+        this->leaveOutFailed();
         this->plan.resize(std::min(this->plan.size(), maxReplicas));
         return;
     }
@@ -169,6 +177,7 @@
     }
     this->plan = rankEngines(servers, location, state.experiences, this->request.adapter.str(),
                              demand, lastHome(state.homes, this->request.adapter.str(), now), now);
+    this->leaveOutFailed();
     this->plan.resize(std::min(this->plan.size(), maxAsks - 1));
     // Back to the first one to wait there: a third engine would have to load the adapter as well.
     if (!this->plan.empty()) {
@@ -177,6 +186,19 @@
     }
 }
 
+void RequestFlow::leaveOutFailed()
+{
+    std::vector<BackendServerId> others;
+    for (const BackendServerId &server : this->plan) {
+        if (this->failedAt.count(server) == 0) {
+            others.push_back(server);
+        }
+    }
+    if (!others.empty()) {
+        this->plan = std::move(others);
+    }
+}
+
 void RequestFlow::askNext()
 {
     if (this->ended) {
@@ -275,6 +297,10 @@
         this->takeNotRun(sent);
         return;
     }
+    if (this->sends == 0) {
+        this->context.edge.metrics.summary(metric::edgeWait)
+                .observe(secondsOf(now - this->arrivedAt), now);
+    }
     ++this->sends;
     ++this->runs;
     ++this->context.state.experiences[server].inFlight;
@@ -382,6 +408,9 @@
     }
     if (!sent->started) {
         sent->started = true;
+        const Millis now = monotonicNow();
+        this->context.edge.metrics.summary(metric::edgeFirstPiece, this->route.name)
+                .observe(secondsOf(now - this->arrivedAt), now);
         if (sent->place != 0) {
             this->context.places.note(sent->place, PlaceEvent::Started);
         }
@@ -430,6 +459,7 @@
     const bool serverFailed = sent->answer.status >= firstServerError;
     noteAnswer(this->context.state.experiences[sent->server], serverFailed);
     if (serverFailed && this->mayRepeat() && this->takeRetry("server_error")) {
+        this->failedAt.insert(sent->server);
         this->endAttempt(sent, PlaceEvent::Ended);
         this->tryAgain();
         return;
@@ -453,6 +483,7 @@
         return;
     }
     this->writer->finish();
+    this->context.edge.metrics.counter(metric::edgeAnswers, "served").add();
     this->context.edge.log.write(EventWeight::Routine, "served",
                                  {{"request", this->request.id.str()},
                                   {"server", sent->server.str()},
@@ -483,6 +514,10 @@
                                   {"status", sent->answer.status},
                                   {"after_ms", monotonicNow() - sent->sentAt}});
     this->runs -= this->runs > 0 && sent->exchange != 0 ? 1 : 0;
+    if (!this->engine) {
+        // An engine may only have had to load the adapter first.
+        this->failedAt.insert(sent->server);
+    }
     this->endAttempt(sent, PlaceEvent::NotReady);
     if (this->sends >= maxSends || !this->takeRetry("not_run")) {
         if (this->streamStarted) {
@@ -509,6 +544,9 @@
     const bool taken = this->context.state.retryBudgets[this->service].take(
             this->context.edge.settings.retryBudget, this->context.peers.liveDaemons(),
             monotonicNow());
+    if (taken) {
+        this->context.edge.metrics.counter(metric::edgeRetries, reason).add();
+    }
     this->context.edge.log.write(
             EventWeight::Notable, "retry",
             {{"request", this->request.id.str()}, {"reason", reason}, {"allowed", taken}});
@@ -546,6 +584,7 @@
 void RequestFlow::takeFailure(const std::shared_ptr<Attempt> &sent, ErrorCode code)
 {
     const Millis now = monotonicNow();
+    this->failedAt.insert(sent->server);
     const bool unsent = code == ErrorCode::ConnectFailed || code == ErrorCode::ClaimExpired;
     ServerExperience &experience = this->context.state.experiences[sent->server];
     if (unsent) {
@@ -659,6 +698,10 @@
         return;
     }
     const bool own = outcome == "refused" || outcome == "failed";
+    this->context.edge.metrics.counter(metric::edgeAnswers, outcome).add();
+    if (own) {
+        this->context.edge.metrics.counter(metric::edgeFailures, errorName(code)).add();
+    }
     if (this->context.state.leaving) {
         whole.headers.push_back({"Connection", "close"});
     }
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -57,6 +57,7 @@
     [[nodiscard]] bool readRoute();
     [[nodiscard]] bool admit();
     void planServers();
+    void leaveOutFailed();
     void askNext();
     void takeVerdict(std::uint64_t place, const BackendServerId &server,
                      const PlaceVerdict &verdict);
@@ -94,6 +95,7 @@
     Millis objectiveAt;
     Millis deadlineAt;
     std::vector<BackendServerId> plan; ///< Servers still to try, best first.
+    std::set<BackendServerId> failedAt; ///< Servers that failed the request, or did not run it.
     std::uint32_t asks = 0;
     std::uint64_t place = 0; ///< Asked for and not decided yet.
     std::shared_ptr<Attempt> attempt; ///< Under way.
