--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -61,6 +61,10 @@
     EngineLimits engine;
     double promptTokensPerMs = 25.8; ///< Source: the users' system page, "prompt tokens read".
     Millis prefillAhead{25}; ///< Prompt work handed over before the last one is read.
+    /// Prompt work in any span of the window, so that streams that run do not pause for longer than
+    /// their callers allow: an event takes three steps, and each step may read a piece of a prompt.
+    Millis prefillWindow{400}; ///< Source: the users' sheets, "pauses 400".
+    Millis prefillPerWindow{370}; ///< The window less three steps of decoding.
     Millis coldLoad{250}; ///< Source: the users' system page, time of an adapter load.
     Millis warmLoad{25}; ///< An adapter that was held lately loads ten times as fast.
     Millis elsewhereWait{250}; ///< Longer expected waits send a request to another engine.
@@ -151,6 +155,15 @@
     bool operator==(const EngineReport &) const = default;
 };
 
+/// @brief A prompt that was handed over to an engine.
+struct HandedPrompt
+{
+    Millis readBy; ///< When it will have been read.
+    Millis work; ///< Time that reading it takes.
+
+    bool operator==(const HandedPrompt &) const = default;
+};
+
 /// @brief The places of one engine, as its owner keeps them. Use the functions below.
 struct EnginePlaces
 {
@@ -165,6 +178,8 @@
     std::vector<PlaceRequest> waiting;
     std::map<PlaceKey, RunningRequest> running;
     Millis prefillUntil; ///< When the granted prompts will have been read.
+    Millis promptTurnAt; ///< When the next prompt may be handed over.
+    std::deque<HandedPrompt> handedPrompts; ///< Of the last window, oldest first.
     std::optional<EngineOrder> orderInProgress;
     Millis releasedAt; ///< When a place became free last.
     Millis releaseInterval{250}; ///< Between places that become free, weighted to the newest.
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -168,6 +168,23 @@
     return state.prefillUntil <= now + limits.prefillAhead && unstarted(state) < maxUnstarted;
 }
 
+/// When a prompt can be handed over without making the running streams pause for too long.
+Millis promptTurn(const EnginePlaces &state, const PlaceLimits &limits, Millis work, Millis now)
+{
+    Millis total = work;
+    Millis turn = now;
+    for (auto prompt = state.handedPrompts.rbegin(); prompt != state.handedPrompts.rend();
+         ++prompt) {
+        total += prompt->work;
+        if (total > limits.prefillPerWindow) {
+            // Reading the new prompt ends one window after this one was read, or later.
+            turn = std::max(turn, prompt->readBy + limits.prefillWindow - work);
+            break;
+        }
+    }
+    return turn;
+}
+
 bool isReadyFor(const EnginePlaces &state, const AdapterId &adapter,
                 const AdapterVersions &versions)
 {
@@ -184,8 +201,13 @@
 {
     GrantPlace action{request.key, wantedVersion(state, request.adapter, versions),
                       uncachedTokens(state, request)};
-    state.prefillUntil
-            = std::max(state.prefillUntil, now) + prefillTime(action.promptTokens, limits);
+    const Millis work = prefillTime(action.promptTokens, limits);
+    state.prefillUntil = std::max(state.prefillUntil, now) + work;
+    while (!state.handedPrompts.empty()
+           && state.handedPrompts.front().readBy + limits.prefillWindow <= now) {
+        state.handedPrompts.pop_front();
+    }
+    state.handedPrompts.push_back(HandedPrompt{state.prefillUntil, work});
     state.running.emplace(request.key,
                           RunningRequest{request.adapter, now, request.deadlineAt,
                                          std::uint64_t{totalTokens(request)} + request.outputTokens,
@@ -268,6 +290,13 @@
             ++request;
             continue;
         }
+        const Millis work = prefillTime(uncachedTokens(state, *request), limits);
+        const Millis turn = promptTurn(state, limits, work, now);
+        if (turn > now) {
+            // Shorter prompts must not pass it again and again.
+            state.promptTurnAt = turn;
+            return;
+        }
         actions.emplace_back(grant(state, limits, versions, *request, now));
         request = state.waiting.erase(request);
     }
@@ -442,7 +471,7 @@
         consider(request.giveUpAt);
     }
     if (!state.waiting.empty()) {
-        consider(state.prefillUntil - limits.prefillAhead);
+        consider(std::max(state.prefillUntil - limits.prefillAhead, state.promptTurnAt));
     }
     return next;
 }
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -50,6 +50,15 @@
     return std::max(at - now, Millis(0));
 }
 
+std::uint32_t promptTokensOf(const CallerRequest &request)
+{
+    std::uint32_t tokens = 0;
+    for (const PromptPart &part : request.promptParts) {
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
 bool isSuccess(int status) noexcept
 {
     return status >= firstSuccess && status < firstRedirect;
@@ -406,9 +415,14 @@
     if (events.empty()) {
         return;
     }
+    const Millis now = monotonicNow();
+    if (this->lastPieceAt > Millis(0)) {
+        this->longestGap = std::max(this->longestGap, now - this->lastPieceAt);
+    }
+    this->lastPieceAt = now;
     if (!sent->started) {
         sent->started = true;
-        const Millis now = monotonicNow();
+        this->firstPieceAt = now;
         this->context.edge.metrics.summary(metric::edgeFirstPiece, this->route.name)
                 .observe(secondsOf(now - this->arrivedAt), now);
         if (sent->place != 0) {
@@ -489,6 +503,9 @@
                                   {"server", sent->server.str()},
                                   {"status", sent->answer.status},
                                   {"took_ms", monotonicNow() - this->arrivedAt},
+                                  {"first_ms", this->firstPieceAt - this->arrivedAt},
+                                  {"gap_ms", this->longestGap},
+                                  {"prompt_tokens", promptTokensOf(this->request)},
                                   {"sends", this->sends}});
     this->end();
 }
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -103,6 +103,9 @@
     std::uint32_t sends = 0;
     Millis retryHint{0}; ///< From the owners that sent this request elsewhere.
     bool streamStarted = false;
+    Millis firstPieceAt{0};
+    Millis lastPieceAt{0};
+    Millis longestGap{0}; ///< Between two pieces.
     EventSplitter splitter;
     std::unique_ptr<LoopTimer> timer;
     bool ended = false;
--- a/tests/src/unit-edge-places.cpp
+++ b/tests/src/unit-edge-places.cpp
@@ -217,6 +217,26 @@
         REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
     }
 
+    SECTION("prompts leave the running streams time: in no window more than a part is prompt work")
+    {
+        std::vector<Millis> grants;
+        for (int i = 0; i < 6; ++i) {
+            engine.ask("hot", 3'500);
+        }
+        const Millis end = engine.now + Millis(800);
+        for (; engine.now < end; engine.now += Millis(5)) {
+            for (const GrantPlace &given : only<GrantPlace>(engine.decide())) {
+                grants.push_back(engine.now);
+                notePlaceStarted(engine.places, given.key);
+            }
+        }
+        REQUIRE(grants.size() >= 3);
+        for (std::size_t i = 2; i < grants.size(); ++i) {
+            // Three of these prompts take 408 ms to read, and streams may pause for 400 ms.
+            REQUIRE(grants[i] - grants[i - 2] >= Millis(270));
+        }
+    }
+
     SECTION("who could not be served in time is refused at arrival, with the time of its turn")
     {
         std::vector<PlaceKey> keys;
