--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -143,7 +143,19 @@
         return;
     }
     const PlaceKey key = request.key;
-    submitPlaceRequest(term->places, term->limits, std::move(request), monotonicNow());
+    const Millis now = monotonicNow();
+    this->context.log.write(
+            EventWeight::Routine, "place_asked",
+            {{"request", request.request.str()},
+             {"server", server.str()},
+             {"from", key.vm.str()},
+             {"adapter", request.adapter.str()},
+             {"expected_wait_ms", expectedWait(term->places, term->limits, request, now)},
+             {"waiting", term->places.waiting.size()},
+             {"running", term->places.running.size()},
+             {"places", term->places.places.size()},
+             {"orders_allowed", term->places.ordersAllowed}});
+    submitPlaceRequest(term->places, term->limits, std::move(request), now);
     this->decide(*term);
     const auto &waiting = term->places.waiting;
     if (std::any_of(waiting.begin(), waiting.end(),
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -59,6 +59,23 @@
     return tokens;
 }
 
+std::string_view nameOf(PlaceVerdict::Kind kind) noexcept
+{
+    switch (kind) {
+    case PlaceVerdict::Kind::Queued:
+        return "queued";
+    case PlaceVerdict::Kind::Granted:
+        return "granted";
+    case PlaceVerdict::Kind::Elsewhere:
+        return "elsewhere";
+    case PlaceVerdict::Kind::Refused:
+        return "refused";
+    case PlaceVerdict::Kind::NotOwner:
+        return "not_owner";
+    }
+    return "unknown";
+}
+
 bool isSuccess(int status) noexcept
 {
     return status >= firstSuccess && status < firstRedirect;
@@ -253,6 +270,14 @@
         return;
     }
     const Millis now = monotonicNow();
+    this->context.edge.log.write(EventWeight::Routine, "place",
+                                 {{"request", this->request.id.str()},
+                                  {"server", server.str()},
+                                  {"verdict", nameOf(verdict.kind)},
+                                  {"ask", this->asks},
+                                  {"wait_ms", verdict.wait},
+                                  {"retry_after_ms", verdict.retryAfter},
+                                  {"since_arrival_ms", now - this->arrivedAt}});
     ServerExperience &experience = this->context.state.experiences[server];
     if (verdict.kind == PlaceVerdict::Kind::Granted
         || verdict.kind == PlaceVerdict::Kind::Elsewhere) {
