Remove fields of the edge's types that nothing reads

Cause: read as a newcomer: limits of weight loads, connection caps, run lists and keep-alive times were decoded and then used nowhere. Two assertions of unit-platform on two of these fields went with them; the parsers' other checks stay.

--- a/include/balsamport/edge/dialect.h
+++ b/include/balsamport/edge/dialect.h
@@ -59,7 +59,6 @@
     bool belongsToRequest = false; ///< It carries the id of the request.
     bool didNotRun = false; ///< The server says that it has not run the request.
     bool valid = true; ///< A success that carries what a success must.
-    Millis keepAlive{0}; ///< How long the server keeps an idle connection; 0 if it does not say.
 
     bool operator==(const ServerAnswer &) const = default;
 };
--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -103,7 +103,6 @@
 struct RunningRequest
 {
     AdapterId adapter;
-    Millis grantedAt;
     Millis deadlineAt;
     std::uint64_t kvTokens = 0;
     bool started = false; ///< Its first piece has come.
@@ -148,9 +147,6 @@
     bool modelBusy = false; ///< A model is being loaded.
     std::map<AdapterId, AdapterVersion> adapters;
     std::set<AdapterId> pending; ///< Being loaded.
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::map<RequestId, std::uint64_t> runs; ///< Requests that run, and their tokens in memory.
 
     bool operator==(const EngineReport &) const = default;
 };
--- a/include/balsamport/edge/service_config.h
+++ b/include/balsamport/edge/service_config.h
@@ -47,23 +47,13 @@
     bool operator==(const EdgeRoute &) const = default;
 };
 
-/// @brief A base model that engines of a service hold.
-struct EngineModel
-{
-    BaseModelId name;
-    std::uint64_t weightsMegabytes = 0;
-
-    bool operator==(const EngineModel &) const = default;
-};
-
 /// @brief What the engines of a service can do.
 struct EngineLimits
 {
     std::uint32_t batchSlots = 0; ///< Requests that run at once.
     std::uint64_t kvTokens = 0; ///< Tokens that running requests and kept prompts share.
     std::uint32_t adapterPlaces = 0;
-    double weightLoadsPerSecond = 0; ///< Over all engines of the store.
-    std::vector<EngineModel> models;
+    std::vector<BaseModelId> models; ///< Base models that the engines may hold.
 
     bool operator==(const EngineLimits &) const = default;
 };
@@ -72,7 +62,6 @@
 struct EdgeService
 {
     ServiceId name;
-    std::uint32_t maxConnections = 0; ///< Of one backend server, from all callers.
     std::optional<EngineLimits> engine; ///< Nothing for a plain service.
 
     bool operator==(const EdgeService &) const = default;
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -75,7 +75,7 @@
     term->limits.engine = limits;
     term->places.server = server.id;
     if (!limits.models.empty()) {
-        term->places.base = limits.models.front().name;
+        term->places.base = limits.models.front();
     }
     term->timer = this->context.loop.makeTimer();
     term->reportTimer = this->context.loop.makeTimer();
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -209,7 +209,7 @@
     }
     state.handedPrompts.push_back(HandedPrompt{state.prefillUntil, work});
     state.running.emplace(request.key,
-                          RunningRequest{request.adapter, now, request.deadlineAt,
+                          RunningRequest{request.adapter, request.deadlineAt,
                                          std::uint64_t{totalTokens(request)} + request.outputTokens,
                                          false});
     if (!request.adapter.empty()) {
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -223,7 +223,6 @@
         const ServerAnswer answer = readAnswer(request, head);
         REQUIRE(answer.belongsToRequest);
         REQUIRE(answer.valid);
-        REQUIRE(answer.keepAlive == Millis(15'000));
         REQUIRE(findHeader(answer.headers, "X-Response-Seal") == "seal");
         REQUIRE_FALSE(findHeader(answer.headers, "Transfer-Encoding"));
     }
@@ -312,7 +311,6 @@
     REQUIRE(report.value().orderCount == 5);
     REQUIRE(report.value().adapters.at(AdapterId("a3")) == AdapterVersion(2));
     REQUIRE(report.value().pending == std::set<AdapterId>{AdapterId("a4")});
-    REQUIRE(report.value().runs.at(RequestId("r1")) == 900);
     REQUIRE(readReport(HttpAnswer{503, {}, {}}, BaseModelId("m")).error().code
             == ErrorCode::BadResponse);
 }
