Let no answer and no connection outlive the HTTP server that they belong to

(1) A writer that somebody still held (a watch of the store's stand-in) dropped its RESTinio handle after the server and its loop were gone. (2) RESTinio frees its acceptor before the loop; a connection whose write had just completed then locks a mutex of the freed acceptor (connection_count_limiter.hpp). Change: the server makes its writers inert before and after its threads end, and destroys waiting handlers while the acceptor still lives. The stand-ins end their server before its tasks. The daemons' own stop had the same fault.

--- a/include/balsamport/http/http_server.h
+++ b/include/balsamport/http/http_server.h
@@ -79,7 +79,10 @@
     /// @return ListenFailed where the address cannot be bound
     [[nodiscard]] static Result<std::unique_ptr<HttpServer>>
     start(const HttpServerSettings &settings, HttpHandler handler);
-    ~HttpServer(); ///< Closes the listening socket and all connections.
+    /// @brief Closes the listening socket and all connections.
+    ///
+    /// Writers that somebody still holds have no effect from then on; their callers are gone.
+    ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -44,7 +44,7 @@
 {
     using Traits = ServerTraits<
             restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>>;
-    return runServer<Traits>(serverSettings<Traits>(settings), settings.http.threads);
+    return runServer<Traits>(serverSettings<Traits>(settings), settings);
 }
 
 struct HttpServer::Impl
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -4,6 +4,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace balsamport {
@@ -13,6 +14,10 @@
 /// Size that the last chunk of a broken answer announces and does not have.
 constexpr std::size_t missingChunkBytes = 1024 * 1024;
 
+/// Fewest writers of closed connections before those that nobody holds are looked for. Their
+/// number doubles between searches, so that each costs little.
+constexpr std::size_t leastPurgeSize = 64;
+
 restinio::http_status_line_t statusLine(int status)
 {
     return restinio::http_status_line_t{
@@ -58,7 +63,7 @@
 void RestinioWriter::send(const HttpAnswer &answer)
 {
     const std::lock_guard lock(this->mutex);
-    if (this->answered) {
+    if (this->answered || !this->request) {
         return;
     }
     this->answered = true;
@@ -77,7 +82,7 @@
 void RestinioWriter::startStream(int status, const HttpHeaders &headers)
 {
     const std::lock_guard lock(this->mutex);
-    if (this->answered) {
+    if (this->answered || !this->request) {
         return;
     }
     this->answered = true;
@@ -130,7 +135,7 @@
         this->stream->append_chunk(restinio::writable_item_t{std::make_shared<TruncatedChunk>()});
         this->stream->done();
         this->stream.reset();
-    } else if (!this->answered) {
+    } else if (!this->answered && this->request) {
         this->answered = true;
         constexpr int internalError = 500;
         this->request->create_response(statusLine(internalError)).connection_close().done();
@@ -162,18 +167,57 @@
     }
 }
 
+void RestinioWriter::detach()
+{
+    std::function<void()> dropped;
+    const std::lock_guard lock(this->mutex);
+    this->gone = true;
+    dropped.swap(this->goneCallback);
+    this->stream.reset();
+    this->request.reset();
+}
+
 void ConnectionRegistry::add(restinio::connection_id_t id,
                              const std::weak_ptr<RestinioWriter> &writer)
 {
     const std::lock_guard lock(this->mutex);
     const auto found = this->writers.find(id);
     if (found == this->writers.end()) {
+        this->keepClosed({writer});
         return;
     }
     std::erase_if(found->second, [](const auto &old) { return old.expired(); });
     found->second.push_back(writer);
 }
 
+void ConnectionRegistry::keepClosed(const Writers &closed)
+{
+    Writers &all = this->closedWriters;
+    all.insert(all.end(), closed.begin(), closed.end());
+    if (all.size() >= std::max(this->purgeSize, leastPurgeSize)) {
+        std::erase_if(all, [](const auto &writer) { return writer.expired(); });
+        this->purgeSize = all.size() * 2;
+    }
+}
+
+void ConnectionRegistry::detachAll()
+{
+    Writers all;
+    {
+        const std::lock_guard lock(this->mutex);
+        all.swap(this->closedWriters);
+        for (const auto &[id, open] : this->writers) {
+            all.insert(all.end(), open.begin(), open.end());
+        }
+    }
+    for (const auto &weak : all) {
+        const std::shared_ptr<RestinioWriter> writer = weak.lock();
+        if (writer) {
+            writer->detach();
+        }
+    }
+}
+
 void ConnectionRegistry::state_changed(const restinio::connection_state::notice_t &notice) noexcept
 {
     using restinio::connection_state::accepted_t;
@@ -187,6 +231,7 @@
         } else if (restinio::holds_alternative<closed_t>(notice.cause())) {
             closed.swap(this->writers[notice.connection_id()]);
             this->writers.erase(notice.connection_id());
+            this->keepClosed(closed);
             --this->count;
         }
     }
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -32,13 +32,18 @@
     /// @brief Tells the writer that its connection is closed.
     void connectionClosed();
 
+    /// @brief Lets go of the connection, because the server that owns it is about to end.
+    ///
+    /// From then on nothing that is called on the writer has an effect.
+    void detach();
+
 private:
     using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
 
     void breakAnswer();
 
-    restinio::request_handle_t request;
     std::mutex mutex;
+    restinio::request_handle_t request; ///< Under mutex. Null once detached.
     std::unique_ptr<Stream> stream; ///< Under mutex.
     std::function<void()> goneCallback; ///< Under mutex.
     bool answered = false; ///< Under mutex.
@@ -55,13 +60,20 @@
     // NOLINTNEXTLINE(readability-identifier-naming): RESTinio calls it by this name.
     void state_changed(const restinio::connection_state::notice_t &notice) noexcept;
 
+    /// @brief Detaches every writer that somebody still holds.
+    void detachAll();
+
     [[nodiscard]] std::uint32_t open() const noexcept { return this->count; }
 
 private:
     using Writers = std::vector<std::weak_ptr<RestinioWriter>>;
 
+    void keepClosed(const Writers &closed);
+
     std::mutex mutex;
     std::unordered_map<restinio::connection_id_t, Writers> writers; ///< Under mutex.
+    Writers closedWriters; ///< Of closed connections, until nobody holds them. Under mutex.
+    std::size_t purgeSize = 0; ///< Of closedWriters, when those that are gone leave. Under mutex.
     std::atomic<std::uint32_t> count{0};
 };
 
--- a/src/http/server_runner.h
+++ b/src/http/server_runner.h
@@ -41,23 +41,41 @@
     static constexpr bool use_connection_count_limiter = true;
 };
 
-/// @brief A server with the given traits.
+/// @brief A loop whose waiting handlers can be destroyed before it is.
+class ServerLoop : public asio::io_context
+{
+public:
+    using asio::execution_context::shutdown;
+};
+
+/// @brief A server with the given traits. Throws std::exception where the address cannot be bound.
 template<typename Traits>
 class TypedRunner : public ServerRunner
 {
 public:
-    explicit TypedRunner(restinio::running_server_handle_t<Traits> handle)
-        : server(std::move(handle))
+    TypedRunner(restinio::server_settings_t<Traits> settings, const RunnerSettings &runner)
+        : registry(runner.registry)
+        , server(restinio::run_async<Traits>(restinio::external_io_context(this->loop),
+                                             std::move(settings), runner.http.threads))
     { }
     ~TypedRunner() override
     {
+        // A writer that outlives the server would use connections of a loop that is gone. First
+        // those that others hold, so that they post nothing more; then those that came since.
+        this->registry->detachAll();
         this->server->stop();
         this->server->wait();
+        this->registry->detachAll();
+        // RESTinio's connections, which live in handlers, lock a mutex of its acceptor when they
+        // go. By itself it frees the acceptor first, and such a lock may then wait for good.
+        this->loop.shutdown();
     }
     TypedRunner(const TypedRunner &) = delete;
     TypedRunner &operator=(const TypedRunner &) = delete;
 
 private:
+    ServerLoop loop;
+    std::shared_ptr<ConnectionRegistry> registry;
     restinio::running_server_handle_t<Traits> server;
 };
 
@@ -95,10 +113,9 @@
 /// @brief Starts a server. Throws std::exception where the address cannot be bound.
 template<typename Traits>
 [[nodiscard]] std::unique_ptr<ServerRunner> runServer(restinio::server_settings_t<Traits> settings,
-                                                      std::uint32_t threads)
+                                                      const RunnerSettings &runner)
 {
-    return std::make_unique<TypedRunner<Traits>>(
-            restinio::run_async<Traits>(restinio::own_io_context(), std::move(settings), threads));
+    return std::make_unique<TypedRunner<Traits>>(std::move(settings), runner);
 }
 
 /// @brief Starts a server for plain HTTP. Throws std::exception where it cannot.
--- a/src/http/tls_server.cpp
+++ b/src/http/tls_server.cpp
@@ -88,7 +88,7 @@
             restinio::tls_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>>;
     auto server = serverSettings<Traits>(settings);
     server.tls_context(context.value());
-    return runServer<Traits>(std::move(server), http.threads);
+    return runServer<Traits>(std::move(server), settings);
 }
 
 } // namespace balsamport
--- a/standins/platform/replica_standin.cpp
+++ b/standins/platform/replica_standin.cpp
@@ -52,8 +52,8 @@
 
 ReplicaStandin::~ReplicaStandin()
 {
+    this->server.reset(); // Its handlers use the tasks.
     this->tasks.reset();
-    this->server.reset();
 }
 
 std::string ReplicaStandin::description(bool draining) const
--- a/standins/platform/store_standin.cpp
+++ b/standins/platform/store_standin.cpp
@@ -84,8 +84,8 @@
 
 StoreStandin::~StoreStandin()
 {
+    this->server.reset(); // Its handlers use the tasks.
     this->tasks.reset();
-    this->server.reset();
 }
 
 std::uint64_t StoreStandin::put(const std::string &key, const std::string &value)
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -5,6 +5,9 @@
 
 #include <atomic>
 #include <future>
+#include <mutex>
+#include <thread>
+#include <vector>
 
 using namespace balsamport;
 
@@ -156,3 +159,62 @@
         REQUIRE(second.error().code == ErrorCode::ListenFailed);
     }
 }
+
+// Run by CTest with MALLOC_PERTURB_, which fills freed memory: a lock there would never be free.
+TEST_CASE("A server that stops")
+{
+    HttpServerSettings settings;
+    settings.address = "127.0.0.1:18482";
+    std::mutex mutex;
+    std::vector<std::shared_ptr<ResponseWriter>> kept;
+    std::atomic<int> requests{0};
+    auto server = HttpServer::start(settings, [&](const auto &request, const auto &writer) {
+                      const std::lock_guard lock(mutex);
+                      if (request->path == "/stream") {
+                          writer->startStream(200, {});
+                          writer->write("first", {});
+                      }
+                      kept.push_back(writer);
+                      ++requests;
+                  }).value();
+    auto client = std::make_unique<HttpClient>();
+    OutgoingRequest request;
+
+    SECTION("leaves answers that nobody has given yet without effect")
+    {
+        for (const char *path : {"/hold", "/stream"}) {
+            request.url = "http://" + settings.address + path;
+            client->start(request, {});
+        }
+        while (requests < 2) {
+            std::this_thread::yield();
+        }
+
+        SECTION("while their callers still wait")
+        {
+            server.reset();
+        }
+
+        SECTION("after their callers have gone")
+        {
+            client.reset();
+            while (server->connections() > 0) {
+                std::this_thread::yield();
+            }
+            server.reset();
+        }
+
+        for (const auto &writer : kept) {
+            REQUIRE(writer->isGone());
+            bool written = false;
+            writer->write("second", [&written] { written = true; });
+            REQUIRE(written);
+            writer->send(HttpAnswer{200, {}, "late"});
+            writer->finish();
+            bool told = false;
+            writer->onGone([&told] { told = true; });
+            REQUIRE(told);
+        }
+        kept.clear();
+    }
+}
