Wake the event log's writer after lines were dropped

Cause: the turn of a second queues the count of dropped lines before the queue is looked at, so the next line found it filled and did not wake the writer. From the first dropped line on a daemon wrote nothing until its end.

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -180,15 +180,16 @@
                      std::initializer_list<EventField> fields)
 {
     const std::lock_guard lock(this->impl->mutex);
+    // The turn of a second may queue a line too.
+    const bool wasEmpty = this->impl->queue.empty();
     this->impl->turnSecond(monotonicNow());
     if (!this->impl->takeBudget(weight)
         || this->impl->queue.size() >= this->impl->limits.queueBytes) {
         ++this->impl->droppedLines;
-        return;
+    } else {
+        this->impl->queue += this->impl->line(wallNow(), event, fields);
     }
-    const bool wasEmpty = this->impl->queue.empty();
-    this->impl->queue += this->impl->line(wallNow(), event, fields);
-    if (wasEmpty) {
+    if (wasEmpty && !this->impl->queue.empty()) {
         this->impl->wake.notify_one();
     }
 }
--- a/tests/src/unit-event-log.cpp
+++ b/tests/src/unit-event-log.cpp
@@ -83,6 +83,24 @@
         REQUIRE(text.find(R"("event":"log_dropped","lines":90,"total":90)") != std::string::npos);
     }
 
+    SECTION("lines go on coming after some were dropped")
+    {
+        EventLogLimits limits;
+        limits.routinePerSecond = 1;
+        EventLog log(pipe.ends[1], "vm-1", limits);
+        log.write(EventWeight::Routine, "served", {});
+        log.write(EventWeight::Routine, "served", {});
+        constexpr useconds_t overASecond = 1'100'000;
+        ::usleep(overASecond);
+        log.write(EventWeight::Vital, "reload", {});
+        constexpr useconds_t writerTime = 200'000;
+        ::usleep(writerTime);
+        // The log is still open: nothing but the writer's own work brings these lines.
+        const std::string text = pipe.readAll();
+        REQUIRE(text.find("log_dropped") != std::string::npos);
+        REQUIRE(text.find("reload") != std::string::npos);
+    }
+
     SECTION("a reader that stops blocks nobody")
     {
         EventLogLimits limits;
