--- a/completions/balsamportctl.bash
+++ b/completions/balsamportctl.bash
@@ -4,7 +4,7 @@
     local current=${COMP_WORDS[COMP_CWORD]}
     local previous=${COMP_WORDS[COMP_CWORD - 1]}
     local commands="check merge diff status explain drain undrain"
-    local options="--endpoint --json --config --set --help --version"
+    local options="--endpoint --log --json --config --set --help --version"
     local command="" word
     for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
         if [[ " $commands " == *" $word "* ]]; then
@@ -15,6 +15,8 @@
     COMPREPLY=()
     if [[ $previous == --config ]]; then
         mapfile -t COMPREPLY < <(compgen -f -- "$current")
+    elif [[ $previous == --log ]]; then
+        mapfile -t COMPREPLY < <(compgen -f -- "$current")
     elif [[ $previous == --set ]]; then
         mapfile -t COMPREPLY < <(compgen -W "ctl.timeout-ms= keys.public= keys.secret=" -- "$current")
     elif [[ $previous == --endpoint ]]; then
--- a/src/programs/ctl/commands.h
+++ b/src/programs/ctl/commands.h
@@ -14,6 +14,7 @@
 {
     std::vector<std::string> arguments; ///< After the command's name.
     std::vector<std::string> endpoints; ///< tcp://IP:PORT of controllers.
+    std::vector<std::string> logFiles; ///< "-" is standard input.
     bool json = false;
     Millis timeout{2'000};
     std::string publicKeyFile;
@@ -43,7 +44,9 @@
 /// @return failure where there is a warning
 [[nodiscard]] int status(const CommandLine &line);
 
-/// @brief Prints why an adapter or a request goes where it goes, as each controller sees it.
+/// @brief Prints why an adapter or a request goes where it goes, as each controller sees it; or,
+/// from the logs of daemons, what happened to a request.
+/// @return failure where no controller could explain, or no line names the request
 [[nodiscard]] int explain(const CommandLine &line);
 
 /// @brief Prints an override file that makes backend servers leave.
--- a/src/programs/ctl/fleet_commands.cpp
+++ b/src/programs/ctl/fleet_commands.cpp
@@ -2,9 +2,12 @@
 
 #include "controllers.h"
 
+#include <balsamport/tools/log_story.h>
 #include <balsamport/tools/status_table.h>
 
+#include <fstream>
 #include <iostream>
+#include <utility>
 
 namespace balsamport::ctl {
 
@@ -40,6 +43,49 @@
     return true;
 }
 
+/// Reads the lines of a log. Lines of other kinds, such as a crash's last words, are counted.
+void readLog(std::istream &stream, std::vector<LogLine> &lines, std::size_t &ignored)
+{
+    std::string text;
+    while (std::getline(stream, text)) {
+        Result<LogLine> line = parseLogLine(text);
+        if (line.has_value()) {
+            lines.push_back(std::move(line).value());
+        } else {
+            ++ignored;
+        }
+    }
+}
+
+int explainFromLogs(const CommandLine &line)
+{
+    std::vector<LogLine> lines;
+    std::size_t ignored = 0;
+    for (const std::string &name : line.logFiles) {
+        if (name == "-") {
+            readLog(std::cin, lines, ignored);
+            continue;
+        }
+        std::ifstream file(name);
+        if (!file) {
+            return printError(Error{ErrorCode::SettingFileUnreadable, "cannot read the log",
+                                    Place{name, 0, ""}});
+        }
+        readLog(file, lines, ignored);
+    }
+    if (ignored > 0) {
+        std::cerr << ignored << " lines are no events and were passed over\n";
+    }
+    const Result<RequestStory> story
+            = tellStory(std::move(lines), RequestId(line.arguments.front()));
+    if (story.has_error()) {
+        std::cerr << describe(story.error()) << '\n';
+        return exitcode::failure;
+    }
+    std::cout << storyAsText(story.value());
+    return exitcode::success;
+}
+
 } // namespace
 
 int status(const CommandLine &line)
@@ -63,8 +109,12 @@
 
 int explain(const CommandLine &line)
 {
+    if (!line.logFiles.empty() && line.endpoints.empty() && line.arguments.size() == 1) {
+        return explainFromLogs(line);
+    }
     if (line.endpoints.empty() || line.arguments.size() != 1) {
-        return printUsage("explain ADAPTER|ALIAS|REQUEST-ID --endpoint tcp://IP:PORT...");
+        return printUsage("explain ADAPTER|ALIAS|REQUEST-ID --endpoint tcp://IP:PORT..., or "
+                          "explain REQUEST-ID --log FILE...");
     }
     wire::Envelope message;
     wire::ExplainRequest &request = *message.mutable_explain_request();
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -30,7 +30,10 @@
             {"merge", {merge, "merge DIR: print the merged folder, each value with its origin"}},
             {"diff", {diff, "diff DIR1 DIR2, or diff DIR --endpoint ...: print what would change"}},
             {"status", {status, "status --endpoint ... [--json]: print the state of the fleet"}},
-            {"explain", {explain, "explain NAME --endpoint ...: print why a request goes where"}},
+            {"explain",
+             {explain,
+              "explain NAME --endpoint ...: print why a request goes where; "
+              "explain REQUEST-ID --log FILE ...: print what happened to it"}},
             {"drain", {drain, "drain DIR NAME...: print an override that empties backend servers"}},
             {"undrain", {undrain, "undrain DIR NAME...: print an override that fills them again"}},
     };
@@ -55,6 +58,8 @@
     add("endpoint", po::value<std::vector<std::string>>()->composing(),
         "tcp://IP:PORT of a controller; may be repeated");
     add("json", po::bool_switch(), "print JSON");
+    add("log", po::value<std::vector<std::string>>()->composing(),
+        "file with the log of a daemon, or - for standard input; may be repeated");
     return options;
 }
 
@@ -78,6 +83,9 @@
     if (program.values.count("endpoint") != 0) {
         line.endpoints = program.values["endpoint"].as<std::vector<std::string>>();
     }
+    if (program.values.count("log") != 0) {
+        line.logFiles = program.values["log"].as<std::vector<std::string>>();
+    }
     line.json = program.values["json"].as<bool>();
     line.timeout = Millis(program.values["ctl.timeout-ms"].as<std::uint32_t>());
     line.publicKeyFile = program.values["keys.public"].as<std::string>();
--- a/tests/e2e/e2e-edge.cpp
+++ b/tests/e2e/e2e-edge.cpp
@@ -101,6 +101,47 @@
         REQUIRE(world.replicas.at("s2").standin->runs().count("b3") == 0);
     }
 
+    SECTION("a failed request is explained from the logs by its id")
+    {
+        SECTION("one that was refused while places were free")
+        {
+            // An owner waits for the lease of an earlier one before its first order.
+            REQUIRE(world.call(0, "/chat/1", "early-chat", "a1").status == unavailable);
+            const std::string story = world.explain("early-chat");
+            CAPTURE(story);
+            REQUIRE(story.find("refused with 503") != std::string::npos);
+            REQUIRE(story.find("might not order it yet") != std::string::npos);
+            REQUIRE(story.find("engine_owned") != std::string::npos);
+        }
+
+        SECTION("one that ended with 502 after its replica failed")
+        {
+            for (const char *id : {"s1", "s2"}) {
+                world.replicas.at(id).standin->setFaults({0, 1.0, 0, 0});
+            }
+            constexpr int badGateway = 502;
+            REQUIRE(world.call(0, "/book/1", "lost-book").status == badGateway);
+            const std::string story = world.explain("lost-book");
+            CAPTURE(story);
+            // The stand-in gives up its answer with a failure that bears no mark of its own.
+            REQUIRE(story.find("bad_response after") != std::string::npos);
+            REQUIRE(story.find("answered 502") != std::string::npos);
+        }
+
+        SECTION("one that waited for a load")
+        {
+            REQUIRE(eventually(startTime, [&] {
+                return world.call(0, "/chat/1", "w", "a1").status == okStatus;
+            }));
+            // The tries above may have spent this second's budget of log lines.
+            sleepFor(Millis(1'000));
+            REQUIRE(world.call(0, "/chat/1", "slow-chat", "a2").status == okStatus);
+            const std::string story = world.explain("slow-chat");
+            CAPTURE(story);
+            REQUIRE(story.find("adapter a2 was loaded meanwhile") != std::string::npos);
+        }
+    }
+
     SECTION("a stop ends what is in progress and takes nothing new after the announcement")
     {
         REQUIRE(eventually(startTime,
--- a/tests/e2e/edge_world.h
+++ b/tests/e2e/edge_world.h
@@ -229,6 +229,24 @@
         return text;
     }
 
+    /// @return what the operators' tool tells of a request from the logs of all daemons
+    [[nodiscard]] std::string explain(const std::string &id) const
+    {
+        // Lines are written by a thread of their own.
+        constexpr Millis logLag{200};
+        sleepFor(logLag);
+        std::vector<std::string> arguments{"explain", id};
+        for (const Edge &edge : this->edges) {
+            arguments.insert(arguments.end(),
+                             {"--log", (this->folder.path() / (edge.name + ".log")).string()});
+        }
+        Process tool("balsamportctl", arguments,
+                     (this->folder.path() / ("explain-" + id)).string());
+        constexpr Millis toolTime{5'000};
+        const auto code = tool.waitForExit(toolTime);
+        return code == 0 ? tool.logText() : "balsamportctl failed\n" + tool.logText();
+    }
+
     [[nodiscard]] std::string logText(std::size_t index) const
     {
         std::ifstream file(this->folder.path() / (this->edges[index].name + ".log"));
