--- a/src/tools/log_story.cpp
+++ b/src/tools/log_story.cpp
@@ -275,17 +275,18 @@
     }
     LogLine line;
     bool hasTime = false;
-    for (const auto &member : document.GetObject()) {
-        const std::string name(member.name.GetString(), member.name.GetStringLength());
-        if (name == "at" && member.value.IsInt64()) {
-            line.at = Millis(member.value.GetInt64());
+    const rapidjson::Value &object = document;
+    for (auto member = object.MemberBegin(); member != object.MemberEnd(); ++member) {
+        const std::string name = asText(member->name);
+        if (name == "at" && member->value.IsInt64()) {
+            line.at = Millis(member->value.GetInt64());
             hasTime = true;
         } else if (name == "node") {
-            line.vm = VmId(asText(member.value));
+            line.vm = VmId(asText(member->value));
         } else if (name == "event") {
-            line.event = asText(member.value);
+            line.event = asText(member->value);
         } else {
-            line.values.emplace(name, asText(member.value));
+            line.values.emplace(name, asText(member->value));
         }
     }
     if (!hasTime || line.vm.str().empty() || line.event.empty()) {
@@ -375,7 +376,7 @@
         text += fmt::format("{:>9} ms  {}{} {}", (step.at - arrival).count(),
                             step.belief ? "belief  " : "", step.line.vm.str(), step.line.event);
         for (const auto &[name, value] : step.line.values) {
-            text += name == "request" ? std::string() : " " + name + "=" + value;
+            text += name == "request" ? std::string() : fmt::format(" {}={}", name, value);
         }
         text += '\n';
     }
