Compress pushed entries, and let stale daemons read one after another

Cause by the logs: a reader pushed some 350 KB to each of 11 peers over its link of 10 Mbit/s, 3 s; the gossip waited behind that, so at 15.2 s all 69 daemons held their state for stale and read it themselves, which filled the link between the regions. Change: a push over 4 KB is a zlib stream; the push goes before the own reading; a stale daemon waits by its rank among the readers; a long configuration is not read twice. Unit tests name the load.

--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -102,9 +102,17 @@
 /// @param leaving this daemon stops; another one becomes the delegate
 [[nodiscard]] GossipTargets gossipTargets(PeerTable &table, bool leaving, Millis now);
 
-/// @brief Says whether this daemon reads the store for its data centre: the first by rendezvous
-/// among its live members that reach the store.
-[[nodiscard]] bool isStoreReader(const PeerTable &table, bool selfReachesStore, Millis now);
+/// @brief Ranks this daemon among the live members of its data centre that reach the store.
+/// @return 0 for the one that reads the store for all of them
+/// @complexity linear in the peers
+[[nodiscard]] std::size_t storeReaderRank(const PeerTable &table, bool selfReachesStore,
+                                          Millis now);
+
+/// @brief Says how old the published state may become before a daemon reads for itself.
+///
+/// Later ranks wait longer, so that a reader that is slow or gone is replaced by the next one and
+/// not by all at once, whose reads would fill the links to the store.
+[[nodiscard]] Millis staleAgeFor(std::size_t rank) noexcept;
 
 } // namespace balsamport
 
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -4,7 +4,8 @@
 packages="g++ cmake ninja-build make clang-format clang-tidy curl librestinio-dev libasio-dev
 libhttp-parser-dev libfmt-dev libzmq3-dev cppzmq-dev libprotobuf-dev libboost-dev
 libboost-program-options-dev libgoogle-glog-dev catch2 librapidcheck-dev libxxhash-dev
-rapidjson-dev libbenchmark-dev libcurl4-openssl-dev libssl-dev libyaml-cpp-dev gnuplot-nox"
+rapidjson-dev libbenchmark-dev libcurl4-openssl-dev libssl-dev libyaml-cpp-dev zlib1g-dev
+gnuplot-nox"
 missing=""
 for package in $packages; do
     dpkg -s "$package" >/dev/null 2>&1 || missing="$missing $package"
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -6,6 +6,7 @@
 #include "request_flow.h"
 
 #include <balsamport/core/metric_names.h>
+#include <balsamport/edge/published_message.h>
 #include <balsamport/http/http_server.h>
 #include <balsamport/wire/message_server.h>
 
@@ -32,11 +33,6 @@
 constexpr int okStatus = 200;
 constexpr int unavailable = 503;
 
-PublishedEntry entryOf(const wire::PublishedItem &item)
-{
-    return PublishedEntry{item.key(), item.value(), item.revision(), item.deleted()};
-}
-
 } // namespace
 
 struct EdgeDaemon::Impl
@@ -65,6 +61,7 @@
     void takeGossip(const wire::Envelope &message);
     void takeRequest(std::shared_ptr<const IncomingRequest> request,
                      std::shared_ptr<ResponseWriter> writer);
+    void takeEntries(const VmId &peer, const wire::PublishedItems &items);
     void sendEntries(const VmId &peer, const std::vector<PublishedEntry> &entries);
     [[nodiscard]] wire::Envelope entriesMessage(const std::vector<PublishedEntry> &entries) const;
     void takeSignal(int number);
@@ -100,9 +97,9 @@
     PlaceClient places{this->context, this->peers, this->engines, this->ownership};
     PublishedController published{this->context,
                                   [this] {
-                                      return isStoreReader(this->peers.table(),
-                                                           this->published.storeReachable(),
-                                                           monotonicNow());
+                                      return storeReaderRank(this->peers.table(),
+                                                             this->published.storeReachable(),
+                                                             monotonicNow());
                                   },
                                   [this](const std::vector<PublishedEntry> &changed, bool own) {
                                       this->takeChanges(changed, own);
@@ -269,12 +266,13 @@
 void EdgeDaemon::Impl::takeChanges(const std::vector<PublishedEntry> &changed, bool own)
 {
     const Millis now = monotonicNow();
-    for (const PublishedEntry &entry : changed) {
-        this->takeEntry(entry, now);
-    }
     if (own) {
+        // First, so that the peers read a long configuration at the same time.
         this->peers.sendToDataCentre(this->entriesMessage(changed));
     }
+    for (const PublishedEntry &entry : changed) {
+        this->takeEntry(entry, now);
+    }
     this->updateEngines(now);
 }
 
@@ -354,15 +352,9 @@
     case wire::Envelope::kEdgeGossip:
         this->takeGossip(message);
         break;
-    case wire::Envelope::kPublishedItems: {
-        std::vector<PublishedEntry> entries;
-        for (const wire::PublishedItem &item : message.published_items().items()) {
-            entries.push_back(entryOf(item));
-        }
-        this->published.takeFromPeer(entries, message.published_items().content_revision(),
-                                     Millis(message.published_items().published_age_ms()));
+    case wire::Envelope::kPublishedItems:
+        this->takeEntries(peer, message.published_items());
         break;
-    }
     case wire::Envelope::kPublishedPull:
         this->sendEntries(
                 peer,
@@ -407,19 +399,27 @@
 {
     wire::Envelope message;
     wire::PublishedItems &items = *message.mutable_published_items();
-    for (const PublishedEntry &entry : entries) {
-        wire::PublishedItem &item = *items.add_items();
-        item.set_key(entry.key);
-        item.set_value(entry.value);
-        item.set_revision(entry.revision);
-        item.set_deleted(entry.deleted);
-    }
+    items = itemsMessage(entries);
     items.set_content_revision(this->published.state().contentRevision);
     items.set_published_age_ms(
             static_cast<std::uint32_t>(this->published.age(monotonicNow()).count()));
     return message;
 }
 
+void EdgeDaemon::Impl::takeEntries(const VmId &peer, const wire::PublishedItems &items)
+{
+    const Result<std::vector<PublishedEntry>> entries = entriesIn(items);
+    if (entries.has_error()) {
+        this->log.write(EventWeight::Notable, "message_ignored",
+                        {{"peer", peer.str()},
+                         {"error", errorName(entries.error().code)},
+                         {"detail", entries.error().detail}});
+        return;
+    }
+    this->published.takeFromPeer(entries.value(), items.content_revision(),
+                                 Millis(items.published_age_ms()));
+}
+
 void EdgeDaemon::Impl::sendEntries(const VmId &peer, const std::vector<PublishedEntry> &entries)
 {
     this->peers.send(peer, this->entriesMessage(entries));
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/edge/peers.h>
 
+#include <balsamport/core/hash.h>
 #include <balsamport/core/rendezvous.h>
 
 #include <algorithm>
@@ -103,19 +104,32 @@
     return targets;
 }
 
-bool isStoreReader(const PeerTable &table, bool selfReachesStore, Millis now)
+std::size_t storeReaderRank(const PeerTable &table, bool selfReachesStore, Millis now)
 {
-    if (!selfReachesStore) {
-        return false;
-    }
-    std::vector<VmId> readers{table.self};
+    const std::uint64_t role = hash64("store-reader");
+    const std::uint64_t own = rendezvousScore(role, hash64(table.self.str()));
+    std::size_t rank = 0;
     for (const auto &[vm, peer] : table.peers) {
         if (peer.dataCentre == table.dataCentre && peer.storeReachable && !peer.leaving
             && isAlive(table, peer, now)) {
-            readers.push_back(vm);
+            const std::uint64_t score = rendezvousScore(role, hash64(vm.str()));
+            const bool before = score > own || (score == own && vm < table.self);
+            rank += before || !selfReachesStore ? 1 : 0;
         }
     }
-    return rendezvousFirst("store-reader", readers) == table.self;
+    // A daemon that the store does not answer is no reader, even where nobody else is left.
+    return selfReachesStore ? rank : std::max<std::size_t>(rank, 1);
+}
+
+Millis staleAgeFor(std::size_t rank) noexcept
+{
+    constexpr Millis firstStaleAge{2'000};
+    // Long enough for a read to be told to the others, short enough that the last one still keeps
+    // to the 3 s in which a configuration must be in force after the reader has fallen silent.
+    constexpr Millis step{150};
+    constexpr std::size_t mostSteps = 6;
+    return firstStaleAge
+            + step * static_cast<std::int64_t>(std::min(rank == 0 ? 0 : rank - 1, mostSteps));
 }
 
 } // namespace balsamport
--- a/src/edge/published_controller.cpp
+++ b/src/edge/published_controller.cpp
@@ -1,6 +1,7 @@
 #include "published_controller.h"
 
 #include <balsamport/core/metric_names.h>
+#include <balsamport/edge/peers.h>
 
 #include <algorithm>
 #include <utility>
@@ -18,18 +19,16 @@
 constexpr Millis callTimeout{900};
 /// Daemons that do not read look this often whether they should.
 constexpr Millis idlePace{400};
-/// Without news of this age or less, a daemon reads for itself.
-constexpr Millis staleAge{2'000};
 constexpr Millis firstBackoff{250};
 constexpr std::uint32_t maxBackoffSteps = 3;
 
 } // namespace
 
 PublishedController::PublishedController(
-        EdgeContext &owner, std::function<bool()> reader,
+        EdgeContext &owner, std::function<std::size_t()> rank,
         std::function<void(const std::vector<PublishedEntry> &, bool)> changeHandler)
     : context(owner)
-    , isReader(std::move(reader))
+    , readerRank(std::move(rank))
     , onChange(std::move(changeHandler))
     , timer(owner.loop.makeTimer())
 { }
@@ -53,15 +52,15 @@
 void PublishedController::step()
 {
     const Millis now = monotonicNow();
-    if (!this->isReader() && this->age(now) < staleAge) {
+    const std::size_t rank = this->readerRank();
+    if (rank != 0 && this->age(now) < staleAgeFor(rank)) {
         this->schedule(idlePace);
         return;
     }
     this->stepAt = now;
-    this->context.log.write(EventWeight::Routine, "store_read",
-                            {{"reader", this->isReader()},
-                             {"age_ms", this->age(now)},
-                             {"revision", this->storeRevision}});
+    this->context.log.write(
+            EventWeight::Routine, "store_read",
+            {{"reader", rank == 0}, {"age_ms", this->age(now)}, {"revision", this->storeRevision}});
     if (this->storeRevision == 0) {
         this->listing.clear();
         this->listRevision = 0;
@@ -163,18 +162,27 @@
     std::vector<PublishedEntry> result;
     for (const PublishedEntry &entry : entries) {
         const auto held = this->published.entries.find(entry.key);
-        if (held != this->published.entries.end() && !held->second.deleted && !entry.deleted) {
-            const auto before = this->context.dialect.readEntry(held->second);
-            const auto after = this->context.dialect.readEntry(entry);
-            if (before.has_value() && after.has_value() && before.value() == after.value()) {
-                continue;
-            }
+        const bool known = held != this->published.entries.end();
+        if (!known || !this->isHeartbeat(held->second, entry)) {
+            result.push_back(entry);
         }
-        result.push_back(entry);
     }
     return result;
 }
 
+bool PublishedController::isHeartbeat(const PublishedEntry &held, const PublishedEntry &entry) const
+{
+    if (held.deleted || entry.deleted) {
+        return false;
+    }
+    const auto after = this->context.dialect.readEntry(entry);
+    if (after.has_error() || !std::holds_alternative<ServerEntry>(after.value())) {
+        return false; // Only servers beat; a long configuration is not read twice.
+    }
+    const auto before = this->context.dialect.readEntry(held);
+    return before.has_value() && before.value() == after.value();
+}
+
 void PublishedController::noteSuccess()
 {
     if (!this->reachable) {
--- a/src/edge/published_controller.h
+++ b/src/edge/published_controller.h
@@ -16,10 +16,10 @@
 class PublishedController
 {
 public:
-    /// @param isReader says whether this daemon reads for its data centre
+    /// @param readerRank of this daemon in its data centre; 0 reads for all
     /// @param onChange gets changed entries; `own` is true where they come from the store
     PublishedController(
-            EdgeContext &context, std::function<bool()> isReader,
+            EdgeContext &context, std::function<std::size_t()> readerRank,
             std::function<void(const std::vector<PublishedEntry> &, bool own)> onChange);
 
     void start();
@@ -51,10 +51,11 @@
     void change(const std::vector<PublishedEntry> &changed, bool own);
     [[nodiscard]] std::vector<PublishedEntry>
     withoutHeartbeats(const std::vector<PublishedEntry> &entries) const;
+    [[nodiscard]] bool isHeartbeat(const PublishedEntry &held, const PublishedEntry &entry) const;
     void call(OutgoingRequest request, std::function<void(const Result<HttpAnswer> &)> handler);
 
     EdgeContext &context;
-    std::function<bool()> isReader;
+    std::function<std::size_t()> readerRank;
     std::function<void(const std::vector<PublishedEntry> &, bool)> onChange;
     PublishedState published;
     std::unique_ptr<LoopTimer> timer;
--- /dev/null
+++ b/src/edge/published_message.cpp
@@ -0,0 +1,70 @@
+#include <balsamport/edge/published_message.h>
+
+#include <balsamport/core/compression.h>
+
+#include <string>
+#include <utility>
+
+namespace balsamport {
+
+namespace {
+
+/// Shorter messages go as they are: compressing them saves less than a packet.
+constexpr std::size_t leastPackedBytes = 4 * 1024;
+/// Longest content of a stream. Source: 16 values of the store's largest size, 1 MB.
+constexpr std::uint32_t maxUnpackedBytes = 16 * 1024 * 1024;
+
+PublishedEntry entryOf(const wire::PublishedItem &item)
+{
+    return PublishedEntry{item.key(), item.value(), item.revision(), item.deleted()};
+}
+
+} // namespace
+
+wire::PublishedItems itemsMessage(const std::vector<PublishedEntry> &entries)
+{
+    wire::PublishedItems plain;
+    for (const PublishedEntry &entry : entries) {
+        wire::PublishedItem &item = *plain.add_items();
+        item.set_key(entry.key);
+        item.set_value(entry.value);
+        item.set_revision(entry.revision);
+        item.set_deleted(entry.deleted);
+    }
+    const std::string bytes = plain.SerializeAsString();
+    if (bytes.size() < leastPackedBytes || bytes.size() > maxUnpackedBytes) {
+        return plain;
+    }
+    wire::PublishedItems packed;
+    packed.set_packed_items(compress(bytes));
+    packed.set_unpacked_bytes(static_cast<std::uint32_t>(bytes.size()));
+    return packed;
+}
+
+Result<std::vector<PublishedEntry>> entriesIn(const wire::PublishedItems &items)
+{
+    std::vector<PublishedEntry> entries;
+    for (const wire::PublishedItem &item : items.items()) {
+        entries.push_back(entryOf(item));
+    }
+    if (items.packed_items().empty()) {
+        return entries;
+    }
+    if (items.unpacked_bytes() > maxUnpackedBytes) {
+        return Error{ErrorCode::MessageInvalid, "published entries are too long"};
+    }
+    const Result<std::string> bytes = decompress(items.packed_items(), items.unpacked_bytes());
+    if (bytes.has_error()) {
+        return bytes.error();
+    }
+    wire::PublishedItems unpacked;
+    if (!unpacked.ParseFromString(bytes.value())) {
+        return Error{ErrorCode::MessageInvalid, "published entries cannot be read"};
+    }
+    for (const wire::PublishedItem &item : unpacked.items()) {
+        entries.push_back(entryOf(item));
+    }
+    return entries;
+}
+
+} // namespace balsamport
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -2,6 +2,7 @@
 #include <balsamport/edge/order_ownership.h>
 #include <balsamport/edge/peers.h>
 #include <balsamport/edge/published.h>
+#include <balsamport/edge/published_message.h>
 #include <balsamport/edge/server_catalog.h>
 #include <balsamport/edge/server_choice.h>
 #include <balsamport/edge/service_config.h>
@@ -9,6 +10,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace balsamport;
 
 namespace {
@@ -217,12 +220,81 @@
     {
         PeerTable other = tableOf("v2", "a");
         hearPeer(other, news("v1", "a"), Millis(600));
-        REQUIRE(isStoreReader(table, true, Millis(700)) != isStoreReader(other, true, Millis(700)));
-        REQUIRE_FALSE(isStoreReader(table, false, Millis(700)));
+        REQUIRE((storeReaderRank(table, true, Millis(700)) == 0)
+                != (storeReaderRank(other, true, Millis(700)) == 0));
+        REQUIRE(storeReaderRank(table, false, Millis(700)) > 0);
         PeerNews blind = news("v2", "a");
         blind.storeReachable = false;
         hearPeer(table, blind, Millis(800));
-        REQUIRE(isStoreReader(table, true, Millis(900)));
+        REQUIRE(storeReaderRank(table, true, Millis(900)) == 0);
+    }
+
+    SECTION("where the reader is slow, the others do not all read at once")
+    {
+        constexpr int daemons = 12;
+        std::set<std::size_t> ranks;
+        for (int self = 0; self < daemons; ++self) {
+            PeerTable member = tableOf(("m" + std::to_string(self)).c_str(), "a");
+            for (int peer = 0; peer < daemons; ++peer) {
+                hearPeer(member, news(("m" + std::to_string(peer)).c_str(), "a"), Millis(600));
+            }
+            ranks.insert(storeReaderRank(member, true, Millis(700)));
+        }
+        REQUIRE(ranks.size() == daemons);
+        REQUIRE(*ranks.begin() == 0);
+
+        REQUIRE(staleAgeFor(1) < staleAgeFor(2));
+        REQUIRE(staleAgeFor(2) < staleAgeFor(3));
+
+        SECTION("and the last one still keeps to 3 s")
+        {
+            REQUIRE(staleAgeFor(1'000) < Millis(3'000));
+        }
+    }
+}
+
+TEST_CASE("published entries on their way to a peer")
+{
+    SECTION("short ones go as they are")
+    {
+        const std::vector<PublishedEntry> entries{{"servers/a", "text", 7, false},
+                                                  {"servers/b", "", 8, true}};
+        const wire::PublishedItems message = itemsMessage(entries);
+        REQUIRE(message.items_size() == 2);
+        REQUIRE(entriesIn(message).value() == entries);
+    }
+
+    SECTION("a configuration that grew by 1,900 routes")
+    {
+        std::string value;
+        for (int i = 0; i < 1'900; ++i) {
+            value += R"({"name":"added-)" + std::to_string(i * 7'919) + R"(","host":"h)"
+                    + std::to_string(i % 97) + R"(.example","prefix":"/p)" + std::to_string(i * 31)
+                    + R"(/","kind":"safe","timeout_ms":2000,"service":"app","max_attempts":2},)";
+        }
+        const std::vector<PublishedEntry> entries{{"config", value, 15, false}};
+        const wire::PublishedItems message = itemsMessage(entries);
+
+        SECTION("takes an eighth of its size, so that eleven peers get it in half a second")
+        {
+            // 11 peers over a link of 10 Mbit/s, with room for other traffic.
+            REQUIRE(value.size() > 200'000);
+            REQUIRE(message.ByteSizeLong() * 8 < value.size());
+            REQUIRE(entriesIn(message).value() == entries);
+        }
+
+        SECTION("is refused where its stream is damaged, cut, or says a wrong or huge size")
+        {
+            std::vector<wire::PublishedItems> damaged(4, message);
+            damaged[0].mutable_packed_items()->at(message.packed_items().size() / 2) ^= 0x55;
+            damaged[1].mutable_packed_items()->resize(message.packed_items().size() / 2);
+            damaged[2].set_unpacked_bytes(message.unpacked_bytes() - 1);
+            damaged[3].set_unpacked_bytes(4'000'000'000);
+            for (const wire::PublishedItems &items : damaged) {
+                REQUIRE(entriesIn(items).has_error());
+                REQUIRE(entriesIn(items).error().code == ErrorCode::MessageInvalid);
+            }
+        }
     }
 }
 
