Tell daemons the demand for an adapter, and spread its requests over its homes

Cause: a daemon multiplied what it saw by the daemons of its region. With 36 of them a lone request counted as 6 a second, so every rare adapter got homes in both regions; and all daemons without a fresh word on waits chose the same first home of a busy one. Change: the owner counts the requests for each adapter and tells the rate with its verdict; the homes are as many as that needs, and a request takes one of them by its own id.

--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -3,6 +3,7 @@
 
 #include <balsamport/core/clock.h>
 #include <balsamport/core/ids.h>
+#include <balsamport/edge/request_rate.h>
 #include <balsamport/edge/service_config.h>
 
 #include <cstdint>
@@ -179,6 +180,7 @@
     std::optional<EngineOrder> orderInProgress;
     Millis releasedAt; ///< When a place became free last.
     Millis releaseInterval{250}; ///< Between places that become free, weighted to the newest.
+    std::map<AdapterId, RequestRate> rates; ///< Of requests that asked here first.
     bool resyncWanted = false; ///< The engine did not behave as believed; read a report.
 };
 
@@ -191,6 +193,7 @@
     PlaceKey key;
     AdapterVersion version;
     std::uint32_t promptTokens = 0; ///< That the engine has to read.
+    double demand = 0; ///< Requests a second that ask for the adapter here.
 
     bool operator==(const GrantPlace &) const = default;
 };
@@ -200,6 +203,7 @@
 {
     PlaceKey key;
     Millis wait; ///< That it would have had here.
+    double demand = 0; ///< Requests a second that ask for the adapter here.
 
     bool operator==(const SendElsewhere &) const = default;
 };
@@ -209,6 +213,7 @@
 {
     PlaceKey key;
     Millis retryAfter; ///< When a place is expected.
+    double demand = 0; ///< Requests a second that ask for the adapter here.
 
     bool operator==(const RefusePlace &) const = default;
 };
--- a/include/balsamport/edge/server_choice.h
+++ b/include/balsamport/edge/server_choice.h
@@ -45,30 +45,37 @@
 
 [[nodiscard]] Distance distanceTo(const Location &location, const DataCentreId &dataCentre);
 
+/// @return how many regions there are, at least one
+[[nodiscard]] std::size_t regionCount(const Location &location);
+
 /// @brief Notes how an answer turned out.
 void noteAnswer(ServerExperience &experience, bool failed) noexcept;
 
 /// @brief Notes that a server could not be reached.
 void noteUnreachable(ServerExperience &experience, Millis now) noexcept;
 
-/// @brief Requests by adapter, decayed, from which follows on how many engines one is served.
+/// @brief Demand for adapters in the own region, as the owners of their engines told it. A daemon
+/// sees too little of it itself: one of seventy gets a request of a busy adapter every few seconds.
 struct AdapterDemand
 {
-    struct Rate
+    struct Told
     {
         double perSecond = 0;
         Millis at;
 
-        bool operator==(const Rate &) const = default;
+        bool operator==(const Told &) const = default;
     };
-    std::map<std::string, Rate, std::less<>> rates;
+    std::map<std::string, Told, std::less<>> told;
 
     bool operator==(const AdapterDemand &) const = default;
 };
 
-/// @brief Counts a request.
-/// @return requests a second for the adapter at this daemon
-double noteDemand(AdapterDemand &demand, std::string_view adapter, Millis now);
+/// @brief Takes an owner's word.
+/// @param perSecond requests for the adapter in the whole region
+void noteDemand(AdapterDemand &demand, std::string_view adapter, double perSecond, Millis now);
+
+/// @return requests a second for the adapter in the own region; 0 where nobody told lately
+[[nodiscard]] double demandFor(const AdapterDemand &demand, std::string_view adapter, Millis now);
 
 /// @brief Where adapters were served last, so that they are not loaded elsewhere as well.
 struct AdapterHomes
@@ -93,17 +100,30 @@
 [[nodiscard]] std::optional<BackendServerId> lastHome(const AdapterHomes &homes,
                                                       std::string_view adapter, Millis now);
 
+/// @brief Engines for a request, best first.
+struct EngineRanking
+{
+    std::vector<BackendServerId> servers;
+    std::vector<BackendServerId> homes; ///< Those among which the adapter's requests are spread.
+    bool regional = false; ///< The homes serve the own region only.
+
+    bool operator==(const EngineRanking &) const = default;
+};
+
 /// @brief Ranks the engines for an adapter: its homes in the own region first, one or more by its
 /// demand, the least busy of them first; then the rest of the region; then the other regions. An
 /// adapter with little demand has one home in all regions: where it was served last, or the less
 /// busy of its first two engines.
 /// @param requestsPerSecond for the adapter, in the whole region
 /// @param last where this daemon had it served last; nothing if it is not known
+/// @param random spreads requests over homes that are alike
 /// @complexity O(n log n)
-[[nodiscard]] std::vector<BackendServerId>
-rankEngines(const std::vector<const ServerEntry *> &servers, const Location &location,
-            const ServerExperiences &experiences, std::string_view adapter,
-            double requestsPerSecond, const std::optional<BackendServerId> &last, Millis now);
+[[nodiscard]] EngineRanking rankEngines(const std::vector<const ServerEntry *> &servers,
+                                        const Location &location,
+                                        const ServerExperiences &experiences,
+                                        std::string_view adapter, double requestsPerSecond,
+                                        const std::optional<BackendServerId> &last,
+                                        std::uint64_t random, Millis now);
 
 /// @brief Ranks the replicas of a plain service: the least loaded near one first.
 /// @param random breaks ties, so that daemons do not all choose alike
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -105,7 +105,7 @@
     term.places.waiting.clear();
     for (const PlaceRequest &request : waiting) {
         this->onVerdict(request.key, term.server.id,
-                        PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}});
+                        PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}, {}});
     }
 }
 
@@ -139,7 +139,7 @@
     Term *term = this->find(server);
     if (term == nullptr || term->server.draining) {
         this->onVerdict(request.key, server,
-                        PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}});
+                        PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}, {}});
         return;
     }
     const PlaceKey key = request.key;
@@ -160,7 +160,7 @@
     const auto &waiting = term->places.waiting;
     if (std::any_of(waiting.begin(), waiting.end(),
                     [&key](const PlaceRequest &other) { return other.key == key; })) {
-        this->onVerdict(key, server, PlaceVerdict{PlaceVerdict::Kind::Queued, {}, {}, {}});
+        this->onVerdict(key, server, PlaceVerdict{PlaceVerdict::Kind::Queued, {}, {}, {}, {}});
     }
 }
 
@@ -262,14 +262,19 @@
     fresh.adapter = AdapterId("?"); // One that is held nowhere.
     if (const auto *grant = std::get_if<GrantPlace>(&action)) {
         const Millis wait = expectedWait(term.places, term.limits, fresh, now);
-        this->onVerdict(grant->key, server,
-                        PlaceVerdict{PlaceVerdict::Kind::Granted, grant->version, {}, wait});
+        this->onVerdict(
+                grant->key, server,
+                PlaceVerdict{PlaceVerdict::Kind::Granted, grant->version, {}, wait, grant->demand});
     } else if (const auto *elsewhere = std::get_if<SendElsewhere>(&action)) {
-        this->onVerdict(elsewhere->key, server,
-                        PlaceVerdict{PlaceVerdict::Kind::Elsewhere, {}, {}, elsewhere->wait});
+        this->onVerdict(
+                elsewhere->key, server,
+                PlaceVerdict{
+                        PlaceVerdict::Kind::Elsewhere, {}, {}, elsewhere->wait, elsewhere->demand});
     } else if (const auto *refusal = std::get_if<RefusePlace>(&action)) {
-        this->onVerdict(refusal->key, server,
-                        PlaceVerdict{PlaceVerdict::Kind::Refused, {}, refusal->retryAfter, {}});
+        this->onVerdict(
+                refusal->key, server,
+                PlaceVerdict{
+                        PlaceVerdict::Kind::Refused, {}, refusal->retryAfter, {}, refusal->demand});
     } else if (const auto *order = std::get_if<EngineOrder>(&action)) {
         this->giveOrder(term, *order);
     }
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -26,6 +26,7 @@
     AdapterVersion version; ///< Of a grant; 0 for any.
     Millis retryAfter{0}; ///< Of a refusal.
     Millis wait{0}; ///< Expected for a request that comes now.
+    double demand = 0; ///< Requests a second that ask for the adapter at this engine.
 
     bool operator==(const PlaceVerdict &) const = default;
 };
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -24,6 +24,9 @@
 constexpr Millis longestRelease{1'000};
 /// A grant that has not ended this long after its deadline was lost with its daemon.
 constexpr Millis lostGrantTime{3'000};
+/// Adapters whose demand is remembered before those not asked for lately are forgotten.
+constexpr std::size_t maxRates = 512;
+constexpr Millis rateMemory{20'000};
 /// Shortest Retry-After, so that callers do not come back into the same queue.
 constexpr Millis leastRetryAfter{200};
 
@@ -58,6 +61,24 @@
     return Millis(std::llround(std::ceil(tokens / limits.promptTokensPerMs)));
 }
 
+double demandFor(const EnginePlaces &state, const AdapterId &adapter, Millis now)
+{
+    const auto found = state.rates.find(adapter);
+    return found == state.rates.end() ? 0.0 : rateAt(found->second, now);
+}
+
+void countDemand(EnginePlaces &state, const PlaceRequest &request, Millis now)
+{
+    if (request.adapter.empty() || request.lastChoice) {
+        return; // The last choice is an engine that was asked before.
+    }
+    if (state.rates.size() > maxRates) {
+        std::erase_if(state.rates,
+                      [now](const auto &entry) { return now - entry.second.at > rateMemory; });
+    }
+    countRequest(state.rates[request.adapter], now);
+}
+
 AdapterVersion wantedVersion(const EnginePlaces &state, const AdapterId &adapter,
                              const AdapterVersions &versions)
 {
@@ -200,7 +221,7 @@
                  const PlaceRequest &request, Millis now)
 {
     GrantPlace action{request.key, wantedVersion(state, request.adapter, versions),
-                      uncachedTokens(state, request)};
+                      uncachedTokens(state, request), demandFor(state, request.adapter, now)};
     const Millis work = prefillTime(action.promptTokens, limits);
     state.prefillUntil = std::max(state.prefillUntil, now) + work;
     while (!state.handedPrompts.empty()
@@ -232,7 +253,8 @@
     std::erase_if(state.waiting, [&](const PlaceRequest &request) {
         const bool over = request.giveUpAt <= now;
         if (over) {
-            actions.emplace_back(RefusePlace{request.key, placeWait});
+            actions.emplace_back(
+                    RefusePlace{request.key, placeWait, demandFor(state, request.adapter, now)});
         }
         return over;
     });
@@ -250,10 +272,11 @@
     const Millis wait = expectedWait(state, limits, request, now);
     const bool held = state.places.count(request.adapter) != 0 || isWarm(state, request.adapter);
     if (!request.lastChoice && wait > (held ? limits.heldElsewhereWait : limits.elsewhereWait)) {
-        return SendElsewhere{request.key, wait};
+        return SendElsewhere{request.key, wait, demandFor(state, request.adapter, now)};
     }
     if (now + wait > request.giveUpAt) {
-        return RefusePlace{request.key, std::max(wait, leastRetryAfter)};
+        return RefusePlace{request.key, std::max(wait, leastRetryAfter),
+                           demandFor(state, request.adapter, now)};
     }
     return std::nullopt;
 }
@@ -412,6 +435,7 @@
 {
     const Millis lastUseful = request.objectiveAt - limits.firstPieceTime;
     const Millis left = std::max(request.deadlineAt - now, Millis(0));
+    countDemand(state, request, now);
     request.giveUpAt = lastUseful > now ? lastUseful : now + left / limits.latePatience;
     state.waiting.push_back(std::move(request));
 }
--- a/src/edge/place_client.cpp
+++ b/src/edge/place_client.cpp
@@ -109,6 +109,7 @@
     verdict.version = AdapterVersion(reply.adapter_version());
     verdict.retryAfter = Millis(reply.retry_after_ms());
     verdict.wait = Millis(reply.wait_ms());
+    verdict.demand = reply.adapter_per_second();
     return verdict;
 }
 
@@ -136,7 +137,7 @@
             if (owned) {
                 this->engines.submit(server, std::move(request));
             } else {
-                this->take(place, PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}});
+                this->take(place, PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}, {}});
             }
         });
         return place;
@@ -159,7 +160,7 @@
             {{"owner", found->second.owner.str()}, {"server", found->second.server.str()}});
     const Handler handler = found->second.handler;
     this->note(place, PlaceEvent::Cancelled);
-    handler(PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}});
+    handler(PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}, {}});
 }
 
 void PlaceClient::note(std::uint64_t place, PlaceEvent event)
@@ -238,6 +239,7 @@
     reply.set_adapter_version(verdict.version.number());
     reply.set_retry_after_ms(static_cast<std::uint32_t>(verdict.retryAfter.count()));
     reply.set_wait_ms(static_cast<std::uint32_t>(verdict.wait.count()));
+    reply.set_adapter_per_second(static_cast<float>(verdict.demand));
     this->peers.send(key.vm, std::move(message));
 }
 
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -190,19 +190,11 @@
         this->plan.resize(std::min(this->plan.size(), maxReplicas));
         return;
     }
-    double demand = 0;
-    if (!this->request.adapter.empty()) {
-        const std::string name = this->request.base.str() + "/" + this->request.adapter.str();
-        demand = noteDemand(this->context.state.demand, name, now);
-        std::size_t daemons = 1;
-        for (const auto &[vm, peer] : this->context.peers.table().peers) {
-            const bool near = distanceTo(location, peer.dataCentre) != Distance::OtherRegion;
-            daemons += near && isAlive(this->context.peers.table(), peer, now) ? 1 : 0;
-        }
-        demand *= static_cast<double>(daemons);
-    }
-    this->plan = rankEngines(servers, location, state.experiences, this->request.adapter.str(),
-                             demand, lastHome(state.homes, this->request.adapter.str(), now), now);
+    this->ranking = rankEngines(servers, location, state.experiences, this->request.adapter.str(),
+                                demandFor(state.demand, this->adapterName(), now),
+                                lastHome(state.homes, this->request.adapter.str(), now),
+                                hash64(this->request.id.str()), now);
+    this->plan = this->ranking.servers;
     this->leaveOutFailed();
     this->plan.resize(std::min(this->plan.size(), maxAsks - 1));
     // Back to the first one to wait there: a third engine would have to load the adapter as well.
@@ -212,6 +204,25 @@
     }
 }
 
+std::string RequestFlow::adapterName() const
+{
+    return this->request.base.str() + "/" + this->request.adapter.str();
+}
+
+void RequestFlow::noteTold(const BackendServerId &server, double perSecond, Millis now)
+{
+    const std::vector<BackendServerId> &homes = this->ranking.homes;
+    if (this->request.adapter.empty()
+        || std::find(homes.begin(), homes.end(), server) == homes.end()) {
+        return; // Elsewhere only those ask that found no place at a home.
+    }
+    // A home of all regions is asked by all of them; one of several homes by a part.
+    const double share = this->ranking.regional
+            ? static_cast<double>(homes.size())
+            : 1.0 / static_cast<double>(regionCount(this->context.edge.settings.location));
+    noteDemand(this->context.state.demand, this->adapterName(), perSecond * share, now);
+}
+
 void RequestFlow::leaveOutFailed()
 {
     std::vector<BackendServerId> others;
@@ -284,6 +295,10 @@
         experience.wait = verdict.wait;
         experience.waitToldAt = now;
     }
+    if (verdict.kind != PlaceVerdict::Kind::Queued
+        && verdict.kind != PlaceVerdict::Kind::NotOwner) {
+        this->noteTold(server, verdict.demand, now);
+    }
     switch (verdict.kind) {
     case PlaceVerdict::Kind::Queued:
         return;
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -57,6 +57,9 @@
     [[nodiscard]] bool readRoute();
     [[nodiscard]] bool admit();
     void planServers();
+    [[nodiscard]] std::string adapterName() const;
+    /// Takes an owner's word on the demand for the request's adapter at one of its homes.
+    void noteTold(const BackendServerId &server, double perSecond, Millis now);
     void leaveOutFailed();
     void askNext();
     void takeVerdict(std::uint64_t place, const BackendServerId &server,
@@ -94,6 +97,7 @@
     Millis arrivedAt;
     Millis objectiveAt;
     Millis deadlineAt;
+    EngineRanking ranking; ///< Empty for plain services.
     std::vector<BackendServerId> plan; ///< Servers still to try, best first.
     std::set<BackendServerId> failedAt; ///< Servers that failed the request, or did not run it.
     std::uint32_t asks = 0;
--- a/src/edge/server_choice.cpp
+++ b/src/edge/server_choice.cpp
@@ -3,7 +3,7 @@
 #include <balsamport/core/hash.h>
 
 #include <algorithm>
-#include <cmath>
+#include <set>
 
 namespace balsamport {
 
@@ -20,8 +20,8 @@
 constexpr Millis waitHintTime{400};
 /// Waits that differ by less are alike, so that an adapter keeps to its homes.
 constexpr Millis waitStep{120};
-/// Time constant of the demand for an adapter.
-constexpr double demandSeconds = 6.0;
+/// An owner's word on demand is believed for this long.
+constexpr Millis demandTime{20'000};
 /// Requests a second of one adapter that an engine serves beside others. A mean prompt takes
 /// 92 ms to read, and half of the engine's time is left for the rest.
 constexpr double requestsPerHome = 5.0;
@@ -31,7 +31,6 @@
 /// An engine keeps an adapter, or reloads it fast, for about this long after it was served.
 constexpr Millis homeTime{20'000};
 constexpr std::size_t maxDemandEntries = 4096;
-constexpr double millisPerSecond = 1000.0;
 /// Cost of the way to a server, in requests in flight there.
 constexpr double regionCost = 0.25;
 constexpr double otherRegionCost = 4.0;
@@ -105,6 +104,15 @@
     return same ? Distance::SameRegion : Distance::OtherRegion;
 }
 
+std::size_t regionCount(const Location &location)
+{
+    std::set<RegionId> regions;
+    for (const auto &[dataCentre, region] : location.regions) {
+        regions.insert(region);
+    }
+    return std::max<std::size_t>(regions.size(), 1);
+}
+
 void noteAnswer(ServerExperience &experience, bool failed) noexcept
 {
     experience.failureShare
@@ -116,23 +124,21 @@
     experience.avoidUntil = now + avoidTime;
 }
 
-double noteDemand(AdapterDemand &demand, std::string_view adapter, Millis now)
+void noteDemand(AdapterDemand &demand, std::string_view adapter, double perSecond, Millis now)
 {
-    if (demand.rates.size() > maxDemandEntries) {
-        std::erase_if(demand.rates, [now](const auto &entry) {
-            return static_cast<double>((now - entry.second.at).count())
-                    > demandSeconds * millisPerSecond;
-        });
-    }
-    auto found = demand.rates.find(adapter);
-    if (found == demand.rates.end()) {
-        found = demand.rates.emplace(std::string(adapter), AdapterDemand::Rate{0, now}).first;
-    }
-    AdapterDemand::Rate &rate = found->second;
-    const double seconds = static_cast<double>((now - rate.at).count()) / millisPerSecond;
-    rate.perSecond = rate.perSecond * std::exp(-seconds / demandSeconds) + 1.0 / demandSeconds;
-    rate.at = now;
-    return rate.perSecond;
+    if (demand.told.size() > maxDemandEntries) {
+        std::erase_if(demand.told,
+                      [now](const auto &entry) { return now - entry.second.at > demandTime; });
+    }
+    demand.told.insert_or_assign(std::string(adapter), AdapterDemand::Told{perSecond, now});
+}
+
+double demandFor(const AdapterDemand &demand, std::string_view adapter, Millis now)
+{
+    const auto found = demand.told.find(adapter);
+    return found == demand.told.end() || now - found->second.at > demandTime
+            ? 0
+            : found->second.perSecond;
 }
 
 void noteHome(AdapterHomes &homes, std::string_view adapter, const BackendServerId &server,
@@ -155,14 +161,14 @@
     return found->second.server;
 }
 
-std::vector<BackendServerId> rankEngines(const std::vector<const ServerEntry *> &servers,
-                                         const Location &location,
-                                         const ServerExperiences &experiences,
-                                         std::string_view adapter, double requestsPerSecond,
-                                         const std::optional<BackendServerId> &last, Millis now)
+EngineRanking rankEngines(const std::vector<const ServerEntry *> &servers, const Location &location,
+                          const ServerExperiences &experiences, std::string_view adapter,
+                          double requestsPerSecond, const std::optional<BackendServerId> &last,
+                          std::uint64_t random, Millis now)
 {
     const std::uint64_t adapterHash = hash64(adapter);
-    const bool regional = adapter.empty() || requestsPerSecond >= demandForRegionalHome;
+    EngineRanking ranking;
+    ranking.regional = adapter.empty() || requestsPerSecond >= demandForRegionalHome;
     std::vector<Candidate> candidates;
     for (const ServerEntry *server : servers) {
         const ServerExperience experience = experienceOf(experiences, server->id);
@@ -172,7 +178,7 @@
         candidate.id = server->id;
         candidate.troubled = isTroubled(experience, now) || !server->holdsModel;
         const bool far = distanceTo(location, server->dataCentre) == Distance::OtherRegion;
-        candidate.group = far && regional ? OtherRegion : SameRegion;
+        candidate.group = far && ranking.regional ? OtherRegion : SameRegion;
         candidate.waitSteps = hinted ? experience.wait.count() / waitStep.count() : 0;
         candidate.score = rendezvousScore(adapterHash, hash64(server->id.str()));
         candidates.push_back(candidate);
@@ -183,21 +189,31 @@
         }
         return a.score != b.score ? a.score > b.score : a.id < b.id;
     });
-    const std::size_t homes = homeCount(adapter, requestsPerSecond, candidates.size());
-    for (std::size_t i = 0; i < std::min(homes, candidates.size()); ++i) {
-        candidates[i].group = std::min(candidates[i].group, static_cast<int>(Home));
+    const auto near = static_cast<std::size_t>(
+            std::count_if(candidates.begin(), candidates.end(), [](const Candidate &candidate) {
+                return candidate.group == SameRegion;
+            }));
+    const std::size_t homes = std::min(homeCount(adapter, requestsPerSecond, candidates.size()),
+                                       near == 0 ? candidates.size() : near);
+    for (std::size_t i = 0; i < homes; ++i) {
+        Candidate &home = candidates[i];
+        home.group = std::min(home.group, static_cast<int>(Home));
+        ranking.homes.push_back(home.id);
+        if (ranking.regional) {
+            // All daemons know the same homes; none of these may get the requests of all.
+            home.score = mixHash(random, hash64(home.id.str()));
+        }
     }
     for (Candidate &candidate : candidates) {
-        if (!regional && candidate.id == last) {
+        if (!ranking.regional && candidate.id == last) {
             candidate.group = LastServed;
         }
     }
     std::sort(candidates.begin(), candidates.end(), isBetter);
-    std::vector<BackendServerId> ranked;
     for (const Candidate &candidate : candidates) {
-        ranked.push_back(candidate.id);
+        ranking.servers.push_back(candidate.id);
     }
-    return ranked;
+    return ranking;
 }
 
 std::vector<BackendServerId> rankReplicas(const std::vector<const ServerEntry *> &servers,
--- a/tests/src/unit-edge-places.cpp
+++ b/tests/src/unit-edge-places.cpp
@@ -331,3 +331,38 @@
                 == engine.limits.warmLoad);
     }
 }
+
+TEST_CASE("an engine's owner tells the demand for an adapter")
+{
+    Engine engine;
+    engine.hold("hot");
+    engine.hold("rare");
+
+    SECTION("load pattern: many daemons ask for one adapter, each of them seldom")
+    {
+        double told = 0;
+        for (int i = 0; i < 80; ++i) {
+            const PlaceKey key = engine.ask("hot", 100, false);
+            const auto grants = only<GrantPlace>(engine.decide());
+            REQUIRE(grants.size() == 1);
+            told = grants.front().demand;
+            notePlaceStarted(engine.places, key);
+            notePlaceEnded(engine.places, key, engine.now);
+            engine.now += Millis(125);
+        }
+        REQUIRE(told > 6.0);
+        REQUIRE(told < 10.0);
+
+        SECTION("and a rare one beside it stays rare")
+        {
+            engine.ask("rare", 100, false);
+            REQUIRE(only<GrantPlace>(engine.decide()).front().demand < 0.5);
+        }
+
+        SECTION("and a request that comes back as to its last choice is not counted twice")
+        {
+            engine.ask("hot", 100, true);
+            REQUIRE(only<GrantPlace>(engine.decide()).front().demand <= told);
+        }
+    }
+}
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -1,8 +1,10 @@
+#include <balsamport/core/hash.h>
 #include <balsamport/edge/crash_memory.h>
 #include <balsamport/edge/order_ownership.h>
 #include <balsamport/edge/peers.h>
 #include <balsamport/edge/published.h>
 #include <balsamport/edge/published_message.h>
+#include <balsamport/edge/request_rate.h>
 #include <balsamport/edge/server_catalog.h>
 #include <balsamport/edge/server_choice.h>
 #include <balsamport/edge/service_config.h>
@@ -10,7 +12,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <set>
+#include <string>
 
 using namespace balsamport;
 
@@ -386,15 +390,18 @@
         west.dataCentre = DataCentreId("c");
         for (int i = 0; i < 50; ++i) {
             const std::string adapter = "rare" + std::to_string(i);
-            REQUIRE(rankEngines(servers, location, experiences, adapter, 0.1, {}, now).front()
-                    == rankEngines(servers, west, experiences, adapter, 0.1, {}, now).front());
+            REQUIRE(rankEngines(servers, location, experiences, adapter, 0.1, {}, 1, now)
+                            .servers.front()
+                    == rankEngines(servers, west, experiences, adapter, 0.1, {}, 2, now)
+                               .servers.front());
         }
     }
 
     SECTION("load pattern: many rare adapters. One stays where it was served last")
     {
         const BackendServerId last("e4");
-        REQUIRE(rankEngines(servers, location, experiences, "rare", 0.1, last, now).front()
+        REQUIRE(rankEngines(servers, location, experiences, "rare", 0.1, last, 1, now)
+                        .servers.front()
                 == last);
         AdapterHomes homes;
         noteHome(homes, "rare", last, now);
@@ -404,20 +411,23 @@
 
     SECTION("load pattern: a hot adapter. It has as many homes in the region as it needs")
     {
-        const auto ranked = rankEngines(servers, location, experiences, "hot", 8.0, {}, now);
+        const auto ranked
+                = rankEngines(servers, location, experiences, "hot", 8.0, {}, 1, now).servers;
         REQUIRE((ranked[0] == BackendServerId("e1") || ranked[0] == BackendServerId("e2")));
         REQUIRE((ranked[1] == BackendServerId("e1") || ranked[1] == BackendServerId("e2")));
         experiences[ranked[0]].wait = Millis(600);
         experiences[ranked[0]].waitToldAt = now;
-        REQUIRE(rankEngines(servers, location, experiences, "hot", 8.0, {}, now).front()
+        REQUIRE(rankEngines(servers, location, experiences, "hot", 8.0, {}, 1, now).servers.front()
                 == ranked[1]);
     }
 
     SECTION("an engine that cannot be reached, or has no model, comes last")
     {
-        const auto ranked = rankEngines(servers, location, experiences, "x", 0.1, {}, now);
+        const auto ranked
+                = rankEngines(servers, location, experiences, "x", 0.1, {}, 1, now).servers;
         noteUnreachable(experiences[ranked.front()], now);
-        REQUIRE(rankEngines(servers, location, experiences, "x", 0.1, ranked.front(), now).back()
+        REQUIRE(rankEngines(servers, location, experiences, "x", 0.1, ranked.front(), 1, now)
+                        .servers.back()
                 == ranked.front());
     }
 
@@ -440,15 +450,63 @@
                 == BackendServerId("e2"));
     }
 
-    SECTION("demand decays")
+    SECTION("load pattern: a hot adapter and seventy daemons. Its requests spread over its homes")
+    {
+        // Each daemon sends one request and knows of no waits.
+        std::map<BackendServerId, int> first;
+        constexpr int daemons = 70;
+        for (int daemon = 0; daemon < daemons; ++daemon) {
+            const auto ranking = rankEngines(servers, location, experiences, "hot", 8.0, {},
+                                             hash64(std::to_string(daemon)), now);
+            REQUIRE(ranking.regional);
+            REQUIRE(ranking.homes.size() == 2);
+            ++first[ranking.servers.front()];
+        }
+        REQUIRE(first.size() == 2);
+        for (const auto &[id, count] : first) {
+            REQUIRE(count <= daemons * 2 / 3);
+        }
+    }
+
+    SECTION("load pattern: the base model. Its requests stay in the region")
+    {
+        for (std::uint64_t random = 0; random < 20; ++random) {
+            const auto ranking
+                    = rankEngines(servers, location, experiences, "", 0, {}, random, now);
+            REQUIRE((ranking.servers.front() == BackendServerId("e1")
+                     || ranking.servers.front() == BackendServerId("e2")));
+        }
+    }
+
+    SECTION("load pattern: one of seventy daemons. A lone request does not make an adapter busy")
     {
         AdapterDemand demand;
-        double rate = 0;
-        for (int i = 0; i < 100; ++i) {
-            rate = noteDemand(demand, "a", Millis(i * 100));
+        REQUIRE(demandFor(demand, "a", now) == 0);
+
+        SECTION("an owner's word does, for a while")
+        {
+            noteDemand(demand, "a", 8.0, now);
+            REQUIRE(demandFor(demand, "a", now + Millis(5'000)) == 8.0);
+            REQUIRE(demandFor(demand, "a", now + Millis(60'000)) == 0);
         }
-        REQUIRE(rate > 6);
-        REQUIRE(noteDemand(demand, "a", Millis(60'000)) < 1);
+    }
+}
+
+TEST_CASE("a rate of requests")
+{
+    RequestRate rate;
+    for (int i = 0; i < 100; ++i) {
+        countRequest(rate, Millis(i * 100));
+    }
+
+    SECTION("is what came in the last seconds")
+    {
+        REQUIRE(rateAt(rate, Millis(10'000)) == Approx(10.0).margin(2.0));
+    }
+
+    SECTION("decays")
+    {
+        REQUIRE(rateAt(rate, Millis(60'000)) < 0.1);
     }
 }
 
