Learn each engine's pace from the time to first pieces

Cause: pauses over 400 ms made most late streams late. Change: the daemon tells the owner the time to the first piece, and the owner takes the lower third of nine samples; the window leaves three steps and 40 ms; attention is reckoned with.

--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -61,11 +61,14 @@
 {
     EngineLimits engine;
     double promptTokensPerMs = 25.8; ///< Source: the users' system page, "prompt tokens read".
+    double attentionMsPerMillionPairs = 1.1; ///< Source: the users' site files, "pairs_ms_per_m".
+    Millis decodeStep{12}; ///< Source: the same page, "8.2 ms and more", with some 30 streams.
+    std::int64_t stepsPerEvent = 3; ///< Source: the same page, "an event holds 3 tokens".
     Millis prefillAhead{25}; ///< Prompt work handed over before the last one is read.
-    /// Prompt work in any span of the window, so that streams that run do not pause for longer than
-    /// their callers allow: an event takes three steps, and each step may read a piece of a prompt.
+    /// Streams that run must not pause for longer than their callers allow, so prompt work in any
+    /// span of the window leaves time for the steps of an event, and for the way to the caller.
     Millis prefillWindow{400}; ///< Source: the users' sheets, "pauses 400".
-    Millis prefillPerWindow{370}; ///< The window less three steps of decoding.
+    Millis deliveryJitter{40}; ///< Between an event's end and its caller's daemon, at most.
     Millis coldLoad{250}; ///< Source: the users' system page, time of an adapter load.
     Millis warmLoad{25}; ///< An adapter that was held lately loads ten times as fast.
     Millis elsewhereWait{250}; ///< Longer expected waits send a request to another engine.
@@ -107,6 +110,8 @@
     Millis deadlineAt;
     std::uint64_t kvTokens = 0;
     bool started = false; ///< Its first piece has come.
+    Millis queued; ///< Until its prompt's turn, as reckoned when it was granted.
+    Millis nominalWork; ///< For its prompt, on an engine of the usual speed.
 
     bool operator==(const RunningRequest &) const = default;
 };
@@ -161,6 +166,23 @@
     bool operator==(const HandedPrompt &) const = default;
 };
 
+/// @brief How slowly an engine reads prompts, learnt from the time to their first pieces.
+///
+/// Engines of one service differ in speed, and some turn slow for a while.
+struct EnginePace
+{
+    double slowness = 1; ///< Reading takes this many times the usual time.
+    std::deque<double> samples; ///< Newest last.
+
+    bool operator==(const EnginePace &) const = default;
+};
+
+/// @brief Takes the time from a request's sending to its first piece.
+/// @param queued time before its prompt's turn
+/// @param nominalWork reading time on an engine of the usual speed
+void noteFirstPiece(EnginePace &pace, const PlaceLimits &limits, Millis firstPiece, Millis queued,
+                    Millis nominalWork);
+
 /// @brief The places of one engine, as its owner keeps them. Use the functions below.
 struct EnginePlaces
 {
@@ -174,6 +196,7 @@
     std::deque<AdapterId> warm; ///< Adapters that were held lately, newest first.
     std::vector<PlaceRequest> waiting;
     std::map<PlaceKey, RunningRequest> running;
+    EnginePace pace;
     Millis prefillUntil; ///< When the granted prompts will have been read.
     Millis promptTurnAt; ///< When the next prompt may be handed over.
     std::deque<HandedPrompt> handedPrompts; ///< Of the last window, oldest first.
@@ -240,7 +263,9 @@
                                   const PlaceRequest &request, Millis now);
 
 /// @brief Notes that a request's first piece has come.
-void notePlaceStarted(EnginePlaces &state, const PlaceKey &key);
+/// @param firstPiece time since it was sent; 0 where the way there is long or not known
+void notePlaceStarted(EnginePlaces &state, const PlaceLimits &limits, const PlaceKey &key,
+                      Millis firstPiece = Millis(0));
 
 /// @brief Notes that a request has ended, or that its caller has gone.
 void notePlaceEnded(EnginePlaces &state, const PlaceKey &key, Millis now);
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -165,7 +165,7 @@
 }
 
 void EngineController::notePlace(const BackendServerId &server, const PlaceKey &key,
-                                 PlaceEvent event)
+                                 PlaceEvent event, Millis firstPiece)
 {
     Term *term = this->find(server);
     if (term == nullptr) {
@@ -174,7 +174,7 @@
     const Millis now = monotonicNow();
     switch (event) {
     case PlaceEvent::Started:
-        notePlaceStarted(term->places, key);
+        notePlaceStarted(term->places, term->limits, key, firstPiece);
         break;
     case PlaceEvent::Ended:
     case PlaceEvent::Cancelled:
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -59,7 +59,8 @@
 
     /// @brief Takes a request for a place. The verdict may be given before this returns.
     void submit(const BackendServerId &server, PlaceRequest request);
-    void notePlace(const BackendServerId &server, const PlaceKey &key, PlaceEvent event);
+    void notePlace(const BackendServerId &server, const PlaceKey &key, PlaceEvent event,
+                   Millis firstPiece);
     void dropPlacesOf(const VmId &vm, std::uint64_t incarnation);
     void declareVersion(const AdapterDeclaration &declaration);
 
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -27,6 +27,12 @@
 /// Adapters whose demand is remembered before those not asked for lately are forgotten.
 constexpr std::size_t maxRates = 512;
 constexpr Millis rateMemory{20'000};
+/// Prompts that are read faster say little about an engine's pace.
+constexpr Millis leastSampleWork{40};
+/// Samples of an engine's pace; a busy engine gives as many in some 2 s.
+constexpr std::size_t paceSamples = 9;
+/// An engine that seems slower than this is stalled, not slow.
+constexpr double mostSlowness = 6.0;
 /// Shortest Retry-After, so that callers do not come back into the same queue.
 constexpr Millis leastRetryAfter{200};
 
@@ -56,9 +62,30 @@
     return tokens;
 }
 
-Millis prefillTime(std::uint32_t tokens, const PlaceLimits &limits)
+/// Reading time on an engine of the usual speed. Attention grows with the square of the length.
+Millis nominalPrefillTime(std::uint32_t tokens, const PlaceLimits &limits)
 {
-    return Millis(std::llround(std::ceil(tokens / limits.promptTokensPerMs)));
+    constexpr double million = 1'000'000.0;
+    const double pairs = static_cast<double>(tokens) * tokens / 2 / million;
+    return Millis(std::llround(std::ceil(tokens / limits.promptTokensPerMs
+                                         + pairs * limits.attentionMsPerMillionPairs)));
+}
+
+Millis scaled(Millis time, double factor)
+{
+    return Millis(std::llround(std::ceil(static_cast<double>(time.count()) * factor)));
+}
+
+Millis prefillTime(const EnginePlaces &state, std::uint32_t tokens, const PlaceLimits &limits)
+{
+    return scaled(nominalPrefillTime(tokens, limits), state.pace.slowness);
+}
+
+/// Time for prompts in one window, less the steps of an event and the way to the caller.
+Millis prefillPerWindow(const EnginePlaces &state, const PlaceLimits &limits)
+{
+    const Millis steps = scaled(limits.decodeStep * limits.stepsPerEvent, state.pace.slowness);
+    return limits.prefillWindow - limits.deliveryJitter - steps;
 }
 
 double demandFor(const EnginePlaces &state, const AdapterId &adapter, Millis now)
@@ -192,12 +219,13 @@
 /// When a prompt can be handed over without making the running streams pause for too long.
 Millis promptTurn(const EnginePlaces &state, const PlaceLimits &limits, Millis work, Millis now)
 {
+    const Millis most = prefillPerWindow(state, limits);
     Millis total = work;
     Millis turn = now;
     for (auto prompt = state.handedPrompts.rbegin(); prompt != state.handedPrompts.rend();
          ++prompt) {
         total += prompt->work;
-        if (total > limits.prefillPerWindow) {
+        if (total > most) {
             // Reading the new prompt ends one window after this one was read, or later.
             turn = std::max(turn, prompt->readBy + limits.prefillWindow - work);
             break;
@@ -222,8 +250,9 @@
 {
     GrantPlace action{request.key, wantedVersion(state, request.adapter, versions),
                       uncachedTokens(state, request), demandFor(state, request.adapter, now)};
-    const Millis work = prefillTime(action.promptTokens, limits);
-    state.prefillUntil = std::max(state.prefillUntil, now) + work;
+    const Millis work = prefillTime(state, action.promptTokens, limits);
+    const Millis queued = std::max(state.prefillUntil - now, Millis(0));
+    state.prefillUntil = now + queued + work;
     while (!state.handedPrompts.empty()
            && state.handedPrompts.front().readBy + limits.prefillWindow <= now) {
         state.handedPrompts.pop_front();
@@ -232,7 +261,8 @@
     state.running.emplace(request.key,
                           RunningRequest{request.adapter, request.deadlineAt,
                                          std::uint64_t{totalTokens(request)} + request.outputTokens,
-                                         false});
+                                         false, queued,
+                                         nominalPrefillTime(action.promptTokens, limits)});
     if (!request.adapter.empty()) {
         AdapterPlace &place = state.places[request.adapter];
         ++place.users;
@@ -313,7 +343,7 @@
             ++request;
             continue;
         }
-        const Millis work = prefillTime(uncachedTokens(state, *request), limits);
+        const Millis work = prefillTime(state, uncachedTokens(state, *request), limits);
         const Millis turn = promptTurn(state, limits, work, now);
         if (turn > now) {
             // Shorter prompts must not pass it again and again.
@@ -506,7 +536,7 @@
     Millis wait = std::max(state.prefillUntil - now, Millis(0));
     for (const PlaceRequest &other : state.waiting) {
         if (other.key != request.key && goesBefore(other, request)) {
-            wait += prefillTime(uncachedTokens(state, other), limits);
+            wait += prefillTime(state, uncachedTokens(state, other), limits);
         }
     }
     if (!state.modelLoaded || !state.synced) {
@@ -527,12 +557,37 @@
     return std::max(wait, load + placeWaitFor(state, limits, request));
 }
 
-void notePlaceStarted(EnginePlaces &state, const PlaceKey &key)
+void noteFirstPiece(EnginePace &pace, const PlaceLimits &limits, Millis firstPiece, Millis queued,
+                    Millis nominalWork)
+{
+    const Millis base = limits.decodeStep * limits.stepsPerEvent;
+    if (nominalWork < leastSampleWork || firstPiece <= Millis(0)) {
+        return;
+    }
+    const Millis reading = firstPiece - scaled(base, pace.slowness) - queued;
+    pace.samples.push_back(static_cast<double>(reading.count())
+                           / static_cast<double>(nominalWork.count()));
+    if (pace.samples.size() > paceSamples) {
+        pace.samples.pop_front();
+    }
+    // Samples are too long where a prompt had to queue or its cached parts were lost, and too short
+    // where parts were cached that the owner does not know of.
+    std::vector<double> sorted(pace.samples.begin(), pace.samples.end());
+    const std::size_t lowerThird = sorted.size() / 3;
+    std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(lowerThird),
+                     sorted.end());
+    pace.slowness = std::clamp(sorted[lowerThird], 1.0, mostSlowness);
+}
+
+void notePlaceStarted(EnginePlaces &state, const PlaceLimits &limits, const PlaceKey &key,
+                      Millis firstPiece)
 {
     const auto found = state.running.find(key);
-    if (found != state.running.end()) {
-        found->second.started = true;
+    if (found == state.running.end() || found->second.started) {
+        return;
     }
+    found->second.started = true;
+    noteFirstPiece(state.pace, limits, firstPiece, found->second.queued, found->second.nominalWork);
 }
 
 void notePlaceEnded(EnginePlaces &state, const PlaceKey &key, Millis now)
--- a/src/edge/place_client.cpp
+++ b/src/edge/place_client.cpp
@@ -163,7 +163,7 @@
     handler(PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}, {}});
 }
 
-void PlaceClient::note(std::uint64_t place, PlaceEvent event)
+void PlaceClient::note(std::uint64_t place, PlaceEvent event, Millis firstPiece)
 {
     const auto found = this->asked.find(place);
     if (found == this->asked.end()) {
@@ -171,8 +171,8 @@
     }
     if (found->second.owner == this->context.settings.vm) {
         const PlaceKey key{this->context.settings.vm, this->context.incarnation, place};
-        this->context.loop.post([this, key, event, server = found->second.server] {
-            this->engines.notePlace(server, key, event);
+        this->context.loop.post([this, key, event, firstPiece, server = found->second.server] {
+            this->engines.notePlace(server, key, event, firstPiece);
         });
     } else if (!found->second.owner.empty()) {
         wire::Envelope message;
@@ -180,6 +180,7 @@
         update.set_place(place);
         update.set_backend_server(found->second.server.str());
         update.set_event(toWire(event));
+        update.set_first_piece_ms(static_cast<std::uint32_t>(firstPiece.count()));
         this->peers.send(found->second.owner, std::move(message));
     }
     if (event != PlaceEvent::Started) {
@@ -227,7 +228,8 @@
                             const wire::PlaceUpdate &update)
 {
     this->engines.notePlace(BackendServerId(update.backend_server()),
-                            PlaceKey{peer, incarnation, update.place()}, fromWire(update.event()));
+                            PlaceKey{peer, incarnation, update.place()}, fromWire(update.event()),
+                            Millis(update.first_piece_ms()));
 }
 
 void PlaceClient::answerPeer(const PlaceKey &key, const PlaceVerdict &verdict)
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -466,12 +466,21 @@
         this->context.edge.metrics.summary(metric::edgeFirstPiece, this->route.name)
                 .observe(secondsOf(now - this->arrivedAt), now);
         if (sent->place != 0) {
-            this->context.places.note(sent->place, PlaceEvent::Started);
+            this->context.places.note(sent->place, PlaceEvent::Started,
+                                      this->isNear(sent->server) ? now - sent->sentAt : Millis(0));
         }
     }
     this->relay(sent, std::move(events));
 }
 
+bool RequestFlow::isNear(const BackendServerId &server) const
+{
+    const auto known = this->context.state.catalog.servers.find(server);
+    return known != this->context.state.catalog.servers.end()
+            && distanceTo(this->context.edge.settings.location, known->second.entry.dataCentre)
+            != Distance::OtherRegion;
+}
+
 void RequestFlow::relay(const std::shared_ptr<Attempt> &sent, std::string text)
 {
     const std::size_t bytes = text.size();
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -69,6 +69,7 @@
     [[nodiscard]] ExchangeHandlers handlersOf(const std::shared_ptr<Attempt> &attempt);
     void takeHead(const std::shared_ptr<Attempt> &attempt, const ResponseHead &head);
     void takeBody(const std::shared_ptr<Attempt> &attempt, const std::string &piece);
+    [[nodiscard]] bool isNear(const BackendServerId &server) const;
     void relay(const std::shared_ptr<Attempt> &attempt, std::string text);
     void takeEnd(const std::shared_ptr<Attempt> &attempt, const Result<void> &result);
     void finishAnswer(const std::shared_ptr<Attempt> &attempt);
--- a/tests/src/unit-edge-places.cpp
+++ b/tests/src/unit-edge-places.cpp
@@ -96,7 +96,7 @@
                 const PlaceKey user = engine.ask(other);
                 engine.now += Millis(100);
                 REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
-                notePlaceStarted(engine.places, user);
+                notePlaceStarted(engine.places, engine.limits, user);
             }
             engine.ask("a7");
             REQUIRE(only<EngineOrder>(engine.decide()).empty());
@@ -227,7 +227,7 @@
         for (; engine.now < end; engine.now += Millis(5)) {
             for (const GrantPlace &given : only<GrantPlace>(engine.decide())) {
                 grants.push_back(engine.now);
-                notePlaceStarted(engine.places, given.key);
+                notePlaceStarted(engine.places, engine.limits, given.key);
             }
         }
         REQUIRE(grants.size() >= 3);
@@ -283,7 +283,7 @@
         const PlaceKey key = engine.ask(adapter, 100);
         engine.now += Millis(10);
         REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
-        notePlaceStarted(engine.places, key);
+        notePlaceStarted(engine.places, engine.limits, key);
     }
 
     SECTION("a request that has another choice is sent there")
@@ -346,7 +346,7 @@
             const auto grants = only<GrantPlace>(engine.decide());
             REQUIRE(grants.size() == 1);
             told = grants.front().demand;
-            notePlaceStarted(engine.places, key);
+            notePlaceStarted(engine.places, engine.limits, key);
             notePlaceEnded(engine.places, key, engine.now);
             engine.now += Millis(125);
         }
@@ -366,3 +366,79 @@
         }
     }
 }
+
+TEST_CASE("an engine's owner learns its pace")
+{
+    Engine engine;
+    const PlaceLimits &limits = engine.limits;
+    const Millis work(100);
+    const Millis steps = limits.decodeStep * limits.stepsPerEvent;
+
+    SECTION("an engine of the usual speed, whose prompts queue now and then")
+    {
+        for (int i = 0; i < 30; ++i) {
+            const Millis other(i % 3 == 0 ? 180 : 3);
+            noteFirstPiece(engine.places.pace, limits, steps + work + other, Millis(0), work);
+        }
+        REQUIRE(engine.places.pace.slowness < 1.1);
+    }
+
+    SECTION("load pattern: a third of the engines read a third slower")
+    {
+        for (int i = 0; i < 9; ++i) {
+            noteFirstPiece(engine.places.pace, limits, Millis(36 * 13 / 10 + 130 + i), Millis(0),
+                           work);
+        }
+        REQUIRE(engine.places.pace.slowness == Approx(1.33).margin(0.05));
+
+        SECTION("so prompts are handed over at a pace that lets streams go on")
+        {
+            engine.hold("a");
+            // Reading 1,800 tokens takes some 95 ms here; the window takes three of them.
+            std::size_t handed = 0;
+            const Millis begin = engine.now;
+            for (int i = 0; i < 12; ++i) {
+                engine.ask("a", 1'800);
+            }
+            while (engine.now < begin + limits.prefillWindow) {
+                for (const GrantPlace &grant : only<GrantPlace>(engine.decide())) {
+                    ++handed;
+                    notePlaceStarted(engine.places, limits, grant.key);
+                }
+                engine.now += Millis(5);
+            }
+            REQUIRE(handed >= 3);
+            REQUIRE(handed <= 4);
+        }
+    }
+
+    SECTION("load pattern: an engine turns slow for a few seconds")
+    {
+        const auto sample = [&](int slowness) {
+            noteFirstPiece(engine.places.pace, limits, steps + work * slowness, Millis(0), work);
+        };
+        for (int i = 0; i < 9; ++i) {
+            sample(1);
+        }
+        for (int i = 0; i < 7; ++i) {
+            sample(3);
+        }
+        REQUIRE(engine.places.pace.slowness > 2.0);
+
+        SECTION("and is trusted again soon after")
+        {
+            for (int i = 0; i < 7; ++i) {
+                sample(1);
+            }
+            REQUIRE(engine.places.pace.slowness == Approx(1.0).margin(0.05));
+        }
+    }
+
+    SECTION("short prompts and stalls do not move it far")
+    {
+        noteFirstPiece(engine.places.pace, limits, Millis(400), Millis(0), Millis(5));
+        REQUIRE(engine.places.pace.slowness == 1.0);
+        noteFirstPiece(engine.places.pace, limits, Millis(60'000), Millis(0), work);
+        REQUIRE(engine.places.pace.slowness <= 6.0);
+    }
+}
