Give no places on an engine that does not answer, and send away who waits there

Change: a daemon tells the owner when an engine took no connection; the owner holds its grants, asks for the engine's report, and without one sends on or refuses at once all who wait.

--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -195,6 +195,8 @@
     BaseModelId base;
     bool synced = false; ///< A report has been read since the owner's term began.
     bool ordersAllowed = false; ///< The lease of any earlier owner is over.
+    bool suspected = false; ///< A request did not reach it; its report is being asked for.
+    bool unreachable = false; ///< It gave no report. Nobody waits for it before it answers again.
     bool modelLoaded = false;
     Millis modelCheckAt;
     std::map<AdapterId, AdapterPlace> places;
@@ -275,6 +277,13 @@
 /// @brief Notes that a request has ended, or that its caller has gone.
 void notePlaceEnded(EnginePlaces &state, const PlaceKey &key, Millis now);
 
+/// @brief Notes that a request or an order did not reach the engine. No places are given until a
+/// report tells whether the engine or just that sender's way is down.
+void noteSuspected(EnginePlaces &state) noexcept;
+
+/// @brief Notes whether the engine gave its report.
+void noteReachable(EnginePlaces &state, bool reachable) noexcept;
+
 /// @brief Notes that the engine did not run a request because the adapter is not in place.
 void notePlaceNotReady(EnginePlaces &state, const PlaceKey &key, Millis now);
 
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -16,6 +16,8 @@
 constexpr Millis reportLag{350};
 constexpr Millis orderTimeout{1'500};
 constexpr Millis reportTimeout{1'000};
+/// An engine that takes no connection for so long is down; its owner is mostly near.
+constexpr Millis reportConnectTimeout{300};
 /// An order that has waited longer to be sent is not sent: the owner may have changed.
 constexpr Millis orderFreshness{500};
 constexpr Millis failedReportPace{500};
@@ -184,10 +186,26 @@
         notePlaceNotReady(term->places, key, now);
         this->reportAfter(*term, reportLag);
         break;
+    case PlaceEvent::Unreachable:
+        notePlaceEnded(term->places, key, now);
+        this->suspect(*term, "a request did not reach it");
+        break;
     }
     this->decide(*term);
 }
 
+void EngineController::suspect(Term &term, std::string_view reason)
+{
+    if (!term.places.suspected && !term.places.unreachable) {
+        this->context.log.write(EventWeight::Notable, "engine_suspected",
+                                {{"server", term.server.id.str()},
+                                 {"reason", reason},
+                                 {"waiting", term.places.waiting.size()}});
+    }
+    noteSuspected(term.places);
+    this->readReport(term);
+}
+
 void EngineController::dropPlacesOf(const VmId &vm, std::uint64_t incarnation)
 {
     for (const auto &[id, term] : this->terms) {
@@ -298,6 +316,7 @@
     term.reading = true;
     OutgoingRequest request = this->context.dialect.writeReportRequest(term.server);
     request.timeout = reportTimeout;
+    request.connectTimeout = reportConnectTimeout;
     fetchOnLoop(this->context, std::move(request),
                 [this, server = term.server.id](const Result<HttpAnswer> &answer) {
                     this->takeReport(server, answer);
@@ -321,10 +340,21 @@
                                      {"error", errorName(report.error().code)},
                                      {"detail", report.error().detail}});
         }
+        noteReachable(term->places, false);
+        this->decide(*term);
         this->reportAfter(*term, failedReportPace);
         return;
     }
     term->failedReports = 0;
+    if (term->places.suspected || term->places.unreachable) {
+        this->context.log.write(
+                EventWeight::Notable, "engine_answers",
+                {{"server", server.str()}, {"order_count", report.value().orderCount}});
+        noteReachable(term->places, true);
+        // It may have started again meanwhile.
+        term->places.resyncWanted
+                = term->places.resyncWanted || report.value().orderCount < term->orderCount;
+    }
     const Millis now = monotonicNow();
     const bool wanted = term->places.resyncWanted || !term->places.ordersAllowed;
     if (wanted && (term->places.orderInProgress || now - term->orderedAt < reportLag)) {
@@ -425,7 +455,9 @@
                 .observe(static_cast<double>(took.count()) / millisPerSecond, monotonicNow());
     }
     noteOrderOutcome(term->places, term->limits, outcome, monotonicNow());
-    if (term->places.resyncWanted) {
+    if (answer.has_error() && answer.error().code == ErrorCode::ConnectFailed) {
+        this->suspect(*term, "an order did not reach it");
+    } else if (term->places.resyncWanted) {
         this->reportAfter(*term, reportLag);
     }
     this->decide(*term);
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -37,6 +37,7 @@
     Ended,
     Cancelled,
     NotReady,
+    Unreachable, ///< The engine could not be reached; the request has not run.
 };
 
 /// @brief Owns engines: keeps their places, decides grants and gives orders.
@@ -91,6 +92,8 @@
     void sendWaitingAway(Term &term);
     void decide(Term &term);
     void decideSoon(Term &term);
+    /// Stops giving places on an engine until it has given its report.
+    void suspect(Term &term, std::string_view reason);
     void readReport(Term &term);
     void takeReport(const BackendServerId &server, const Result<HttpAnswer> &answer);
     void checkCount(Term &term, const EngineReport &report, Millis now);
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint32_t maxUnstarted = 4;
 /// Wait that is expected where every place is in use.
 constexpr Millis placeWait{500};
+/// Wait that is told of an engine that does not answer, so that others are asked first.
+constexpr Millis unreachableWait{3'000};
 /// Longer pauses between releases say that no place was wanted, not that none was given.
 constexpr Millis longestRelease{1'000};
 /// A grant that has not ended this long after its deadline was lost with its daemon.
@@ -314,6 +316,20 @@
     return std::nullopt;
 }
 
+/// Sends away all who wait for an engine that does not answer: nobody knows until when.
+void sendAllAway(EnginePlaces &state, Millis now, std::vector<PlaceAction> &actions)
+{
+    for (const PlaceRequest &request : state.waiting) {
+        const double demand = demandFor(state, request.adapter, now);
+        if (request.lastChoice) {
+            actions.emplace_back(RefusePlace{request.key, placeWait, demand});
+        } else {
+            actions.emplace_back(SendElsewhere{request.key, unreachableWait, demand});
+        }
+    }
+    state.waiting.clear();
+}
+
 /// Sends away new requests that would wait too long here.
 void sendAway(EnginePlaces &state, const PlaceLimits &limits, Millis now,
               std::vector<PlaceAction> &actions)
@@ -485,7 +501,14 @@
         }
         return lost;
     });
+    if (state.unreachable) {
+        sendAllAway(state, now, actions);
+        return actions;
+    }
     dropOverdue(state, now, actions);
+    if (state.suspected) {
+        return actions;
+    }
     sendAway(state, limits, now, actions);
     std::sort(state.waiting.begin(), state.waiting.end(), goesBefore);
     if (state.synced && state.modelLoaded) {
@@ -612,6 +635,17 @@
     state.running.erase(found);
 }
 
+void noteSuspected(EnginePlaces &state) noexcept
+{
+    state.suspected = true;
+}
+
+void noteReachable(EnginePlaces &state, bool reachable) noexcept
+{
+    state.suspected = false;
+    state.unreachable = !reachable;
+}
+
 void notePlaceNotReady(EnginePlaces &state, const PlaceKey &key, Millis now)
 {
     const auto found = state.running.find(key);
--- a/src/edge/place_client.cpp
+++ b/src/edge/place_client.cpp
@@ -55,6 +55,8 @@
         return wire::PlaceUpdate::CANCELLED;
     case PlaceEvent::NotReady:
         return wire::PlaceUpdate::NOT_READY;
+    case PlaceEvent::Unreachable:
+        return wire::PlaceUpdate::UNREACHABLE;
     }
     return wire::PlaceUpdate::ENDED;
 }
@@ -68,6 +70,8 @@
         return PlaceEvent::Cancelled;
     case wire::PlaceUpdate::NOT_READY:
         return PlaceEvent::NotReady;
+    case wire::PlaceUpdate::UNREACHABLE:
+        return PlaceEvent::Unreachable;
     default:
         return PlaceEvent::Ended;
     }
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -682,7 +682,8 @@
     if (code == ErrorCode::ConnectionBroken) {
         this->noteCrashOf(sent);
     }
-    this->endAttempt(sent, PlaceEvent::Ended);
+    this->endAttempt(
+            sent, code == ErrorCode::ConnectFailed ? PlaceEvent::Unreachable : PlaceEvent::Ended);
     const bool poison = isPoison(this->context.state.crashes, this->fingerprint, now);
     const bool again = !poison && (unsent || this->mayRepeat()) && this->sends < maxSends
             && (!this->streamStarted || this->mayRepeat());
--- a/tests/src/unit-edge-places.cpp
+++ b/tests/src/unit-edge-places.cpp
@@ -332,6 +332,44 @@
     }
 }
 
+TEST_CASE("load pattern: engines that crash under load")
+{
+    Engine engine;
+    engine.hold("a");
+
+    SECTION("after a request did not reach the engine, nobody is sent there")
+    {
+        noteSuspected(engine.places);
+        const PlaceKey key = engine.ask("a");
+        REQUIRE(engine.decide().empty());
+
+        SECTION("until it gives its report")
+        {
+            noteReachable(engine.places, true);
+            REQUIRE(only<GrantPlace>(engine.decide()).front().key == key);
+        }
+
+        SECTION("and who waits is told at once where it gives none")
+        {
+            engine.ask("a", 500, false);
+            noteReachable(engine.places, false);
+            const std::vector<PlaceAction> actions = engine.decide();
+            REQUIRE(only<RefusePlace>(actions).size() == 1);
+            REQUIRE(only<SendElsewhere>(actions).size() == 1);
+            REQUIRE(engine.places.waiting.empty());
+
+            SECTION("and so is who comes later, without an order to the engine")
+            {
+                engine.now += Millis(400);
+                engine.ask("b", 500, false);
+                const std::vector<PlaceAction> later = engine.decide();
+                REQUIRE(later.size() == 1);
+                REQUIRE(only<SendElsewhere>(later).size() == 1);
+            }
+        }
+    }
+}
+
 TEST_CASE("load pattern: busy homes of a busy adapter")
 {
     Engine engine;
