--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -238,6 +238,14 @@
     bool operator==(const SendElsewhere &) const = default;
 };
 
+/// @brief Tells that the engine does not answer; the request may try any other.
+struct EngineDown
+{
+    PlaceKey key;
+
+    bool operator==(const EngineDown &) const = default;
+};
+
 /// @brief Refuses a request.
 struct RefusePlace
 {
@@ -248,7 +256,7 @@
     bool operator==(const RefusePlace &) const = default;
 };
 
-using PlaceAction = std::variant<GrantPlace, SendElsewhere, RefusePlace, EngineOrder>;
+using PlaceAction = std::variant<GrantPlace, SendElsewhere, EngineDown, RefusePlace, EngineOrder>;
 
 /// @brief Puts a request into the queue. Decide with nextPlaceActions().
 void submitPlaceRequest(EnginePlaces &state, const PlaceLimits &limits, PlaceRequest request,
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -288,6 +288,9 @@
                 elsewhere->key, server,
                 PlaceVerdict{
                         PlaceVerdict::Kind::Elsewhere, {}, {}, elsewhere->wait, elsewhere->demand});
+    } else if (const auto *down = std::get_if<EngineDown>(&action)) {
+        this->onVerdict(down->key, server,
+                        PlaceVerdict{PlaceVerdict::Kind::EngineDown, {}, {}, {}, {}});
     } else if (const auto *refusal = std::get_if<RefusePlace>(&action)) {
         this->onVerdict(
                 refusal->key, server,
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -21,6 +21,7 @@
         Elsewhere,
         Refused,
         NotOwner,
+        EngineDown, ///< The engine does not answer.
     };
     Kind kind = Kind::Queued;
     AdapterVersion version; ///< Of a grant; 0 for any.
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -20,8 +20,6 @@
 constexpr std::uint32_t maxUnstarted = 4;
 /// Wait that is expected where every place is in use.
 constexpr Millis placeWait{500};
-/// Wait that is told of an engine that does not answer, so that others are asked first.
-constexpr Millis unreachableWait{3'000};
 /// Longer pauses between releases say that no place was wanted, not that none was given.
 constexpr Millis longestRelease{1'000};
 /// A grant that has not ended this long after its deadline was lost with its daemon.
@@ -317,15 +315,10 @@
 }
 
 /// Sends away all who wait for an engine that does not answer: nobody knows until when.
-void sendAllAway(EnginePlaces &state, Millis now, std::vector<PlaceAction> &actions)
+void sendAllAway(EnginePlaces &state, std::vector<PlaceAction> &actions)
 {
     for (const PlaceRequest &request : state.waiting) {
-        const double demand = demandFor(state, request.adapter, now);
-        if (request.lastChoice) {
-            actions.emplace_back(RefusePlace{request.key, placeWait, demand});
-        } else {
-            actions.emplace_back(SendElsewhere{request.key, unreachableWait, demand});
-        }
+        actions.emplace_back(EngineDown{request.key});
     }
     state.waiting.clear();
 }
@@ -502,7 +495,7 @@
         return lost;
     });
     if (state.unreachable) {
-        sendAllAway(state, now, actions);
+        sendAllAway(state, actions);
         return actions;
     }
     dropOverdue(state, now, actions);
--- a/src/edge/place_client.cpp
+++ b/src/edge/place_client.cpp
@@ -24,6 +24,8 @@
         return wire::PlaceReply::REFUSED;
     case PlaceVerdict::Kind::NotOwner:
         return wire::PlaceReply::NOT_OWNER;
+    case PlaceVerdict::Kind::EngineDown:
+        return wire::PlaceReply::ENGINE_DOWN;
     }
     return wire::PlaceReply::NOT_OWNER;
 }
@@ -41,6 +43,8 @@
         return PlaceVerdict::Kind::Refused;
     default:
         return PlaceVerdict::Kind::NotOwner;
+    case wire::PlaceReply::ENGINE_DOWN:
+        return PlaceVerdict::Kind::EngineDown;
     }
 }
 
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -16,6 +16,8 @@
 constexpr Millis defaultWait{30'000};
 /// Engines that are asked for a place before a request is refused.
 constexpr std::size_t maxAsks = 3;
+/// Engines that are asked in place of those that are down, or whose owner is not known.
+constexpr std::size_t maxSpares = 4;
 /// Sends of one request, those included that did not run it.
 constexpr std::uint32_t maxSends = 5;
 /// Replicas of a plain service that are tried.
@@ -72,6 +74,8 @@
         return "refused";
     case PlaceVerdict::Kind::NotOwner:
         return "not_owner";
+    case PlaceVerdict::Kind::EngineDown:
+        return "engine_down";
     }
     return "unknown";
 }
@@ -196,7 +200,11 @@
                                 hash64(this->request.id.str()), now);
     this->plan = this->ranking.servers;
     this->leaveOutFailed();
-    this->plan.resize(std::min(this->plan.size(), maxAsks - 1));
+    const auto tried = static_cast<std::ptrdiff_t>(std::min(this->plan.size(), maxAsks - 1));
+    const auto spare
+            = static_cast<std::ptrdiff_t>(std::min(this->plan.size(), maxAsks - 1 + maxSpares));
+    this->spares.assign(this->plan.begin() + tried, this->plan.begin() + spare);
+    this->plan.resize(static_cast<std::size_t>(tried));
     // Back to the least busy one to wait there: a third engine would have to load the adapter.
     if (!this->plan.empty()) {
         const BackendServerId first = this->plan.front();
@@ -209,6 +217,15 @@
     return this->request.base.str() + "/" + this->request.adapter.str();
 }
 
+void RequestFlow::askSpareInstead()
+{
+    if (this->spares.empty()) {
+        return;
+    }
+    this->plan.insert(this->plan.begin(), this->spares.front());
+    this->spares.erase(this->spares.begin());
+}
+
 bool RequestFlow::isHome(const BackendServerId &server) const
 {
     const std::vector<BackendServerId> &homes = this->ranking.homes;
@@ -305,8 +322,8 @@
         experience.wait = verdict.wait;
         experience.waitToldAt = now;
     }
-    if (verdict.kind != PlaceVerdict::Kind::Queued
-        && verdict.kind != PlaceVerdict::Kind::NotOwner) {
+    if (verdict.kind == PlaceVerdict::Kind::Granted || verdict.kind == PlaceVerdict::Kind::Elsewhere
+        || verdict.kind == PlaceVerdict::Kind::Refused) {
         this->noteTold(server, verdict.demand, now);
     }
     switch (verdict.kind) {
@@ -323,9 +340,15 @@
             this->leastWait = verdict.wait;
         }
         this->retryHint = std::max(this->retryHint, verdict.wait);
+        this->place = 0;
+        this->askNext();
+        return;
+    case PlaceVerdict::Kind::EngineDown:
+        noteUnreachable(experience, now);
         [[fallthrough]];
     case PlaceVerdict::Kind::NotOwner:
         this->place = 0;
+        this->askSpareInstead();
         this->askNext();
         return;
     case PlaceVerdict::Kind::Refused:
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -60,6 +60,7 @@
     [[nodiscard]] std::string adapterName() const;
     /// Takes an owner's word on the demand for the request's adapter at one of its homes.
     void noteTold(const BackendServerId &server, double perSecond, Millis now);
+    void askSpareInstead();
     [[nodiscard]] bool isHome(const BackendServerId &server) const;
     void leaveOutFailed();
     void askNext();
@@ -100,6 +101,7 @@
     Millis objectiveAt;
     Millis deadlineAt;
     EngineRanking ranking; ///< Empty for plain services.
+    std::vector<BackendServerId> spares; ///< Asked in place of engines that are down.
     BackendServerId leastBusy; ///< Of those that sent the request elsewhere.
     Millis leastWait{0}; ///< That it would have had there.
     std::vector<BackendServerId> plan; ///< Servers still to try, best first.
