--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -14,8 +14,9 @@
 
 /// Wait of a caller that names none and whose route has no time-out.
 constexpr Millis defaultWait{30'000};
-/// Engines that are asked for a place before a request is refused.
-constexpr std::size_t maxAsks = 3;
+/// Engines that are asked for a place before a request waits at the least busy of them.
+constexpr std::size_t fewestEngines = 2;
+constexpr std::size_t mostEngines = 3;
 /// Engines that are asked in place of those that are down, or whose owner is not known.
 constexpr std::size_t maxSpares = 4;
 /// Sends of one request, those included that did not run it.
@@ -200,9 +201,11 @@
                                 hash64(this->request.id.str()), now);
     this->plan = this->ranking.servers;
     this->leaveOutFailed();
-    const auto tried = static_cast<std::ptrdiff_t>(std::min(this->plan.size(), maxAsks - 1));
+    // A busy adapter has further homes that hold it; another engine would have to load it.
+    const std::size_t engines = std::clamp(this->ranking.homes.size(), fewestEngines, mostEngines);
+    const auto tried = static_cast<std::ptrdiff_t>(std::min(this->plan.size(), engines));
     const auto spare
-            = static_cast<std::ptrdiff_t>(std::min(this->plan.size(), maxAsks - 1 + maxSpares));
+            = static_cast<std::ptrdiff_t>(std::min(this->plan.size(), engines + maxSpares));
     this->spares.assign(this->plan.begin() + tried, this->plan.begin() + spare);
     this->plan.resize(static_cast<std::size_t>(tried));
     // Back to the least busy one to wait there: a third engine would have to load the adapter.
