--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -3,6 +3,7 @@
 
 #include <balsamport/core/clock.h>
 #include <balsamport/core/ids.h>
+#include <balsamport/edge/engine_pace.h>
 #include <balsamport/edge/request_rate.h>
 #include <balsamport/edge/service_config.h>
 
@@ -171,23 +172,6 @@
     bool operator==(const HandedPrompt &) const = default;
 };
 
-/// @brief How slowly an engine reads prompts, learnt from the time to their first pieces.
-///
-/// Engines of one service differ in speed, and some turn slow for a while.
-struct EnginePace
-{
-    double slowness = 1; ///< Reading takes this many times the usual time.
-    std::deque<double> samples; ///< Newest last.
-
-    bool operator==(const EnginePace &) const = default;
-};
-
-/// @brief Takes the time from a request's sending to its first piece.
-/// @param queued time before its prompt's turn
-/// @param nominalWork reading time on an engine of the usual speed
-void noteFirstPiece(EnginePace &pace, const PlaceLimits &limits, Millis firstPiece, Millis queued,
-                    Millis nominalWork);
-
 /// @brief The places of one engine, as its owner keeps them. Use the functions below.
 struct EnginePlaces
 {
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -27,12 +27,6 @@
 /// Adapters whose demand is remembered before those not asked for lately are forgotten.
 constexpr std::size_t maxRates = 512;
 constexpr Millis rateMemory{20'000};
-/// Prompts that are read faster say little about an engine's pace.
-constexpr Millis leastSampleWork{40};
-/// Samples of an engine's pace; a busy engine gives as many in some 2 s.
-constexpr std::size_t paceSamples = 9;
-/// An engine that seems slower than this is stalled, not slow.
-constexpr double mostSlowness = 6.0;
 /// Shortest Retry-After, so that callers do not come back into the same queue.
 constexpr Millis leastRetryAfter{200};
 
@@ -576,28 +570,6 @@
     return std::max(wait, load + placeWaitFor(state, limits, request));
 }
 
-void noteFirstPiece(EnginePace &pace, const PlaceLimits &limits, Millis firstPiece, Millis queued,
-                    Millis nominalWork)
-{
-    const Millis steps = limits.idleStep * limits.stepsPerEvent;
-    if (nominalWork < leastSampleWork || firstPiece <= Millis(0)) {
-        return;
-    }
-    const Millis reading = firstPiece - steps - queued;
-    pace.samples.push_back(static_cast<double>(reading.count())
-                           / static_cast<double>(nominalWork.count()));
-    if (pace.samples.size() > paceSamples) {
-        pace.samples.pop_front();
-    }
-    // Samples are too long where a prompt had to queue or its cached parts were lost, and too short
-    // where parts were cached that the owner does not know of.
-    std::vector<double> sorted(pace.samples.begin(), pace.samples.end());
-    const std::size_t lowerThird = sorted.size() / 3;
-    std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(lowerThird),
-                     sorted.end());
-    pace.slowness = std::clamp(sorted[lowerThird], 1.0, mostSlowness);
-}
-
 void notePlaceStarted(EnginePlaces &state, const PlaceLimits &limits, const PlaceKey &key,
                       Millis firstPiece)
 {
@@ -606,7 +578,11 @@
         return;
     }
     found->second.started = true;
-    noteFirstPiece(state.pace, limits, firstPiece, found->second.queued, found->second.nominalWork);
+    if (firstPiece > Millis(0)) {
+        const Millis steps = limits.idleStep * limits.stepsPerEvent;
+        noteReading(state.pace, firstPiece - steps - found->second.queued,
+                    found->second.nominalWork);
+    }
 }
 
 void notePlaceEnded(EnginePlaces &state, const PlaceKey &key, Millis now)
--- a/tests/src/unit-edge-places.cpp
+++ b/tests/src/unit-edge-places.cpp
@@ -446,13 +446,12 @@
     Engine engine;
     const PlaceLimits &limits = engine.limits;
     const Millis work(100);
-    const Millis steps = limits.idleStep * limits.stepsPerEvent;
 
     SECTION("an engine of the usual speed, whose prompts queue now and then")
     {
         for (int i = 0; i < 30; ++i) {
             const Millis other(i % 3 == 0 ? 180 : 3);
-            noteFirstPiece(engine.places.pace, limits, steps + work + other, Millis(0), work);
+            noteReading(engine.places.pace, work + other, work);
         }
         REQUIRE(engine.places.pace.slowness < 1.1);
     }
@@ -460,10 +459,9 @@
     SECTION("load pattern: a third of the engines read a third slower")
     {
         for (int i = 0; i < 9; ++i) {
-            noteFirstPiece(engine.places.pace, limits, Millis((steps + work).count() * 13 / 10 + i),
-                           Millis(0), work);
+            noteReading(engine.places.pace, Millis(work.count() * 13 / 10 + i), work);
         }
-        REQUIRE(engine.places.pace.slowness == Approx(1.35).margin(0.1));
+        REQUIRE(engine.places.pace.slowness == Approx(1.33).margin(0.05));
 
         SECTION("so prompts are handed over at a pace that lets streams go on")
         {
@@ -488,9 +486,8 @@
 
     SECTION("load pattern: an engine turns slow for a few seconds")
     {
-        const auto sample = [&](int slowness) {
-            noteFirstPiece(engine.places.pace, limits, steps + work * slowness, Millis(0), work);
-        };
+        const auto sample
+                = [&](int slowness) { noteReading(engine.places.pace, work * slowness, work); };
         for (int i = 0; i < 9; ++i) {
             sample(1);
         }
@@ -510,9 +507,20 @@
 
     SECTION("short prompts and stalls do not move it far")
     {
-        noteFirstPiece(engine.places.pace, limits, Millis(400), Millis(0), Millis(5));
+        noteReading(engine.places.pace, Millis(400), Millis(5));
         REQUIRE(engine.places.pace.slowness == 1.0);
-        noteFirstPiece(engine.places.pace, limits, Millis(60'000), Millis(0), work);
+        noteReading(engine.places.pace, Millis(60'000), work);
         REQUIRE(engine.places.pace.slowness <= 6.0);
     }
+
+    SECTION("the time to a first piece counts without the steps of its event")
+    {
+        engine.hold("a");
+        const PlaceKey key = engine.ask("a", 2'580);
+        REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
+        // 2,580 tokens take 100 ms and 4 ms for attention.
+        const Millis steps = limits.idleStep * limits.stepsPerEvent;
+        notePlaceStarted(engine.places, limits, key, steps + Millis(104) * 2);
+        REQUIRE(engine.places.pace.slowness == Approx(2.0).margin(0.05));
+    }
 }
