Stop watching a socket as soon as libcurl hands it on

Cause: while the handler of a socket runs it holds the watch, so the removal from the map did not end the registration; where libcurl takes the connection for its next request in the same step, a second watch of the same socket throws; where it closes the socket and opens one of the same number, the late release takes the new one's events away. The daemons use the same client. Change: the removal releases the socket at once; a failed watch is logged and never thrown.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include "curl_exchange.h"
 
+#include <balsamport/core/log.h>
+
 #include <asio.hpp>
 
 #include <algorithm>
@@ -29,9 +31,24 @@
     struct Watch
     {
         explicit Watch(asio::io_context &context, curl_socket_t fd)
-            : socket(context, fd)
-        { }
-        ~Watch() { this->socket.release(); }
+            : socket(context)
+        {
+            asio::error_code failure;
+            this->socket.assign(fd, failure);
+            if (failure) {
+                // Nothing may be thrown through libcurl. Its own time-outs end the request.
+                LOG(ERROR) << logprefix::http
+                           << "Could not watch a socket. error=" << failure.message();
+            }
+        }
+        ~Watch() { this->release(); }
+        /// Stops watching, at once. The socket is libcurl's.
+        void release()
+        {
+            if (this->socket.is_open()) {
+                this->socket.release();
+            }
+        }
         Watch(const Watch &) = delete;
         Watch &operator=(const Watch &) = delete;
 
@@ -77,7 +94,13 @@
     void watchSocket(curl_socket_t fd, int what)
     {
         if (what == CURL_POLL_REMOVE) {
-            this->watches.erase(fd);
+            // A handler that runs now may still hold the watch, while libcurl goes on to use the
+            // socket for its next request, or closes it and opens another of the same number.
+            const auto found = this->watches.find(fd);
+            if (found != this->watches.end()) {
+                found->second->release();
+                this->watches.erase(found);
+            }
             return;
         }
         auto &watch = this->watches[fd];
@@ -118,7 +141,7 @@
     void readable(curl_socket_t fd, const std::weak_ptr<Watch> &weak, const asio::error_code &error)
     {
         const std::shared_ptr<Watch> watch = weak.lock();
-        if (!watch || error == asio::error::operation_aborted) {
+        if (!watch || error) {
             return;
         }
         watch->waitingRead = false;
@@ -132,7 +155,7 @@
     void writable(curl_socket_t fd, const std::weak_ptr<Watch> &weak, const asio::error_code &error)
     {
         const std::shared_ptr<Watch> watch = weak.lock();
-        if (!watch || error == asio::error::operation_aborted) {
+        if (!watch || error) {
             return;
         }
         watch->waitingWrite = false;
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -160,6 +160,37 @@
     }
 }
 
+// A kept connection is taken over in the same step of libcurl in which its last request ends.
+TEST_CASE("many callers share the connections of one client")
+{
+    HttpServerSettings settings;
+    settings.address = "127.0.0.1:18484";
+    auto server = HttpServer::start(settings, [](const auto &request, const auto &writer) {
+                      writer->send(HttpAnswer{200, {}, request->query});
+                  }).value();
+    HttpClient client;
+    std::atomic<int> wrong{0};
+    std::vector<std::thread> callers;
+    constexpr int callerCount = 12;
+    constexpr int requestsOfEach = 1'500;
+    for (int caller = 0; caller < callerCount; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (int i = 0; i < requestsOfEach; ++i) {
+                const std::string mark = std::to_string(caller) + "-" + std::to_string(i);
+                OutgoingRequest request;
+                request.url = "http://" + settings.address + "/?" + mark;
+                request.timeout = Millis(5'000);
+                const auto reply = client.fetch(request);
+                wrong += reply.has_value() && reply.value().body == mark ? 0 : 1;
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    REQUIRE(wrong == 0);
+}
+
 // Run by CTest with MALLOC_PERTURB_, which fills freed memory: a lock there would never be free.
 TEST_CASE("A server that stops")
 {
