--- a/tests/e2e/e2e-crashers.cpp
+++ b/tests/e2e/e2e-crashers.cpp
@@ -190,6 +190,7 @@
               << " crashes=" << fleet.crashes << " innocents-answered=" << innocents.answered
               << " innocents-failed=" << innocents.failed.size() << "\n";
     for (const std::string &text : innocents.failed) {
+        std::cout << "innocent failed: " << text << "\n";
         UNSCOPED_INFO(text);
     }
     CHECK(fleet.crashes >= 1);
