Let a suspect run alone on its engine, and keep requests off an engine that died

Cause, from the logs of e2e-crashers: the verdict "runs alone" never reached the engine's owner. The field run_alone of a grant request was neither set nor read, so two to four suspects were granted places on one engine within a millisecond, and the one that kills took the innocent ones with it a second time.

--- a/include/balsamport/controllers/grant_client.h
+++ b/include/balsamport/controllers/grant_client.h
@@ -28,6 +28,7 @@
     std::vector<std::uint64_t> prefixHashes;
     Fingerprint fingerprint;
     bool repeatable = true;
+    bool runAlone = false; ///< Suspected of crashing servers: shares one with nothing.
     std::vector<BackendServerId> exclude; ///< Not to be used, for example after a crash there.
 
     bool operator==(const GrantQuery &) const = default;
--- a/include/balsamport/filters/sources.h
+++ b/include/balsamport/filters/sources.h
@@ -34,6 +34,7 @@
     std::vector<std::uint64_t> prefixHashes;
     Fingerprint fingerprint;
     bool repeatable = true;
+    bool runAlone = false; ///< Suspected of crashing servers: shares one with nothing.
     std::vector<BackendServerId> avoid; ///< Tried before, or failing now.
 
     bool operator==(const PlacementQuery &) const = default;
--- a/src/controllers/grant_client.cpp
+++ b/src/controllers/grant_client.cpp
@@ -45,6 +45,7 @@
     RequestId request;
     AdapterRef adapter;
     Fingerprint fingerprint;
+    bool runAlone = false;
     RouteShardPtr shard;
     std::uint32_t node = 0;
     bool service = false;
@@ -113,6 +114,7 @@
     request.mutable_prefix_hashes()->Add(query.prefixHashes.begin(), query.prefixHashes.end());
     request.set_fingerprint(query.fingerprint.number());
     request.set_repeatable(query.repeatable);
+    request.set_run_alone(query.runAlone);
     request.set_tried_servers(acquire.plan.asked - 1);
     request.set_last_choice(lastChoice);
     request.set_across_link(candidate.distance == Distance::AcrossLink);
@@ -649,7 +651,8 @@
     const std::lock_guard guard(this->heldLock);
     this->pending.erase(query.request);
     this->heldPlaces[{acquire->shard->group.nodes[node].id, grant}]
-            = {query.request, query.adapter, query.fingerprint, acquire->shard, node, service};
+            = {query.request, query.adapter, query.fingerprint, query.runAlone, acquire->shard,
+               node,          service};
 }
 
 void GrantClient::Core::fail(const AcquirePtr &acquire, const Error &error, Millis retryAfter)
@@ -687,6 +690,7 @@
             held.set_backend_server(key.first.str());
             *held.mutable_adapter() = balsamport::toWire(place.adapter);
             held.set_fingerprint(place.fingerprint.number());
+            held.set_run_alone(place.runAlone);
             this->announcedTo.insert(endpoint);
         }
     }
--- a/src/controllers/grant_shard.cpp
+++ b/src/controllers/grant_shard.cpp
@@ -110,6 +110,7 @@
     place.maxTokens = request.max_tokens();
     place.lastChoice = request.last_choice();
     place.fingerprint = Fingerprint(request.fingerprint());
+    place.alone = request.run_alone();
     return place;
 }
 
@@ -119,6 +120,7 @@
     grant.id = GrantId(held.grant());
     grant.request = RequestId(held.request_id());
     grant.gateway = gateway;
+    grant.alone = held.run_alone();
     grant.since = now;
     if (!adapterless) {
         grant.adapter = fromWire(held.adapter());
@@ -285,6 +287,10 @@
     if (released.how() == wire::GrantRelease::RETURNED) {
         noteNotLoaded(shard.state, hash, now);
         shard.reportAskedAt = Millis();
+    } else if (released.how() == wire::GrantRelease::SERVER_CRASHED) {
+        // Each request that is still sent there costs a retry; its next report clears it.
+        shard.failedReports = std::max(shard.failedReports, reportsUntilUnreachable);
+        shard.reportAskedAt = Millis();
     }
 }
 
--- a/src/filters/grant.cpp
+++ b/src/filters/grant.cpp
@@ -20,6 +20,7 @@
     query.maxTokens = context.model.maxTokens;
     query.fingerprint = context.fingerprint;
     query.repeatable = context.repeatable;
+    query.runAlone = context.alone;
     query.avoid = retries.openCircuits(monotonicNow());
     query.avoid.insert(query.avoid.end(), context.triedServers.begin(), context.triedServers.end());
     return query;
--- a/src/programs/gateway/bindings.cpp
+++ b/src/programs/gateway/bindings.cpp
@@ -24,6 +24,7 @@
     grant.prefixHashes = query.prefixHashes;
     grant.fingerprint = query.fingerprint;
     grant.repeatable = query.repeatable;
+    grant.runAlone = query.runAlone;
     grant.exclude = query.avoid;
     return grant;
 }
--- a/tests/src/unit-grants.cpp
+++ b/tests/src/unit-grants.cpp
@@ -221,6 +221,62 @@
         }
     }
 
+    SECTION("a request that must run alone shares the engine with nobody")
+    {
+        engines.resident[address] = {burnPlan, stock};
+        controller.tick(monotonicNow());
+        GrantQuery suspect = queryFor("r1", burnPlan);
+        suspect.runAlone = true;
+        Outcome alone;
+        client.acquire(suspect, into(alone));
+        REQUIRE(alone.place.has_value());
+        REQUIRE(alone.place->suspect);
+        Outcome beside;
+        client.acquire(queryFor("r2", stock), into(beside));
+        REQUIRE(beside.calls == 0);
+
+        SECTION("until it ends")
+        {
+            client.release(alone.place->backendServer, alone.place->grant, ReleaseHow::Finished);
+            REQUIRE(beside.place.has_value());
+        }
+        SECTION("also after the engine's owner has changed")
+        {
+            GrantController heir(VmId("vm3"), engines.orders(), network.from("vm3"));
+            const std::string heirEndpoint = "tcp://127.0.0.1:22003";
+            network.controllers[heirEndpoint] = &heir;
+            const auto moved = fleetOwnedBy(*snapshot, heirEndpoint);
+            heir.update(snapshot, ownershipOf(*snapshot, OwnerRight::Handover), moved);
+            client.update(snapshot, moved);
+            heir.update(snapshot, ownershipOf(*snapshot, OwnerRight::Full), moved);
+            heir.tick(monotonicNow());
+            Outcome later;
+            client.acquire(queryFor("r3", stock), into(later));
+            REQUIRE(later.calls == 0);
+        }
+    }
+
+    SECTION("an engine that a gateway saw die gets nobody before it answers again")
+    {
+        engines.resident[address] = {burnPlan};
+        controller.tick(monotonicNow());
+        Outcome first;
+        client.acquire(queryFor("r1", burnPlan), into(first));
+        REQUIRE(first.place.has_value());
+        client.release(first.place->backendServer, first.place->grant, ReleaseHow::ServerCrashed);
+        GrantClient other(VmId("vm3"), DataCentreId("dc1"), network.from("vm3"));
+        other.update(snapshot, fleet);
+        Outcome refused;
+        other.acquire(queryFor("r2", burnPlan), into(refused));
+        REQUIRE(refused.error.has_value());
+        REQUIRE(refused.error->code == ErrorCode::NoBackendServer);
+
+        controller.tick(monotonicNow());
+        Outcome served;
+        other.acquire(queryFor("r3", burnPlan), into(served));
+        REQUIRE(served.place.has_value());
+    }
+
     SECTION("an adapter that is not resident is loaded, and its callers wait for one load")
     {
         controller.tick(monotonicNow());
