Count an engine's order to load its model once

Orders for adapters already said when they only ask again.

The repeated order is now marked, until a report shows an engine that loads nothing. Test: a section of unit-edge-places, which failed first.

--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -182,6 +182,7 @@
     bool suspected = false; ///< A request did not reach it; its report is being asked for.
     bool unreachable = false; ///< It gave no report. Nobody waits for it before it answers again.
     bool modelLoaded = false;
+    bool modelOrdered = false; ///< The engine accepted to load it and has not said more.
     Millis modelCheckAt;
     std::map<AdapterId, AdapterPlace> places;
     std::deque<AdapterId> warm; ///< Adapters that were held lately, newest first.
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -367,7 +367,8 @@
         return std::nullopt;
     }
     state.modelCheckAt = now + modelPollTime;
-    return EngineOrder{OrderKind::LoadModel, state.base, AdapterId(), AdapterVersion(), false};
+    return EngineOrder{OrderKind::LoadModel, state.base, AdapterId(), AdapterVersion(),
+                       state.modelOrdered};
 }
 
 /// Asks again for loads that should have ended, and replaces outdated versions nobody uses.
@@ -666,6 +667,7 @@
     }
     if (order.kind == OrderKind::LoadModel) {
         state.modelLoaded = outcome == OrderOutcome::AlreadyHolds;
+        state.modelOrdered = outcome == OrderOutcome::Accepted;
         state.modelCheckAt = now + modelPollTime;
         return;
     }
@@ -694,6 +696,7 @@
 {
     state.synced = true;
     state.resyncWanted = false;
+    state.modelOrdered = report.modelBusy;
     if (state.modelLoaded != report.modelLoaded) {
         state.modelLoaded = report.modelLoaded;
         state.modelCheckAt = report.modelBusy ? now + modelPollTime : now;
--- a/tests/src/unit-edge-places.cpp
+++ b/tests/src/unit-edge-places.cpp
@@ -175,6 +175,24 @@
         const auto actions = engine.decide();
         REQUIRE(only<GrantPlace>(actions).empty());
         REQUIRE(only<EngineOrder>(actions).front().kind == OrderKind::LoadModel);
+        REQUIRE_FALSE(only<EngineOrder>(actions).front().repeated);
+
+        SECTION("and asked whether it has, which is no new order")
+        {
+            noteOrderOutcome(engine.places, engine.limits, OrderOutcome::Accepted, engine.now);
+            engine.now += Millis(1'000);
+            const auto again = only<EngineOrder>(engine.decide());
+            REQUIRE(again.size() == 1);
+            REQUIRE(again.front().kind == OrderKind::LoadModel);
+            REQUIRE(again.front().repeated);
+        }
+        SECTION("and ordered anew where a report shows that it lost the order")
+        {
+            noteOrderOutcome(engine.places, engine.limits, OrderOutcome::Accepted, engine.now);
+            applyReport(engine.places, EngineReport{}, engine.now);
+            engine.now += Millis(1'000);
+            REQUIRE_FALSE(only<EngineOrder>(engine.decide()).front().repeated);
+        }
     }
 
     SECTION("without the right to order, held adapters are served and nothing is ordered")
