Split the request's flow by theme, and name each HTTP status once

An expired request and one whose caller left end what is under way by the same function now. Status codes stood as constants in sixteen files; core/http_status.h names them, with its source.

--- a/src/controllers/engine_client.cpp
+++ b/src/controllers/engine_client.cpp
@@ -1,6 +1,7 @@
 #include <balsamport/controllers/engine_client.h>
 
 #include <balsamport/core/hash.h>
+#include <balsamport/core/http_status.h>
 #include <balsamport/core/log.h>
 
 #include <rapidjson/document.h>
@@ -17,9 +18,6 @@
 
 constexpr Millis orderConnectTimeout{500};
 constexpr Millis reportTimeout{1'000};
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
-constexpr int statusConflict = 409;
 constexpr std::size_t maxAnswerBytes = 1'048'576;
 
 using OutcomeHandler = std::function<void(LoadOutcome)>;
@@ -99,7 +97,7 @@
     sendOrder(client, order, "/v1/load_lora_adapter", order.adapter,
               [done = std::move(done), victimGone](const Result<Exchange> &answer) {
                   if (answer.has_value()) {
-                      const bool loaded = answer.value().status == statusOk;
+                      const bool loaded = answer.value().status == httpstatus::ok;
                       done(loaded ? LoadOutcome::Loaded : LoadOutcome::Failed);
                   } else if (isUnsent(answer.error())) {
                       done(victimGone ? LoadOutcome::Failed : LoadOutcome::NotSent);
@@ -118,9 +116,9 @@
                       return;
                   }
                   const int status = answer.value().status;
-                  if (status == statusOk || status == statusNotFound) {
+                  if (status == httpstatus::ok || status == httpstatus::notFound) {
                       sendLoad(client, order, done);
-                  } else if (status == statusConflict) {
+                  } else if (status == httpstatus::conflict) {
                       done(LoadOutcome::VictimRunning);
                   } else {
                       done(LoadOutcome::Unknown);
--- a/src/controllers/platform_client.cpp
+++ b/src/controllers/platform_client.cpp
@@ -1,6 +1,7 @@
 #include <balsamport/controllers/platform_client.h>
 
 #include <balsamport/core/hash.h>
+#include <balsamport/core/http_status.h>
 
 #include <rapidjson/document.h>
 
@@ -17,9 +18,6 @@
 constexpr Millis callTimeout{2'000};
 constexpr Millis connectTimeout{500};
 constexpr std::chrono::milliseconds stopCheck{100};
-constexpr int statusOk = 200;
-constexpr int statusConflict = 409;
-constexpr int statusTooMany = 429;
 constexpr std::size_t maxAnswerBytes = 4 * maxFileBytes;
 constexpr std::size_t maxValues = 10'000;
 
@@ -190,11 +188,11 @@
         return answer;
     }
     switch (answer.value().status) {
-    case statusOk:
+    case httpstatus::ok:
         return answer;
-    case statusConflict:
+    case httpstatus::conflict:
         return Error{ErrorCode::ConfigStaleRevision, "the revision is no longer there"};
-    case statusTooMany:
+    case httpstatus::tooManyRequests:
         return Error{ErrorCode::RateLimited, "the platform refuses further calls"};
     default:
         return Error{ErrorCode::PlatformUnavailable,
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -82,6 +82,8 @@
     [[nodiscard]] bool takeRetry(std::string_view reason);
     void tryAgain();
     void noteCrashOf(const std::shared_ptr<Attempt> &attempt);
+    /// Ends what is under way: an exchange, or a wait for a place.
+    void dropUnfinished();
     void expire();
     void callerGone();
     void refuse(ErrorCode code, Millis retryAfter);
--- a/src/filters/answer.cpp
+++ b/src/filters/answer.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/filters/answer.h>
 
+#include <balsamport/core/http_status.h>
 #include <balsamport/core/log.h>
 #include <balsamport/core/metric_names.h>
 #include <balsamport/filters/outcome.h>
@@ -22,8 +23,7 @@
 
 std::optional<Millis> retryAfterOf(ErrorCode code) noexcept
 {
-    constexpr int unavailableStatus = 503;
-    const bool passes = statusOf(code) == unavailableStatus || code == ErrorCode::RateLimited
+    const bool passes = statusOf(code) == httpstatus::unavailable || code == ErrorCode::RateLimited
             || code == ErrorCode::KeyInProgress;
     return passes ? std::optional<Millis>(passingFault) : std::nullopt;
 }
--- a/src/filters/dispatch.cpp
+++ b/src/filters/dispatch.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/filters/dispatch.h>
 
+#include <balsamport/core/http_status.h>
 #include <balsamport/core/log.h>
 #include <balsamport/core/metric_names.h>
 #include <balsamport/filters/answer.h>
@@ -19,9 +20,6 @@
 
 constexpr std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024;
 constexpr Millis probeTimeout{300};
-constexpr int firstErrorStatus = 400;
-constexpr int firstServerErrorStatus = 500;
-constexpr int notFoundStatus = 404;
 
 using Sources = std::shared_ptr<const DispatchSources>;
 
@@ -218,7 +216,7 @@
     this->incoming.head = head;
     this->incoming.headSeen = true;
     this->context->run = std::max(this->context->run, RunState::Sent);
-    if (head.status >= firstErrorStatus) {
+    if (httpstatus::isError(head.status)) {
         return;
     }
     this->incoming.streaming
@@ -333,11 +331,11 @@
 {
     const int status = this->incoming.head.status;
     const bool engine = this->context->endpoint != Endpoint::Service;
-    if (engine && status == notFoundStatus) {
+    if (engine && status == httpstatus::notFound) {
         this->handleFailure({ErrorCode::AdapterNotLoaded, "the engine has not loaded the adapter"});
         return;
     }
-    if (status >= firstServerErrorStatus && mayRunAgain(*this->context)) {
+    if (httpstatus::isServerError(status) && mayRunAgain(*this->context)) {
         this->handleFailure({ErrorCode::BackendServerError,
                              "the backend server answered " + std::to_string(status)});
         return;
@@ -347,7 +345,7 @@
     this->release(PlacementEnd::Finished);
     HttpAnswer answer{status, callerHeadersOf(this->incoming.head.headers),
                       std::move(this->incoming.body)};
-    if (!this->context->repeatable && status < firstServerErrorStatus) {
+    if (!this->context->repeatable && !httpstatus::isServerError(status)) {
         this->sources->answers->finish(scopedKey(this->context->caller, this->context->key),
                                        answer);
     }
@@ -386,7 +384,7 @@
     const bool engine = this->context->endpoint != Endpoint::Service;
     const bool lostWhileRunning = this->resuming
             && (error.code == ErrorCode::ConnectFailed
-                || this->incoming.head.status == notFoundStatus);
+                || this->incoming.head.status == httpstatus::notFound);
     if (engine && lostWhileRunning) {
         this->takeCrash(error);
     } else if (engine && error.code == ErrorCode::ConnectionBroken
@@ -410,7 +408,7 @@
     handlers.onHead = [status](const ResponseHead &head) { *status = head.status; };
     handlers.onDone = [self, error, status](const Result<void> &result) {
         const bool unreachable = !result && result.error().code != ErrorCode::Timeout;
-        if (unreachable || *status == notFoundStatus) {
+        if (unreachable || *status == httpstatus::notFound) {
             self->takeCrash(error);
         } else {
             self->retryOrFail(error);
--- a/src/filters/gateway.cpp
+++ b/src/filters/gateway.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/filters/gateway.h>
 
+#include <balsamport/core/http_status.h>
 #include <balsamport/core/metric_names.h>
 #include <balsamport/filters/alias_resolution.h>
 #include <balsamport/filters/answer.h>
@@ -21,9 +22,6 @@
 
 namespace {
 
-constexpr int okStatus = 200;
-constexpr int unavailableStatus = 503;
-
 FilterChain requestChain(const GatewaySources &sources, std::shared_ptr<InProgress> progress,
                          const std::shared_ptr<AnswerStore> &answers)
 {
@@ -86,7 +84,7 @@
 
 HttpAnswer probeAnswer(bool good)
 {
-    return {good ? okStatus : unavailableStatus,
+    return {good ? httpstatus::ok : httpstatus::unavailable,
             {{std::string(headername::contentType), "text/plain"}},
             good ? "ok\n" : "unavailable\n"};
 }
@@ -136,7 +134,7 @@
     } else if (request.path == "/ready") {
         writer.send(probeAnswer(!this->leaving && this->sources.snapshot() != nullptr));
     } else if (request.path == "/metrics") {
-        writer.send({okStatus,
+        writer.send({httpstatus::ok,
                      {{std::string(headername::contentType), "text/plain; version=0.0.4"}},
                      this->sources.metrics()});
     } else {
--- a/src/filters/model_list.cpp
+++ b/src/filters/model_list.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/filters/model_list.h>
 
+#include <balsamport/core/http_status.h>
 #include <balsamport/filters/answer.h>
 
 #include <rapidjson/stringbuffer.h>
@@ -11,8 +12,6 @@
 
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
-constexpr int okStatus = 200;
-
 void writeModel(Writer &writer, const std::string &id)
 {
     writer.StartObject();
@@ -59,7 +58,7 @@
             return;
         }
         answerRequest(context,
-                      {okStatus,
+                      {httpstatus::ok,
                        {{std::string(headername::contentType), "application/json"}},
                        modelListBody(*context->snapshot)});
     };
--- a/src/filters/tickets.cpp
+++ b/src/filters/tickets.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/filters/tickets.h>
 
+#include <balsamport/core/http_status.h>
 #include <balsamport/filters/answer.h>
 
 #include <rapidjson/stringbuffer.h>
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr int createdStatus = 201;
-
 std::string ticketBody(const RequestKey &key)
 {
     rapidjson::StringBuffer buffer;
@@ -39,7 +38,7 @@
                 return;
             }
             answerRequest(context,
-                          {createdStatus,
+                          {httpstatus::created,
                            {{std::string(headername::contentType), "application/json"}},
                            ticketBody(key.value())});
         });
--- a/src/http/curl_exchange.cpp
+++ b/src/http/curl_exchange.cpp
@@ -1,5 +1,7 @@
 #include "curl_exchange.h"
 
+#include <balsamport/core/http_status.h>
+
 #include <mutex>
 #include <utility>
 
@@ -147,8 +149,7 @@
     long status = 0;
     curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
     this->head.status = static_cast<int>(status);
-    constexpr int firstFinalStatus = 200;
-    if (line.empty() && this->head.status >= firstFinalStatus) {
+    if (line.empty() && this->head.status >= httpstatus::ok) {
         this->announceHead();
     }
 }
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -1,5 +1,6 @@
 #include "response_writer.h"
 
+#include <balsamport/core/http_status.h>
 #include <balsamport/core/log.h>
 
 #include <http_parser.h>
@@ -137,8 +138,9 @@
         this->stream.reset();
     } else if (!this->answered && this->request) {
         this->answered = true;
-        constexpr int internalError = 500;
-        this->request->create_response(statusLine(internalError)).connection_close().done();
+        this->request->create_response(statusLine(httpstatus::internalError))
+                .connection_close()
+                .done();
     }
 }
 
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -1,11 +1,10 @@
+#include <balsamport/core/http_status.h>
 #include <balsamport/policy/outcome.h>
 
 namespace balsamport {
 
 namespace {
 
-constexpr int firstServerErrorStatus = 500;
-
 int statusOfRequestFault(ErrorCode failure) noexcept
 {
     switch (failure) {
@@ -61,7 +60,7 @@
 Outcome outcomeOf(const AttemptEnd &end) noexcept
 {
     const bool answered = end.stage == AttemptStage::Answered && !end.failure;
-    if (answered && end.answerStatus < firstServerErrorStatus) {
+    if (answered && !httpstatus::isServerError(end.answerStatus)) {
         return Outcome::Ran;
     }
     if (end.stage == AttemptStage::Sent || end.stage == AttemptStage::Answered) {
--- a/src/tools/answer_check.cpp
+++ b/src/tools/answer_check.cpp
@@ -1,3 +1,4 @@
+#include <balsamport/core/http_status.h>
 #include <balsamport/tools/answer_check.h>
 
 #include <rapidjson/document.h>
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr int firstErrorStatus = 400;
 constexpr std::string_view dataPrefix = "data: ";
 constexpr std::string_view endMark = "[DONE]";
 
@@ -151,7 +151,7 @@
     if (received.status == 0) {
         return Verdict::NoAnswer;
     }
-    if (received.status < firstErrorStatus) {
+    if (!httpstatus::isError(received.status)) {
         return std::nullopt;
     }
     rapidjson::Document document;
