Let an owner that knows of every peer order without waiting for a lease

The wait guards against another holder. There is none where every known peer has been heard without a gap for a lease and the 5 s in which a silence may go unnoticed, none has claimed the engine within a lease, and this daemon has not stood still: a peer that took the engine over unheard would still be waiting itself.

Test: sections of unit-edge-state, for touch that is too short, interrupted, or broken by a pause, and for a claim within the lease.

--- a/include/balsamport/edge/order_ownership.h
+++ b/include/balsamport/edge/order_ownership.h
@@ -14,10 +14,13 @@
 ///
 /// There is nobody to elect an owner. An engine without a live owner is claimed by the first live
 /// daemon of its data centre by rendezvous, which then stays the owner until it stops. A new owner
-/// gives no order before the engine's own order count has stood still for longer than a lease.
+/// gives no order before the engine's own order count has stood still for longer than a lease,
+/// unless it knows that nobody else gave any; see isUncontested().
 struct OrderOwnership
 {
     Millis startedAt;
+    Millis lookedAt{-1}; ///< When updateOwnership() looked last.
+    Millis inTouchSince{-1}; ///< Since when every known peer has been alive at each look.
     std::set<BackendServerId> owned;
     std::map<BackendServerId, Millis> claimedByPeerAt; ///< When a peer last said it owns it.
 
@@ -30,6 +33,10 @@
     Millis settle{700}; ///< After the start, so that peers with claims are heard first.
     Millis farSettle{8'000}; ///< The same for engines of other data centres.
     Millis silence{2'600}; ///< A peer's claim holds this long without being repeated.
+    Millis standstill{1'200}; ///< Longer between two looks, and peers may have taken over.
+    /// Added to a lease: a peer may be out of reach this long before it counts as silent. Source:
+    /// PeerTimings::farAlive.
+    Millis unnoticed{5'000};
 
     bool operator==(const OwnershipTimings &) const = default;
 };
@@ -60,6 +67,16 @@
                                 const std::vector<EngineSite> &engines, const PeerTable &peers,
                                 bool leaving, Millis now);
 
+/// @brief Tells whether nobody else can have given orders to an owned engine within a lease.
+///
+/// So it is where every known peer has been heard without a gap for a lease and for the time that a
+/// silence takes to be noticed, and none has claimed the engine within a lease: a peer that took it
+/// over unheard would still be waiting. Its owner then need not wait, whatever the engine's order
+/// count; an engine that returns after a crash has none.
+/// @param lease time within which two holders must not take turns
+[[nodiscard]] bool isUncontested(const OrderOwnership &state, const OwnershipTimings &timings,
+                                 const BackendServerId &engine, Millis lease, Millis now);
+
 /// @brief Names the daemon that owns an engine, or the likeliest one where nobody says so.
 /// @return this VM's id only where it owns the engine; nothing where it would be the likeliest
 [[nodiscard]] std::optional<VmId> ownerOf(const OrderOwnership &state, const PeerTable &peers,
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -5,6 +5,7 @@
 #include "published_controller.h"
 #include "request_flow.h"
 
+#include <balsamport/core/http_status.h>
 #include <balsamport/core/metric_names.h>
 #include <balsamport/edge/published_message.h>
 #include <balsamport/http/http_server.h>
@@ -30,8 +31,6 @@
 /// Before the platform's own end of the process.
 constexpr Millis stopMargin{700};
 constexpr Millis stopTick{50};
-constexpr int okStatus = 200;
-constexpr int unavailable = 503;
 
 } // namespace
 
@@ -86,6 +85,10 @@
     PeerController peers{this->context, this->messages, [this] { return this->selfNews(); }};
     EngineController engines{this->context,
                              [this] { return this->published.state().contentRevision; },
+                             [this](const BackendServerId &server, Millis lease) {
+                                 return isUncontested(this->ownership, this->ownershipTimings,
+                                                      server, lease, monotonicNow());
+                             },
                              [this](const PlaceKey &key, const BackendServerId & /*server*/,
                                     const PlaceVerdict &verdict) {
                                  if (key.vm == this->settings.vm) {
@@ -140,7 +143,8 @@
     server.address = this->settings.healthAddress;
     auto health = HttpServer::start(server, [this](const auto &request, const auto &writer) {
         const bool takes = request->path == this->settings.healthPath && this->ready;
-        writer->send(HttpAnswer{takes ? okStatus : unavailable, {}, std::string()});
+        writer->send(
+                HttpAnswer{takes ? httpstatus::ok : httpstatus::unavailable, {}, std::string()});
     });
     if (health.has_error()) {
         return health.error();
@@ -150,7 +154,7 @@
         server.address = this->settings.metricsAddress;
         auto metrics = HttpServer::start(
                 server, [this](const auto & /*request*/, const auto &writer) {
-                    writer->send(HttpAnswer{okStatus,
+                    writer->send(HttpAnswer{httpstatus::ok,
                                             {{"Content-Type", "text/plain; version=0.0.4"}},
                                             this->context.metrics.prometheusText(monotonicNow())});
                 });
@@ -434,7 +438,7 @@
         // It might not end before the process does; every other daemon can take it.
         this->log.write(EventWeight::Notable, "refused",
                         {{"reason", "stopping"}, {"stopping_ms", now - this->leftAt}});
-        writer->send(HttpAnswer{unavailable,
+        writer->send(HttpAnswer{httpstatus::unavailable,
                                 {{"Retry-After", "0.05"}, {"Connection", "close"}},
                                 std::string(errorName(ErrorCode::Leaving))});
         return;
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -58,9 +58,11 @@
 } // namespace
 
 EngineController::EngineController(EdgeContext &owner, std::function<std::uint64_t()> revision,
+                                   std::function<bool(const BackendServerId &, Millis)> uncontested,
                                    VerdictHandler handler)
     : context(owner)
     , contentRevision(std::move(revision))
+    , isUncontested(std::move(uncontested))
     , onVerdict(std::move(handler))
 { }
 
@@ -390,7 +392,8 @@
         term.countSeenAt = now;
     }
     const Millis quiet = this->context.settings.leaseTime + leaseSlack;
-    if (now - term.countSeenAt < quiet) {
+    const bool uncontested = this->isUncontested(term.server.id, quiet);
+    if (!uncontested && now - term.countSeenAt < quiet) {
         this->reportAfter(term, quiet - (now - term.countSeenAt) + soonest);
         return;
     }
@@ -400,6 +403,7 @@
     this->context.log.write(EventWeight::Notable, "orders_allowed",
                             {{"server", term.server.id.str()},
                              {"number", term.number.number()},
+                             {"uncontested", uncontested},
                              {"order_count", term.orderCount}});
 }
 
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -49,7 +49,9 @@
                                               const PlaceVerdict &verdict)>;
 
     /// @param contentRevision gives the revision of the published state, for fencing numbers
+    /// @param uncontested tells whether nobody else can have given orders within a lease
     EngineController(EdgeContext &context, std::function<std::uint64_t()> contentRevision,
+                     std::function<bool(const BackendServerId &, Millis lease)> uncontested,
                      VerdictHandler onVerdict);
 
     /// @brief Begins a term as the owner of an engine.
@@ -106,6 +108,7 @@
 
     EdgeContext &context;
     std::function<std::uint64_t()> contentRevision;
+    std::function<bool(const BackendServerId &, Millis)> isUncontested;
     VerdictHandler onVerdict;
     AdapterVersions versions;
     std::map<BackendServerId, std::unique_ptr<Term>> terms;
--- a/src/edge/order_ownership.cpp
+++ b/src/edge/order_ownership.cpp
@@ -38,6 +38,23 @@
     return nullptr;
 }
 
+void noteTouch(OrderOwnership &state, const OwnershipTimings &timings, const PeerTable &peers,
+               Millis now)
+{
+    const bool allAlive
+            = std::all_of(peers.peers.begin(), peers.peers.end(), [&peers, now](const auto &entry) {
+                  return isAlive(peers, entry.second, now);
+              });
+    const bool stoodStill
+            = state.lookedAt < Millis(0) || now - state.lookedAt >= timings.standstill;
+    state.lookedAt = now;
+    if (!allAlive) {
+        state.inTouchSince = Millis(-1);
+    } else if (stoodStill || state.inTouchSince < Millis(0)) {
+        state.inTouchSince = now;
+    }
+}
+
 bool ranksAbove(const VmId &a, const VmId &b, const BackendServerId &engine)
 {
     return rendezvousFirst(engine.str(), std::vector<VmId>{a, b}) == a;
@@ -49,6 +66,7 @@
                                 const std::vector<EngineSite> &engines, const PeerTable &peers,
                                 bool leaving, Millis now)
 {
+    noteTouch(state, timings, peers, now);
     OwnershipChange change;
     std::set<BackendServerId> known;
     for (const EngineSite &engine : engines) {
@@ -93,6 +111,19 @@
     return change;
 }
 
+bool isUncontested(const OrderOwnership &state, const OwnershipTimings &timings,
+                   const BackendServerId &engine, Millis lease, Millis now)
+{
+    const bool looking = state.lookedAt >= Millis(0) && now - state.lookedAt < timings.standstill;
+    const bool inTouch = state.inTouchSince >= Millis(0)
+            && now - state.inTouchSince >= lease + timings.unnoticed;
+    if (!looking || !inTouch || state.owned.count(engine) == 0) {
+        return false;
+    }
+    const auto claimed = state.claimedByPeerAt.find(engine);
+    return claimed == state.claimedByPeerAt.end() || now - claimed->second >= lease;
+}
+
 std::optional<VmId> ownerOf(const OrderOwnership &state, const PeerTable &peers,
                             const EngineSite &engine, Millis now)
 {
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -365,6 +365,63 @@
                 == 1);
     }
 
+    SECTION("an owner that knows of every peer need not wait for an engine that crashed")
+    {
+        const Millis lease(3'300);
+        const Millis span = lease + timings.unnoticed;
+        const BackendServerId engine("e1");
+        const auto lookUntil = [&](Millis from, Millis until, const std::vector<VmId> &heard) {
+            for (Millis at = from; at <= until; at += Millis(200)) {
+                for (const VmId &peer : heard) {
+                    hearPeer(peers, news(peer.str().c_str(), "a"), at);
+                }
+                (void)updateOwnership(state, timings, engines, peers, false, at);
+            }
+        };
+        lookUntil(Millis(0), Millis(3'000), {VmId("v2")});
+        REQUIRE(state.owned.count(engine) == 1);
+
+        SECTION("once it has been in touch with all for a lease and longer")
+        {
+            REQUIRE_FALSE(isUncontested(state, timings, engine, lease, Millis(3'000)));
+            lookUntil(Millis(3'200), span, {VmId("v2")});
+            REQUIRE(isUncontested(state, timings, engine, lease, span));
+        }
+        SECTION("not where a peer has been silent meanwhile, even if it is back")
+        {
+            lookUntil(Millis(3'200), Millis(6'000), {});
+            lookUntil(Millis(6'200), span + Millis(2'000), {VmId("v2")});
+            REQUIRE_FALSE(isUncontested(state, timings, engine, lease, span + Millis(2'000)));
+            lookUntil(span + Millis(2'200), Millis(6'200) + span, {VmId("v2")});
+            REQUIRE(isUncontested(state, timings, engine, lease, Millis(6'200) + span));
+        }
+        SECTION("not where it stood still itself")
+        {
+            lookUntil(Millis(3'200), span, {VmId("v2")});
+            const Millis woken = span + Millis(60'000);
+            REQUIRE_FALSE(isUncontested(state, timings, engine, lease, woken));
+            lookUntil(woken, woken + Millis(1'000), {VmId("v2")});
+            REQUIRE_FALSE(isUncontested(state, timings, engine, lease, woken + Millis(1'000)));
+        }
+        SECTION("not where a peer claimed the engine within the lease")
+        {
+            lookUntil(Millis(3'200), span, {VmId("v2")});
+            PeerNews claim = news("v2", "a");
+            claim.owned = {engine};
+            hearPeer(peers, claim, span + Millis(100));
+            state.owned.clear();
+            lookUntil(span + Millis(200), span + Millis(200), {});
+            lookUntil(span + Millis(400), span + Millis(3'000), {VmId("v2")});
+            REQUIRE(state.owned.count(engine) == 1);
+            REQUIRE_FALSE(isUncontested(state, timings, engine, lease, span + Millis(3'000)));
+        }
+        SECTION("nor for an engine of another daemon")
+        {
+            lookUntil(Millis(3'200), span, {VmId("v2")});
+            REQUIRE_FALSE(isUncontested(state, timings, BackendServerId("e2"), lease, span));
+        }
+    }
+
     SECTION("fencing numbers rise with each term and differ between daemons")
     {
         REQUIRE(fencingNumberFor(10, 4, VmId("v1")) > fencingNumberFor(10, 3, VmId("v2")));
