Let one daemon of a data centre list the store when all start, and tell of live peers only

A daemon that knows nothing now waits 150 ms, in which peers greet it and send what they hold; then the first by rank lists, and the others leave it half a second to list and tell. Test: unit-edge-state, "all start at once".

A second fault was found on the way: members that were gone for good were told on by daemons that had not forgotten them yet, so two daemons could remind each other for ever, and an owner would never count as in touch with all. Only live peers are told of now; the choice moved to a function with a test.

--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -102,6 +102,11 @@
 /// @param leaving this daemon stops; another one becomes the delegate
 [[nodiscard]] GossipTargets gossipTargets(PeerTable &table, bool leaving, Millis now);
 
+/// @brief Chooses the peers that near ones are told of in this round: new ones, and one of the
+/// others in turn, so that what was lost is told again. Only live ones, or two daemons would remind
+/// each other of a machine that is gone for good.
+[[nodiscard]] std::vector<const Peer *> peersToTell(PeerTable &table, Millis now);
+
 /// @brief Ranks this daemon among the live members of its data centre that reach the store.
 /// @return 0 for the one that reads the store for all of them
 /// @complexity linear in the peers
@@ -114,6 +119,14 @@
 /// not by all at once, whose reads would fill the links to the store.
 [[nodiscard]] Millis staleAgeFor(std::size_t rank) noexcept;
 
+/// @brief Says how long after its start a daemon that knows nothing yet lists the store itself.
+///
+/// Where many start at once, the first of each data centre lists and tells the others; all lists at
+/// once would fill the links to the store. One that starts beside others mostly hears from them
+/// what they hold before it asks the store.
+/// @param rank of storeReaderRank(), which counts only peers that were heard by then
+[[nodiscard]] Millis firstReadAfter(std::size_t rank) noexcept;
+
 } // namespace balsamport
 
 #endif
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -64,7 +64,9 @@
     const std::uint64_t roundNumber = this->peers.round;
     const GossipTargets targets = gossipTargets(this->peers, this->self().leaving, now);
     wire::Envelope nearMessage = this->gossip();
-    this->addNews(*nearMessage.mutable_edge_gossip());
+    for (const Peer *peer : peersToTell(this->peers, now)) {
+        addMember(*nearMessage.mutable_edge_gossip(), *peer);
+    }
     for (const Peer *peer : targets.near) {
         this->messages.notify(peer->endpoint, nearMessage);
     }
@@ -130,21 +132,6 @@
     return message;
 }
 
-void PeerController::addNews(wire::EdgeGossip &gossip)
-{
-    // New peers at once, and one of the others in turn, so that what was lost is told again.
-    const std::size_t count = this->peers.peers.size();
-    const std::size_t turn = count == 0 ? 0 : this->peers.round % count;
-    std::size_t index = 0;
-    for (auto &[vm, peer] : this->peers.peers) {
-        const bool isTurn = index++ == turn;
-        if (peer.newsLeft > 0 || isTurn) {
-            peer.newsLeft -= peer.newsLeft > 0 ? 1 : 0;
-            addMember(gossip, peer);
-        }
-    }
-}
-
 void PeerController::addMembers(wire::EdgeGossip &gossip, Millis now) const
 {
     for (const auto &[vm, peer] : this->peers.peers) {
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -56,7 +56,6 @@
     void noteSilence(Millis now);
     [[nodiscard]] wire::Envelope gossip() const;
     [[nodiscard]] wire::Envelope dataCentreGossip(Millis now) const;
-    void addNews(wire::EdgeGossip &gossip);
     void addMembers(wire::EdgeGossip &gossip, Millis now) const;
 
     EdgeContext &context;
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -104,6 +104,25 @@
     return targets;
 }
 
+std::vector<const Peer *> peersToTell(PeerTable &table, Millis now)
+{
+    std::vector<const Peer *> told;
+    const std::size_t count = table.peers.size();
+    const std::size_t turn = count == 0 ? 0 : table.round % count;
+    std::size_t index = 0;
+    for (auto &[vm, peer] : table.peers) {
+        const bool isTurn = index++ == turn;
+        if (!isAlive(table, peer, now)) {
+            continue;
+        }
+        if (peer.newsLeft > 0 || isTurn) {
+            peer.newsLeft -= peer.newsLeft > 0 ? 1 : 0;
+            told.push_back(&peer);
+        }
+    }
+    return told;
+}
+
 std::size_t storeReaderRank(const PeerTable &table, bool selfReachesStore, Millis now)
 {
     const std::uint64_t role = hash64("store-reader");
@@ -132,4 +151,19 @@
             + step * static_cast<std::int64_t>(std::min(rank == 0 ? 0 : rank - 1, mostSteps));
 }
 
+Millis firstReadAfter(std::size_t rank) noexcept
+{
+    // Peers of the data centre answer a greeting well within this.
+    constexpr Millis greeting{150};
+    // For the first one's list and its way to the others. Source: docs/incidents/inc-7b0f.md, half
+    // a megabyte for each data centre over 60 Mbit/s.
+    constexpr Millis firstList{500};
+    constexpr Millis step{150};
+    constexpr std::size_t mostSteps = 6;
+    if (rank == 0) {
+        return greeting;
+    }
+    return greeting + firstList + step * static_cast<std::int64_t>(std::min(rank - 1, mostSteps));
+}
+
 } // namespace balsamport
--- a/src/edge/published_controller.cpp
+++ b/src/edge/published_controller.cpp
@@ -19,6 +19,10 @@
 constexpr Millis callTimeout{900};
 /// Daemons that do not read look this often whether they should.
 constexpr Millis idlePace{400};
+/// Daemons that know nothing yet look so often.
+constexpr Millis firstPace{50};
+/// The age of what was never read.
+constexpr Millis never{1'000'000};
 constexpr Millis firstBackoff{250};
 constexpr std::uint32_t maxBackoffSteps = 3;
 
@@ -35,12 +39,12 @@
 
 void PublishedController::start()
 {
+    this->startedAt = monotonicNow();
     this->schedule(Millis(0));
 }
 
 Millis PublishedController::age(Millis now) const noexcept
 {
-    constexpr Millis never{1'000'000};
     return this->published.confirmedAt < Millis(0) ? never : now - this->published.confirmedAt;
 }
 
@@ -53,8 +57,12 @@
 {
     const Millis now = monotonicNow();
     const std::size_t rank = this->readerRank();
-    if (rank != 0 && this->age(now) < staleAgeFor(rank)) {
-        this->schedule(idlePace);
+    const Millis age = this->age(now);
+    const bool unread = age >= never;
+    const bool othersRead = unread ? now - this->startedAt < firstReadAfter(rank)
+                                   : rank != 0 && age < staleAgeFor(rank);
+    if (othersRead) {
+        this->schedule(unread ? firstPace : idlePace);
         return;
     }
     this->stepAt = now;
--- a/src/edge/published_controller.h
+++ b/src/edge/published_controller.h
@@ -63,6 +63,7 @@
     std::uint64_t listRevision = 0; ///< Of the store before the first page.
     std::uint64_t storeRevision = 0; ///< Up to which changes were read; 0 before the first list.
     std::size_t watchIndex = 0;
+    Millis startedAt{0};
     Millis stepAt{0};
     Millis failedAt{-1};
     std::uint32_t failures = 0;
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -220,6 +220,28 @@
         REQUIRE(told.size() == 100);
     }
 
+    SECTION("near peers are told of new members twice and of all in turn, but of no silent one")
+    {
+        PeerTable member = tableOf("m", "a");
+        for (const char *peer : {"n1", "n2", "n3"}) {
+            hearPeer(member, news(peer, "a"), Millis(1'000));
+        }
+        PeerNews unheard = news("n4", "a");
+        learnPeer(member, unheard, Millis(1'000));
+        REQUIRE(peersToTell(member, Millis(1'100)).size() == 3);
+        REQUIRE(peersToTell(member, Millis(1'600)).size() == 3);
+        hearPeer(member, news("n1", "a"), Millis(5'000));
+        hearPeer(member, news("n2", "a"), Millis(5'000));
+        std::set<VmId> told;
+        for (int round = 0; round < 8; ++round) {
+            (void)gossipTargets(member, false, Millis(5'100));
+            for (const Peer *peer : peersToTell(member, Millis(5'100))) {
+                told.insert(peer->vm);
+            }
+        }
+        REQUIRE(told == std::set<VmId>{VmId("n1"), VmId("n2")});
+    }
+
     SECTION("one daemon of a data centre reads the store, and another when it cannot")
     {
         PeerTable other = tableOf("v2", "a");
@@ -254,6 +276,13 @@
         {
             REQUIRE(staleAgeFor(1'000) < Millis(3'000));
         }
+        SECTION("load pattern: all start at once. One lists, and the others leave it half a second")
+        {
+            REQUIRE(firstReadAfter(0) < Millis(200));
+            REQUIRE(firstReadAfter(1) >= firstReadAfter(0) + Millis(500));
+            REQUIRE(firstReadAfter(2) > firstReadAfter(1));
+            REQUIRE(firstReadAfter(1'000) < Millis(2'000));
+        }
     }
 }
 
