Leave 60 ms for the way of an event and for the error of the reckoning

Cause: with only 15 ms, an engine that reads a third slower than the owner has learnt yet, or two prompts that reach it closer than they were handed over, make streams pause for too long.

--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -93,7 +93,9 @@
     /// between any steps of one event leaves time for these, and for the way to the caller.
     Millis longestPause{400}; ///< Source: the users' sheets, "pauses 400".
     std::uint32_t pieceTokens = 4'096; ///< Read in one step. Source: the users' sites, "chunk".
-    Millis deliveryJitter{15}; ///< Between an event's end and its caller's daemon, mostly.
+    /// For the way of an event and of a prompt, and for the error of the reckoned reading. Source:
+    /// trials of 15, 40 and 60 ms, see docs/design/platform.md.
+    Millis deliveryJitter{60};
     Millis coldLoad{250}; ///< Source: the users' system page, time of an adapter load.
     Millis warmLoad{25}; ///< An adapter that was held lately loads ten times as fast.
     Millis otherHomeWait{80}; ///< Longer expected waits send a request to another home; asking it
