Pull what is missing before changes that a peer pushes

A push now says after which revision its changes are all there are. One that does not join on to what is held is not merged; the daemon pulls from that peer instead (log line changes_missing). Also, an answer of the store that history is lost no longer counts as a confirmation of what is held.

Test: unit-edge-state, "also where a later change reaches it first".

--- a/include/balsamport/edge/published.h
+++ b/include/balsamport/edge/published.h
@@ -31,6 +31,13 @@
     Millis confirmedAt{-1}; ///< When the store last answered, here or at a peer; -1 for never.
 };
 
+/// @brief Tells whether changes may be merged: nothing is missing before them.
+///
+/// A state that took changes over a gap would seem newer than it is, and no peer would send what it
+/// lacks.
+/// @param since the changes are all those after this revision
+[[nodiscard]] bool joinsOn(const PublishedState &state, std::uint64_t since) noexcept;
+
 /// @brief Takes entries; older revisions than those held are ignored.
 /// @return the entries that were new
 /// @complexity O(n log m) for n entries given and m held
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -52,7 +52,7 @@
     void updateGauges(Millis now);
     void checkPause(Millis now);
     void updateEngines(Millis now);
-    void takeChanges(const std::vector<PublishedEntry> &changed, bool own);
+    void takeChanges(const std::vector<PublishedEntry> &changed, std::uint64_t since, bool own);
     void takeEntry(const PublishedEntry &entry, Millis now);
     void takeServer(const PublishedEntry &entry, const ServerEntry &server, Millis now);
     void takeConfig(const EdgeConfig &config);
@@ -61,8 +61,9 @@
     void takeRequest(std::shared_ptr<const IncomingRequest> request,
                      std::shared_ptr<ResponseWriter> writer);
     void takeEntries(const VmId &peer, const wire::PublishedItems &items);
-    void sendEntries(const VmId &peer, const std::vector<PublishedEntry> &entries);
-    [[nodiscard]] wire::Envelope entriesMessage(const std::vector<PublishedEntry> &entries) const;
+    void pullEntries(const VmId &peer, Millis now);
+    [[nodiscard]] wire::Envelope entriesMessage(const std::vector<PublishedEntry> &entries,
+                                                std::uint64_t since) const;
     void takeSignal(int number);
     void leave();
     void awaitEnd();
@@ -98,15 +99,15 @@
                                  }
                              }};
     PlaceClient places{this->context, this->peers, this->engines, this->ownership};
-    PublishedController published{this->context,
-                                  [this] {
-                                      return storeReaderRank(this->peers.table(),
-                                                             this->published.storeReachable(),
-                                                             monotonicNow());
-                                  },
-                                  [this](const std::vector<PublishedEntry> &changed, bool own) {
-                                      this->takeChanges(changed, own);
-                                  }};
+    PublishedController published{
+            this->context,
+            [this] {
+                return storeReaderRank(this->peers.table(), this->published.storeReachable(),
+                                       monotonicNow());
+            },
+            [this](const std::vector<PublishedEntry> &changed, std::uint64_t since, bool own) {
+                this->takeChanges(changed, since, own);
+            }};
     FlowContext flows{this->context, this->state, this->places, this->peers, {}};
     std::unique_ptr<LoopTimer> tickTimer = this->loop.makeTimer();
     std::unique_ptr<LoopTimer> stopTimer = this->loop.makeTimer();
@@ -267,12 +268,13 @@
     }
 }
 
-void EdgeDaemon::Impl::takeChanges(const std::vector<PublishedEntry> &changed, bool own)
+void EdgeDaemon::Impl::takeChanges(const std::vector<PublishedEntry> &changed, std::uint64_t since,
+                                   bool own)
 {
     const Millis now = monotonicNow();
     if (own) {
         // First, so that the peers read a long configuration at the same time.
-        this->peers.sendToDataCentre(this->entriesMessage(changed));
+        this->peers.sendToDataCentre(this->entriesMessage(changed, since));
     }
     for (const PublishedEntry &entry : changed) {
         this->takeEntry(entry, now);
@@ -360,9 +362,11 @@
         this->takeEntries(peer, message.published_items());
         break;
     case wire::Envelope::kPublishedPull:
-        this->sendEntries(
+        this->peers.send(
                 peer,
-                entriesSince(this->published.state(), message.published_pull().since_revision()));
+                this->entriesMessage(entriesSince(this->published.state(),
+                                                  message.published_pull().since_revision()),
+                                     message.published_pull().since_revision()));
         break;
     case wire::Envelope::kPlaceRequest:
         this->places.servePeer(peer, run, message.place_request());
@@ -391,19 +395,29 @@
     const Millis age(gossip.published_age_ms());
     if (gossip.content_revision() <= this->published.state().contentRevision) {
         this->published.confirmFromPeer(gossip.content_revision(), age);
-    } else if (now - this->lastPull > pullPace) {
-        this->lastPull = now;
-        wire::Envelope pull;
-        pull.mutable_published_pull()->set_since_revision(this->published.state().contentRevision);
-        this->peers.send(peer, std::move(pull));
+    } else {
+        this->pullEntries(peer, now);
     }
 }
 
-wire::Envelope EdgeDaemon::Impl::entriesMessage(const std::vector<PublishedEntry> &entries) const
+void EdgeDaemon::Impl::pullEntries(const VmId &peer, Millis now)
+{
+    if (now - this->lastPull <= pullPace) {
+        return; // The next gossip of any peer asks again.
+    }
+    this->lastPull = now;
+    wire::Envelope pull;
+    pull.mutable_published_pull()->set_since_revision(this->published.state().contentRevision);
+    this->peers.send(peer, std::move(pull));
+}
+
+wire::Envelope EdgeDaemon::Impl::entriesMessage(const std::vector<PublishedEntry> &entries,
+                                                std::uint64_t since) const
 {
     wire::Envelope message;
     wire::PublishedItems &items = *message.mutable_published_items();
     items = itemsMessage(entries);
+    items.set_since_revision(since);
     items.set_content_revision(this->published.state().contentRevision);
     items.set_published_age_ms(
             static_cast<std::uint32_t>(this->published.age(monotonicNow()).count()));
@@ -420,15 +434,19 @@
                          {"detail", entries.error().detail}});
         return;
     }
+    const PublishedState &state = this->published.state();
+    if (!joinsOn(state, items.since_revision())) {
+        this->log.write(EventWeight::Notable, "changes_missing",
+                        {{"peer", peer.str()},
+                         {"held_revision", state.contentRevision},
+                         {"since_revision", items.since_revision()}});
+        this->pullEntries(peer, monotonicNow());
+        return;
+    }
     this->published.takeFromPeer(entries.value(), items.content_revision(),
                                  Millis(items.published_age_ms()));
 }
 
-void EdgeDaemon::Impl::sendEntries(const VmId &peer, const std::vector<PublishedEntry> &entries)
-{
-    this->peers.send(peer, this->entriesMessage(entries));
-}
-
 void EdgeDaemon::Impl::takeRequest(std::shared_ptr<const IncomingRequest> request,
                                    std::shared_ptr<ResponseWriter> writer)
 {
--- a/src/edge/published.cpp
+++ b/src/edge/published.cpp
@@ -5,6 +5,11 @@
 
 namespace balsamport {
 
+bool joinsOn(const PublishedState &state, std::uint64_t since) noexcept
+{
+    return since <= state.contentRevision;
+}
+
 std::vector<PublishedEntry> mergeEntries(PublishedState &state,
                                          const std::vector<PublishedEntry> &entries)
 {
--- a/src/edge/published_controller.cpp
+++ b/src/edge/published_controller.cpp
@@ -28,9 +28,8 @@
 
 } // namespace
 
-PublishedController::PublishedController(
-        EdgeContext &owner, std::function<std::size_t()> rank,
-        std::function<void(const std::vector<PublishedEntry> &, bool)> changeHandler)
+PublishedController::PublishedController(EdgeContext &owner, std::function<std::size_t()> rank,
+                                         ChangeHandler changeHandler)
     : context(owner)
     , readerRank(std::move(rank))
     , onChange(std::move(changeHandler))
@@ -123,12 +122,14 @@
 
 void PublishedController::finishList()
 {
-    this->noteSuccess();
+    this->noteAnswer();
+    this->confirm();
     this->storeRevision = this->listRevision;
+    const std::uint64_t since = this->published.contentRevision;
     const std::vector<PublishedEntry> changed
             = replaceEntries(this->published, this->listing, this->listRevision);
     this->listing.clear();
-    this->change(changed, true);
+    this->change(changed, since, true);
     this->schedule(callPace);
 }
 
@@ -149,17 +150,20 @@
         this->noteFailure(page.error());
         return;
     }
-    this->noteSuccess();
+    this->noteAnswer();
     if (page.value().historyLost) {
+        // What is held may be old; only the list that follows confirms it.
         this->context.log.write(EventWeight::Vital, "store_history_lost",
                                 {{"revision", this->storeRevision}});
         this->storeRevision = 0;
         this->schedule(Millis(0));
         return;
     }
+    this->confirm();
+    const std::uint64_t since = this->published.contentRevision;
     const std::vector<PublishedEntry> relevant = this->withoutHeartbeats(page.value().entries);
     this->storeRevision = std::max(this->storeRevision, page.value().revision);
-    this->change(mergeEntries(this->published, relevant), true);
+    this->change(mergeEntries(this->published, relevant), since, true);
     const Millis spent = monotonicNow() - this->stepAt;
     this->schedule(std::max(callPace - spent, Millis(0)));
 }
@@ -191,7 +195,7 @@
     return before.has_value() && before.value() == after.value();
 }
 
-void PublishedController::noteSuccess()
+void PublishedController::noteAnswer()
 {
     if (!this->reachable) {
         this->context.log.write(EventWeight::Vital, "store_back",
@@ -199,6 +203,10 @@
     }
     this->reachable = true;
     this->failures = 0;
+}
+
+void PublishedController::confirm()
+{
     this->published.confirmedAt = monotonicNow();
 }
 
@@ -217,18 +225,19 @@
     this->schedule(firstBackoff * this->failures);
 }
 
-void PublishedController::change(const std::vector<PublishedEntry> &changed, bool own)
+void PublishedController::change(const std::vector<PublishedEntry> &changed, std::uint64_t since,
+                                 bool own)
 {
     if (!changed.empty()) {
-        this->onChange(changed, own);
+        this->onChange(changed, since, own);
     }
 }
 
 void PublishedController::takeFromPeer(const std::vector<PublishedEntry> &entries,
                                        std::uint64_t contentRevision, Millis age)
 {
-    const std::vector<PublishedEntry> changed = mergeEntries(this->published, entries);
-    this->change(changed, false);
+    const std::uint64_t since = this->published.contentRevision;
+    this->change(mergeEntries(this->published, entries), since, false);
     this->confirmFromPeer(contentRevision, age);
 }
 
--- a/src/edge/published_controller.h
+++ b/src/edge/published_controller.h
@@ -17,10 +17,13 @@
 {
 public:
     /// @param readerRank of this daemon in its data centre; 0 reads for all
-    /// @param onChange gets changed entries; `own` is true where they come from the store
-    PublishedController(
-            EdgeContext &context, std::function<std::size_t()> readerRank,
-            std::function<void(const std::vector<PublishedEntry> &, bool own)> onChange);
+    /// Gets changed entries, which are all changes after a revision. `own` is true where they come
+    /// from the store.
+    using ChangeHandler = std::function<void(const std::vector<PublishedEntry> &changed,
+                                             std::uint64_t since, bool own)>;
+
+    PublishedController(EdgeContext &context, std::function<std::size_t()> readerRank,
+                        ChangeHandler onChange);
 
     void start();
 
@@ -46,9 +49,10 @@
     void finishList();
     void watch(const std::string &prefix);
     void takeWatch(const Result<HttpAnswer> &answer);
-    void noteSuccess();
+    void noteAnswer();
+    void confirm();
     void noteFailure(const Error &error);
-    void change(const std::vector<PublishedEntry> &changed, bool own);
+    void change(const std::vector<PublishedEntry> &changed, std::uint64_t since, bool own);
     [[nodiscard]] std::vector<PublishedEntry>
     withoutHeartbeats(const std::vector<PublishedEntry> &entries) const;
     [[nodiscard]] bool isHeartbeat(const PublishedEntry &held, const PublishedEntry &entry) const;
@@ -56,7 +60,7 @@
 
     EdgeContext &context;
     std::function<std::size_t()> readerRank;
-    std::function<void(const std::vector<PublishedEntry> &, bool)> onChange;
+    ChangeHandler onChange;
     PublishedState published;
     std::unique_ptr<LoopTimer> timer;
     std::vector<PublishedEntry> listing; ///< Pages that came so far.
--- a/tests/src/unit-edge-places.cpp
+++ b/tests/src/unit-edge-places.cpp
@@ -129,7 +129,23 @@
         REQUIRE(checks.size() == 1);
         REQUIRE(checks.front().repeated);
         noteOrderOutcome(engine.places, engine.limits, OrderOutcome::AlreadyHolds, engine.now);
-        REQUIRE(only<GrantPlace>(engine.decide()).front().key == key);
+
+        SECTION("and its grant says that it waited for the adapter")
+        {
+            const auto grants = only<GrantPlace>(engine.decide());
+            REQUIRE(grants.front().key == key);
+            REQUIRE(grants.front().waits.adapter == engine.limits.coldLoad);
+            REQUIRE(grants.front().waits.turn == Millis(0));
+        }
+        SECTION("and its grant says apart how long it waited for its turn after that")
+        {
+            engine.places.prefillUntil = engine.now + Millis(100);
+            REQUIRE(only<GrantPlace>(engine.decide()).empty());
+            engine.now += Millis(90);
+            const auto grants = only<GrantPlace>(engine.decide());
+            REQUIRE(grants.front().waits.adapter == engine.limits.coldLoad);
+            REQUIRE(grants.front().waits.turn == Millis(90));
+        }
     }
 
     SECTION("never are more adapters ordered than there are places")
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -122,6 +122,19 @@
         (void)mergeEntries(state, {{"l", "x", 9, false}});
         REQUIRE(entriesSince(state, 7).size() == 1);
         REQUIRE(state.contentRevision == 9);
+
+        SECTION("also where a later change reaches it first")
+        {
+            PublishedState peer;
+            (void)mergeEntries(peer, {{"k", "new", 7, false}});
+            (void)mergeEntries(state, {{"m", "x", 12, false}});
+            // Of the changes 9 and 12 only the second came.
+            REQUIRE_FALSE(joinsOn(peer, 9));
+            REQUIRE(joinsOn(peer, 7));
+            const auto lacking = entriesSince(state, peer.contentRevision);
+            REQUIRE(mergeEntries(peer, lacking).size() == 2);
+            REQUIRE(joinsOn(peer, 12));
+        }
     }
 }
 
