--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -3,7 +3,7 @@
 
 #include <balsamport/core/clock.h>
 #include <balsamport/core/ids.h>
-#include <balsamport/edge/engine_pace.h>
+#include <balsamport/edge/engine_profile.h>
 #include <balsamport/edge/request_rate.h>
 #include <balsamport/edge/service_config.h>
 
@@ -68,6 +68,7 @@
     Millis objectiveAt; ///< The first piece is late after this.
     Millis giveUpAt; ///< Refused if it still waits then; filled in by submitPlaceRequest().
     Millis deadlineAt; ///< The caller has gone after this.
+    Millis longestPause; ///< Of its stream, that its caller allows; 0 for any.
     std::uint32_t outputTokens = 0;
     std::vector<PromptPart> parts;
     bool lastChoice = false; ///< No other engine is left to try.
@@ -82,31 +83,13 @@
 struct PlaceLimits
 {
     EngineLimits engine;
-    double promptTokensPerMs = 25.8; ///< Source: the users' system page, "prompt tokens read".
-    double attentionMsPerMillionPairs = 1.1; ///< Source: the users' site files, "pairs_ms_per_m".
-    Millis decodeStep{12}; ///< Source: the same page, "8.2 ms and more", with some 30 streams.
-    Millis idleStep{
-            9}; ///< Of an engine with few streams. Source: the same page, "8.2 ms and more".
-    std::int64_t stepsPerEvent = 3; ///< Source: the same page, "an event holds 3 tokens".
+    EngineProfile profile; ///< Of the engine's service.
     Millis prefillAhead{25}; ///< Prompt work handed over before the last one is read.
-    /// Streams that run must not pause for longer than their callers allow, so the prompt work
-    /// between any steps of one event leaves time for these, and for the way to the caller.
-    Millis longestPause{400}; ///< Source: the users' sheets, "pauses 400".
-    std::uint32_t pieceTokens = 4'096; ///< Read in one step. Source: the users' sites, "chunk".
     /// For the way of an event and of a prompt, and for the error of the reckoned reading. Source:
     /// trials of 15, 40 and 60 ms, see docs/design/platform.md.
     Millis deliveryJitter{60};
-    Millis coldLoad{250}; ///< Source: the users' system page, time of an adapter load.
-    Millis warmLoad{25}; ///< An adapter that was held lately loads ten times as fast.
-    Millis otherHomeWait{80}; ///< Longer expected waits send a request to another home; asking it
-                              ///< takes some 5 ms.
-    Millis elsewhereWait{250}; ///< Longer expected waits send a request to another engine.
-    Millis heldElsewhereWait{
-            500}; ///< The same where the adapter is held here: a load elsewhere costs more.
-    Millis firstPieceTime{120}; ///< From a place to the first piece, for a mean prompt.
     std::int64_t latePatience = 4; ///< A late request waits for this part of the time it has left.
     std::uint32_t loadsAtOnce = 3; ///< The engine takes four; one is left for a replacement.
-    std::size_t warmAdapters = 36; ///< Adapters that an engine keeps in its host's memory.
 
     bool operator==(const PlaceLimits &) const = default;
 };
@@ -125,7 +108,9 @@
     AdapterVersion version; ///< 0 where none is declared.
     std::uint32_t users = 0; ///< Granted requests; the place cannot be given up before they end.
     Millis checkAt; ///< While loading: when to ask the engine again.
+    std::uint32_t looks = 0; ///< While loading: how often the engine was asked.
     Millis loadStartedAt;
+    bool timed = false; ///< The load was ordered at loadStartedAt; else it had begun before.
     Millis usedAt;
     std::set<std::uint64_t> cachedParts; ///< Prompt parts that were read for this adapter.
 
@@ -139,8 +124,13 @@
     Millis deadlineAt;
     std::uint64_t kvTokens = 0;
     bool started = false; ///< Its first piece has come.
+    Millis longestPause; ///< That its caller allows; 0 for any.
+    std::uint32_t promptTokens = 0; ///< That the engine had to read.
     Millis queued; ///< Until its prompt's turn, as reckoned when it was granted.
-    Millis nominalWork; ///< For its prompt, on an engine of the usual speed.
+    bool alone = false; ///< No other prompt was handed over since, nor was one being read then.
+    Millis grantedAt;
+    Millis startedAt;
+    Millis longestReading; ///< Of prompts that were read while its stream ran.
 
     bool operator==(const RunningRequest &) const = default;
 };
@@ -290,8 +280,12 @@
 
 /// @brief Notes that a request's first piece has come.
 /// @param firstPiece time since it was sent; 0 where the way there is long or not known
-void notePlaceStarted(EnginePlaces &state, const PlaceLimits &limits, const PlaceKey &key,
-                      Millis firstPiece = Millis(0));
+/// @return how fast its prompt was read, if that can be told
+std::optional<ReadingSample> notePlaceStarted(EnginePlaces &state, const PlaceLimits &limits,
+                                              const PlaceKey &key, Millis firstPiece, Millis now);
+
+/// @return the longest reading of a prompt while the request's stream ran; 0 for none
+[[nodiscard]] Millis longestReadingBeside(const EnginePlaces &state, const PlaceKey &key);
 
 /// @brief Notes that a request has ended, or that its caller has gone.
 void notePlaceEnded(EnginePlaces &state, const PlaceKey &key, Millis now);
@@ -310,9 +304,20 @@
 /// @param incarnation requests of this run are kept; 0 for none
 void dropPlacesOf(EnginePlaces &state, const VmId &vm, std::uint64_t incarnation, Millis now);
 
+/// @brief An adapter's load that has ended.
+struct FinishedLoad
+{
+    Millis time; ///< From its order to the look that found it loaded.
+    bool firstLook = false; ///< No look before found it still loading.
+    std::optional<std::size_t> depth; ///< Among adapters held lately, 0 for the newest.
+
+    bool operator==(const FinishedLoad &) const = default;
+};
+
 /// @brief Takes the answer to the order in progress.
-void noteOrderOutcome(EnginePlaces &state, const PlaceLimits &limits, OrderOutcome outcome,
-                      Millis now);
+/// @return the load that has ended with it, if any
+std::optional<FinishedLoad> noteOrderOutcome(EnginePlaces &state, const PlaceLimits &limits,
+                                             OrderOutcome outcome, Millis now);
 
 /// @brief Takes a report: what is held there and not known here, and the reverse.
 void applyReport(EnginePlaces &state, const EngineReport &report, Millis now);
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -22,6 +22,8 @@
 constexpr Millis orderFreshness{500};
 constexpr Millis failedReportPace{500};
 constexpr Millis soonest{1};
+/// Samples of a service between two estimates of its profile.
+constexpr std::uint64_t samplesPerEstimate = 4;
 constexpr double percent = 100.0;
 
 std::string_view nameOf(OrderKind kind) noexcept
@@ -78,6 +80,7 @@
     auto term = std::make_unique<Term>();
     term->server = server;
     term->limits.engine = limits;
+    term->limits.profile = this->learnt[server.service].profile;
     term->places.server = server.id;
     if (!limits.models.empty()) {
         term->places.base = limits.models.front();
@@ -170,19 +173,22 @@
 }
 
 void EngineController::notePlace(const BackendServerId &server, const PlaceKey &key,
-                                 PlaceEvent event, Millis firstPiece)
+                                 const PlaceNote &note)
 {
     Term *term = this->find(server);
     if (term == nullptr) {
         return;
     }
     const Millis now = monotonicNow();
-    switch (event) {
+    switch (note.event) {
     case PlaceEvent::Started:
-        notePlaceStarted(term->places, term->limits, key, firstPiece);
+        this->learnFrom(*term,
+                        notePlaceStarted(term->places, term->limits, key, note.firstPiece, now),
+                        std::nullopt, Millis(0));
         break;
     case PlaceEvent::Ended:
     case PlaceEvent::Cancelled:
+        this->learnFrom(*term, std::nullopt, note.stream, longestReadingBeside(term->places, key));
         notePlaceEnded(term->places, key, now);
         break;
     case PlaceEvent::NotReady:
@@ -197,6 +203,64 @@
     this->decide(*term);
 }
 
+void EngineController::learnFrom(Term &term, const std::optional<ReadingSample> &reading,
+                                 const std::optional<StreamPace> &stream, Millis longestReading)
+{
+    ServiceLearning &learning = this->learnt[term.server.service];
+    const std::uint64_t before = learning.samples.taken;
+    if (reading) {
+        addReading(learning.samples, learning.profile, *reading);
+    }
+    if (stream) {
+        addStream(learning.samples, learning.profile, *stream, longestReading);
+    }
+    if (learning.samples.taken == before || learning.samples.taken % samplesPerEstimate != 0) {
+        return;
+    }
+    learning.profile = estimateProfile(learning.samples, learning.profile);
+    this->spreadProfile(term.server.service);
+}
+
+void EngineController::learnLoad(Term &term, const FinishedLoad &load)
+{
+    ServiceLearning &learning = this->learnt[term.server.service];
+    const bool warm = noteLoadTime(learning.profile, load.time, load.firstLook);
+    if (load.depth) {
+        learning.profile.warmAdapters
+                = warmBoundAfter(learning.profile.warmAdapters, *load.depth, warm);
+    }
+    this->spreadProfile(term.server.service);
+}
+
+void EngineController::spreadProfile(const ServiceId &service)
+{
+    ServiceLearning &learning = this->learnt[service];
+    for (const auto &[id, term] : this->terms) {
+        if (term->server.service == service) {
+            term->limits.profile = learning.profile;
+        }
+    }
+    if (!differsMuch(learning.profile, learning.logged)) {
+        return;
+    }
+    learning.logged = learning.profile;
+    constexpr double thousand = 1000.0;
+    this->context.log.write(
+            EventWeight::Notable, "engine_profile",
+            {{"service", service.str()},
+             {"read_us_per_token",
+              static_cast<std::int64_t>(learning.profile.readMsPerToken * thousand)},
+             {"attention_tokens_per_million_pairs",
+              static_cast<std::int64_t>(learning.profile.pairsPerToken)},
+             {"step_us", static_cast<std::int64_t>(learning.profile.stepMs * thousand)},
+             {"steps_per_event", static_cast<std::int64_t>(learning.profile.stepsPerEvent)},
+             {"tokens_per_step", learning.profile.tokensPerStep},
+             {"cold_load_ms", learning.profile.coldLoad},
+             {"warm_load_ms", learning.profile.warmLoad},
+             {"warm_adapters", learning.profile.warmAdapters},
+             {"samples", learning.samples.taken}});
+}
+
 void EngineController::suspect(Term &term, std::string_view reason)
 {
     if (!term.places.suspected && !term.places.unreachable) {
@@ -480,7 +544,11 @@
         this->context.metrics.summary(metric::edgeLoadTime)
                 .observe(static_cast<double>(took.count()) / millisPerSecond, monotonicNow());
     }
-    noteOrderOutcome(term->places, term->limits, outcome, monotonicNow());
+    const std::optional<FinishedLoad> load
+            = noteOrderOutcome(term->places, term->limits, outcome, monotonicNow());
+    if (load) {
+        this->learnLoad(*term, *load);
+    }
     if (answer.has_error() && answer.error().code == ErrorCode::ConnectFailed) {
         this->suspect(*term, "an order did not reach it");
     } else if (term->places.resyncWanted) {
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace balsamport {
@@ -41,6 +42,16 @@
     Unreachable, ///< The engine could not be reached; the request has not run.
 };
 
+/// @brief What a daemon tells of a place that it was given.
+struct PlaceNote
+{
+    PlaceEvent event = PlaceEvent::Ended;
+    Millis firstPiece; ///< Of Started: since the request was sent, where the engine is near; or 0.
+    std::optional<StreamPace> stream; ///< Of Ended: a whole stream from a near engine.
+
+    bool operator==(const PlaceNote &) const = default;
+};
+
 /// @brief Owns engines: keeps their places, decides grants and gives orders.
 class EngineController
 {
@@ -63,8 +74,7 @@
 
     /// @brief Takes a request for a place. The verdict may be given before this returns.
     void submit(const BackendServerId &server, PlaceRequest request);
-    void notePlace(const BackendServerId &server, const PlaceKey &key, PlaceEvent event,
-                   Millis firstPiece);
+    void notePlace(const BackendServerId &server, const PlaceKey &key, const PlaceNote &note);
     void dropPlacesOf(const VmId &vm, std::uint64_t incarnation);
     void declareVersion(const AdapterDeclaration &declaration);
 
@@ -75,6 +85,13 @@
     [[nodiscard]] std::size_t waitingRequests() const;
 
 private:
+    /// What is learnt of the engines of a service.
+    struct ServiceLearning
+    {
+        EngineProfile profile;
+        EngineProfile logged; ///< As the log has it.
+        EngineSamples samples;
+    };
     struct Term
     {
         ServerEntry server;
@@ -105,6 +122,12 @@
     void takeOrderAnswer(const BackendServerId &server, FencingNumber number,
                          const EngineOrder &order, const Result<HttpAnswer> &answer);
     void tell(Term &term, const PlaceAction &action, Millis now);
+    /// Takes the samples into the profile of the term's service.
+    void learnFrom(Term &term, const std::optional<ReadingSample> &reading,
+                   const std::optional<StreamPace> &stream, Millis longestReading);
+    void learnLoad(Term &term, const FinishedLoad &load);
+    /// Gives a service's profile to all engines of it.
+    void spreadProfile(const ServiceId &service);
     void logGrant(const Term &term, const GrantPlace &grant, Millis now);
 
     EdgeContext &context;
@@ -112,6 +135,7 @@
     std::function<bool(const BackendServerId &, Millis)> isUncontested;
     VerdictHandler onVerdict;
     AdapterVersions versions;
+    std::map<ServiceId, ServiceLearning> learnt;
     std::map<BackendServerId, std::unique_ptr<Term>> terms;
 };
 
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -27,6 +27,10 @@
 /// Adapters whose demand is remembered before those not asked for lately are forgotten.
 constexpr std::size_t maxRates = 512;
 constexpr Millis rateMemory{20'000};
+/// Adapters remembered as held lately while nobody knows how many an engine keeps.
+constexpr std::size_t mostWarm = 256;
+/// Longest pause of streams whose callers name none.
+constexpr Millis mostPause{1'000};
 /// Shortest Retry-After, so that callers do not come back into the same queue.
 constexpr Millis leastRetryAfter{200};
 
@@ -56,40 +60,72 @@
     return tokens;
 }
 
-/// Reading time on an engine of the usual speed. Attention grows with the square of the length.
-Millis nominalPrefillTime(std::uint32_t tokens, const PlaceLimits &limits)
+Millis scaled(Millis time, double factor)
 {
-    constexpr double million = 1'000'000.0;
-    const double pairs = static_cast<double>(tokens) * tokens / 2 / million;
-    return Millis(std::llround(std::ceil(tokens / limits.promptTokensPerMs
-                                         + pairs * limits.attentionMsPerMillionPairs)));
+    return Millis(std::llround(std::ceil(static_cast<double>(time.count()) * factor)));
 }
 
-Millis scaled(Millis time, double factor)
+/// One step of the streams that run, on this engine.
+Millis stepTime(const EnginePlaces &state, const PlaceLimits &limits)
 {
-    return Millis(std::llround(std::ceil(static_cast<double>(time.count()) * factor)));
+    return Millis(std::llround(std::ceil(limits.profile.stepMs * state.pace.slowness)));
 }
 
 Millis prefillTime(const EnginePlaces &state, std::uint32_t tokens, const PlaceLimits &limits)
 {
-    return scaled(nominalPrefillTime(tokens, limits), state.pace.slowness);
+    return scaled(readingTime(limits.profile, tokens), state.pace.slowness);
+}
+
+/// From a place to the first piece, for a prompt that nobody is before.
+Millis firstPieceTime(const EnginePlaces &state, std::uint32_t tokens, const PlaceLimits &limits)
+{
+    return prefillTime(state, tokens, limits)
+            + scaled(eventTime(limits.profile), state.pace.slowness);
+}
+
+/// Longer expected waits send a request to another home: asking it takes some ms, and it holds the
+/// adapter, so much less than a load pays.
+Millis otherHomeWait(const PlaceLimits &limits)
+{
+    return limits.profile.coldLoad / 3;
+}
+
+/// Longer expected waits send a request to another engine, which has to load the adapter.
+Millis elsewhereWait(const PlaceLimits &limits, bool held)
+{
+    // The same load again is taken from others where the adapter is held here.
+    return held ? limits.profile.coldLoad * 2 : limits.profile.coldLoad;
+}
+
+/// The longest pause that all callers of running streams allow.
+Millis longestPause(const EnginePlaces &state)
+{
+    Millis least = mostPause;
+    for (const auto &[key, request] : state.running) {
+        if (request.longestPause > Millis(0)) {
+            least = std::min(least, request.longestPause);
+        }
+    }
+    return least;
 }
 
 /// Time for prompts within the steps of one event, less these steps and the way to the caller.
 Millis prefillPerEvent(const EnginePlaces &state, const PlaceLimits &limits)
 {
-    const Millis steps = scaled(limits.decodeStep * limits.stepsPerEvent, state.pace.slowness);
-    return limits.longestPause - limits.deliveryJitter - steps;
+    const Millis steps = scaled(eventTime(limits.profile), state.pace.slowness);
+    return longestPause(state) - limits.deliveryJitter - steps;
 }
 
 /// Reading times of a prompt's pieces, one for each step.
 std::vector<Millis> piecesOf(const EnginePlaces &state, std::uint32_t tokens,
                              const PlaceLimits &limits)
 {
+    const std::uint32_t bound = limits.profile.tokensPerStep;
+    const std::uint32_t most = bound == 0 ? std::max(tokens, 1U) : bound;
     std::vector<Millis> pieces;
     Millis read;
     for (std::uint32_t done = 0; done < tokens;) {
-        done = std::min(tokens, done + limits.pieceTokens);
+        done = std::min(tokens, done + most);
         const Millis until = prefillTime(state, done, limits);
         pieces.push_back(until - read);
         read = until;
@@ -228,15 +264,15 @@
 /// Steps that an engine surely takes in a time without prompts.
 std::int64_t lightSteps(const EnginePlaces &state, const PlaceLimits &limits, Millis idle)
 {
-    const Millis step = scaled(limits.decodeStep, state.pace.slowness);
     const Millis sure = idle - limits.deliveryJitter;
-    return sure <= Millis(0) ? 0 : std::min(sure.count() / step.count(), limits.stepsPerEvent);
+    const auto most = static_cast<std::int64_t>(wholeStepsPerEvent(limits.profile));
+    return sure <= Millis(0) ? 0 : std::min(sure.count() / stepTime(state, limits).count(), most);
 }
 
 /// Prompt work in the steps before a new prompt, newest last; one step less than an event has.
 std::vector<Millis> stepsBefore(const EnginePlaces &state, const PlaceLimits &limits, Millis begin)
 {
-    const auto wanted = static_cast<std::size_t>(limits.stepsPerEvent - 1);
+    const std::size_t wanted = wholeStepsPerEvent(limits.profile) - 1;
     std::vector<Millis> newestFirst;
     Millis next = begin;
     for (auto piece = state.handedPieces.rbegin();
@@ -244,7 +280,7 @@
         const std::int64_t light = lightSteps(state, limits, next - piece->readBy);
         newestFirst.insert(newestFirst.end(), static_cast<std::size_t>(light), Millis(0));
         newestFirst.push_back(piece->work);
-        next = piece->readBy - piece->work - scaled(limits.idleStep, state.pace.slowness);
+        next = piece->readBy - piece->work - stepTime(state, limits);
     }
     newestFirst.resize(wanted);
     return {newestFirst.rbegin(), newestFirst.rend()};
@@ -273,14 +309,14 @@
                   const std::vector<Millis> &pieces, Millis now)
 {
     const Millis most = prefillPerEvent(state, limits);
-    const auto stepsPerEvent = static_cast<std::size_t>(limits.stepsPerEvent);
-    const Millis step = scaled(limits.decodeStep, state.pace.slowness);
+    const std::size_t stepsPerEvent = wholeStepsPerEvent(limits.profile);
+    const Millis step = stepTime(state, limits);
     const Millis start = std::max(now, state.prefillUntil);
     if (!wouldPause(stepsBefore(state, limits, start), pieces, most, stepsPerEvent)) {
         return now;
     }
     // After all but one of an event's steps nothing more is gained: the prompt is long itself.
-    const std::int64_t mostLight = limits.stepsPerEvent - 1;
+    const auto mostLight = static_cast<std::int64_t>(stepsPerEvent) - 1;
     for (std::int64_t light = 1; light < mostLight; ++light) {
         const Millis begin = state.prefillUntil + limits.deliveryJitter + step * light;
         if (begin >= start
@@ -315,17 +351,26 @@
     const Millis queued = std::max(state.prefillUntil - now, Millis(0));
     state.prefillUntil = now + queued;
     for (const Millis piece : pieces) {
-        state.prefillUntil += piece + scaled(limits.idleStep, state.pace.slowness);
+        state.prefillUntil += piece + stepTime(state, limits);
         state.handedPieces.push_back(HandedPiece{state.prefillUntil, piece});
-        if (state.handedPieces.size() > static_cast<std::size_t>(limits.stepsPerEvent)) {
+        if (state.handedPieces.size() > wholeStepsPerEvent(limits.profile)) {
             state.handedPieces.pop_front();
         }
     }
-    state.running.emplace(request.key,
-                          RunningRequest{request.adapter, request.deadlineAt,
-                                         std::uint64_t{totalTokens(request)} + request.outputTokens,
-                                         false, queued,
-                                         nominalPrefillTime(action.promptTokens, limits)});
+    const bool alone = unstarted(state) == 0;
+    for (auto &[key, other] : state.running) {
+        other.alone = false;
+    }
+    RunningRequest running;
+    running.adapter = request.adapter;
+    running.deadlineAt = request.deadlineAt;
+    running.kvTokens = std::uint64_t{totalTokens(request)} + request.outputTokens;
+    running.longestPause = request.longestPause;
+    running.promptTokens = action.promptTokens;
+    running.queued = queued;
+    running.alone = alone;
+    running.grantedAt = now;
+    state.running.emplace(request.key, running);
     if (!request.adapter.empty()) {
         AdapterPlace &place = state.places[request.adapter];
         ++place.users;
@@ -364,9 +409,7 @@
 {
     const Millis wait = expectedWait(state, limits, request, now);
     const bool held = state.places.count(request.adapter) != 0 || isWarm(state, request.adapter);
-    const Millis most = request.otherHome ? limits.otherHomeWait
-            : held                        ? limits.heldElsewhereWait
-                                          : limits.elsewhereWait;
+    const Millis most = request.otherHome ? otherHomeWait(limits) : elsewhereWait(limits, held);
     if (!request.lastChoice && wait > most) {
         return SendElsewhere{request.key, wait, demandFor(state, request.adapter, now)};
     }
@@ -542,15 +585,32 @@
         place.usedAt = now;
         place.version = order.version;
         place.cachedParts.clear();
-        place.checkAt = now + (isWarm(state, order.adapter) ? limits.warmLoad : limits.coldLoad);
+        place.looks = 0;
+        place.timed = !order.repeated;
+        place.checkAt = now
+                + (isWarm(state, order.adapter) ? limits.profile.warmLoad
+                                                : limits.profile.coldLoad);
     }
+    place.looks += order.repeated ? 1 : 0;
+}
+
+/// @return the adapter's place among those held lately, 0 for the newest
+std::optional<std::size_t> warmDepth(const EnginePlaces &state, const AdapterId &adapter)
+{
+    const auto found = std::find(state.warm.begin(), state.warm.end(), adapter);
+    if (found == state.warm.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - state.warm.begin());
 }
 
 void noteWarm(EnginePlaces &state, const PlaceLimits &limits, const AdapterId &adapter)
 {
     std::erase(state.warm, adapter);
     state.warm.push_front(adapter);
-    if (state.warm.size() > limits.warmAdapters) {
+    const std::size_t bound
+            = limits.profile.warmAdapters == 0 ? mostWarm : limits.profile.warmAdapters;
+    while (state.warm.size() > bound) {
         state.warm.pop_back();
     }
 }
@@ -568,7 +628,8 @@
 void submitPlaceRequest(EnginePlaces &state, const PlaceLimits &limits, PlaceRequest request,
                         Millis now)
 {
-    const Millis lastUseful = request.objectiveAt - limits.firstPieceTime;
+    const Millis lastUseful
+            = request.objectiveAt - firstPieceTime(state, uncachedTokens(state, request), limits);
     const Millis left = std::max(request.deadlineAt - now, Millis(0));
     countDemand(state, request, now);
     request.giveUpAt = lastUseful > now ? lastUseful : now + left / limits.latePatience;
@@ -667,23 +728,46 @@
     if (!state.ordersAllowed) {
         return std::max(wait, placeWait * 4);
     }
-    const Millis load = isWarm(state, request.adapter) ? limits.warmLoad : limits.coldLoad;
+    const Millis load
+            = isWarm(state, request.adapter) ? limits.profile.warmLoad : limits.profile.coldLoad;
     return std::max(wait, load + placeWaitFor(state, limits, request));
 }
 
-void notePlaceStarted(EnginePlaces &state, const PlaceLimits &limits, const PlaceKey &key,
-                      Millis firstPiece)
+std::optional<ReadingSample> notePlaceStarted(EnginePlaces &state, const PlaceLimits &limits,
+                                              const PlaceKey &key, Millis firstPiece, Millis now)
 {
     const auto found = state.running.find(key);
     if (found == state.running.end() || found->second.started) {
-        return;
+        return std::nullopt;
+    }
+    RunningRequest &request = found->second;
+    request.started = true;
+    request.startedAt = now;
+    const Millis reading = prefillTime(state, request.promptTokens, limits);
+    for (auto &[other, running] : state.running) {
+        if (running.started && running.startedAt < request.grantedAt) {
+            running.longestReading = std::max(running.longestReading, reading);
+        }
     }
-    found->second.started = true;
-    if (firstPiece > Millis(0)) {
-        const Millis steps = limits.idleStep * limits.stepsPerEvent;
-        noteReading(state.pace, firstPiece - steps - found->second.queued,
-                    found->second.nominalWork);
+    if (unstarted(state) == 0) {
+        // All prompts have been read, maybe faster than was reckoned.
+        state.prefillUntil = std::min(state.prefillUntil, now);
     }
+    if (firstPiece <= Millis(0) || request.promptTokens == 0) {
+        return std::nullopt;
+    }
+    const Millis steps = scaled(eventTime(limits.profile), state.pace.slowness);
+    const ReadingSample sample{request.promptTokens,
+                               std::max(firstPiece - steps - request.queued, Millis(1)),
+                               request.alone};
+    notePace(state.pace, limits.profile, sample);
+    return sample;
+}
+
+Millis longestReadingBeside(const EnginePlaces &state, const PlaceKey &key)
+{
+    const auto found = state.running.find(key);
+    return found == state.running.end() ? Millis(0) : found->second.longestReading;
 }
 
 void notePlaceEnded(EnginePlaces &state, const PlaceKey &key, Millis now)
@@ -728,6 +812,7 @@
     if (place != state.places.end() && place->second.phase == PlacePhase::Ready) {
         place->second.phase = PlacePhase::Loading;
         place->second.loadStartedAt = now;
+        place->second.timed = false;
         place->second.checkAt = now + loadPollTime;
     }
     state.resyncWanted = true;
@@ -752,28 +837,28 @@
     }
 }
 
-void noteOrderOutcome(EnginePlaces &state, const PlaceLimits &limits, OrderOutcome outcome,
-                      Millis now)
+std::optional<FinishedLoad> noteOrderOutcome(EnginePlaces &state, const PlaceLimits &limits,
+                                             OrderOutcome outcome, Millis now)
 {
     if (!state.orderInProgress) {
-        return;
+        return std::nullopt;
     }
     const EngineOrder order = *state.orderInProgress;
     state.orderInProgress.reset();
     if (outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Fenced
         || outcome == OrderOutcome::Refused || outcome == OrderOutcome::Unknown) {
         state.resyncWanted = true;
-        return;
+        return std::nullopt;
     }
     if (order.kind == OrderKind::LoadModel) {
         state.modelLoaded = outcome == OrderOutcome::AlreadyHolds;
         state.modelOrdered = outcome == OrderOutcome::Accepted;
         state.modelCheckAt = now + modelPollTime;
-        return;
+        return std::nullopt;
     }
     const auto place = state.places.find(order.adapter);
     if (place == state.places.end()) {
-        return;
+        return std::nullopt;
     }
     if (order.kind == OrderKind::UnloadAdapter) {
         if (outcome == OrderOutcome::AlreadyHolds) {
@@ -782,14 +867,22 @@
         } else {
             place->second.checkAt = now + loadPollTime;
         }
-        return;
+        return std::nullopt;
     }
-    if (outcome == OrderOutcome::AlreadyHolds) {
-        place->second.phase = PlacePhase::Ready;
-        noteWarm(state, limits, order.adapter);
-    } else if (place->second.checkAt <= now) {
-        place->second.checkAt = now + loadPollTime;
+    if (outcome != OrderOutcome::AlreadyHolds) {
+        if (place->second.checkAt <= now) {
+            place->second.checkAt = now + loadPollTime;
+        }
+        return std::nullopt;
+    }
+    const FinishedLoad load{now - place->second.loadStartedAt, place->second.looks <= 1,
+                            warmDepth(state, order.adapter)};
+    place->second.phase = PlacePhase::Ready;
+    noteWarm(state, limits, order.adapter);
+    if (!order.repeated || !place->second.timed) {
+        return std::nullopt; // Held all the time, or the load had begun before.
     }
+    return load;
 }
 
 void applyReport(EnginePlaces &state, const EngineReport &report, Millis now)
@@ -815,6 +908,7 @@
             place.phase = PlacePhase::Loading;
         }
         place.loadStartedAt = now;
+        place.timed = false;
         place.checkAt = now + loadPollTime;
     }
 }
--- /dev/null
+++ b/src/edge/engine_profile.cpp
@@ -0,0 +1,276 @@
+#include <balsamport/edge/engine_profile.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamport {
+
+namespace {
+
+/// Prompts that are read faster say little beside the jitter of a few ms in all times.
+constexpr Millis leastReading{20};
+/// Samples kept of each kind; a busy service gives as many within seconds.
+constexpr std::size_t mostSamples = 64;
+/// Streams whose sizes of events are kept; few of them use all tokens that they are allowed.
+constexpr std::size_t mostEventSizes = 256;
+/// Fewer samples of a kind change nothing.
+constexpr std::size_t fewestSamples = 5;
+constexpr std::size_t fewestEventSizes = 16;
+/// Prompts of each length that the cost of attention is reckoned from.
+constexpr std::size_t fewestOfLength = 16;
+/// Samples of one engine's pace; a busy engine gives as many in some 2 s.
+constexpr std::size_t paceSamples = 9;
+/// An engine that seems further from its service's profile is stalled, or was not understood.
+constexpr double leastSlowness = 0.2;
+constexpr double mostSlowness = 6.0;
+constexpr double lowerThird = 1.0 / 3;
+constexpr double median = 0.5;
+constexpr double million = 1'000'000.0;
+/// Bounds of the attention's cost, in tokens read for a million pairs.
+constexpr double mostPairsPerToken = 100;
+/// Streams with fewer events do not tell the size of an event: the last one may be small.
+constexpr std::uint32_t fewestEvents = 4;
+/// A prompt that takes longer than the longest pause by this factor shows that a step's reading is
+/// bounded.
+constexpr double clearlyLonger = 1.3;
+/// Margin of the bound of a step over what was seen.
+constexpr double pauseMargin = 1.1;
+
+template<typename T>
+void addBounded(std::deque<T> &samples, T sample, std::size_t most = mostSamples)
+{
+    samples.push_back(sample);
+    if (samples.size() > most) {
+        samples.pop_front();
+    }
+}
+
+double quantile(std::vector<double> values, double share)
+{
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index),
+                     values.end());
+    return values[index];
+}
+
+double quantile(const std::deque<double> &values, double share)
+{
+    return quantile(std::vector<double>(values.begin(), values.end()), share);
+}
+
+double pairsOf(std::uint32_t tokens)
+{
+    return static_cast<double>(tokens) * tokens / 2 / million;
+}
+
+/// A prompt's length with its attention counted as further tokens.
+double effectiveTokens(std::uint32_t tokens, double pairsPerToken)
+{
+    return tokens + pairsOf(tokens) * pairsPerToken;
+}
+
+double msOf(Millis time)
+{
+    return static_cast<double>(time.count());
+}
+
+/// ms a token, at a share of the samples sorted by it.
+double msPerToken(const std::vector<ReadingSample> &samples, double pairsPerToken, double share)
+{
+    std::vector<double> ratios;
+    ratios.reserve(samples.size());
+    for (const ReadingSample &sample : samples) {
+        ratios.push_back(msOf(sample.time) / effectiveTokens(sample.tokens, pairsPerToken));
+    }
+    return quantile(std::move(ratios), share);
+}
+
+double meanTokens(const std::vector<ReadingSample> &samples)
+{
+    double sum = 0;
+    for (const ReadingSample &sample : samples) {
+        sum += sample.tokens;
+    }
+    return sum / static_cast<double>(samples.size());
+}
+
+/// The cost of attention, from how much longer a token of the longer prompts takes.
+double fitPairs(const std::deque<ReadingSample> &readings, double before)
+{
+    constexpr double clearlyDifferent = 2.0;
+    std::vector<ReadingSample> sorted(readings.begin(), readings.end());
+    std::sort(sorted.begin(), sorted.end(),
+              [](const ReadingSample &a, const ReadingSample &b) { return a.tokens < b.tokens; });
+    const auto third = static_cast<std::ptrdiff_t>(sorted.size() / 3);
+    const std::vector<ReadingSample> shorter(sorted.begin(), sorted.begin() + third);
+    const std::vector<ReadingSample> longer(sorted.end() - third, sorted.end());
+    if (shorter.size() < fewestOfLength
+        || meanTokens(longer) < meanTokens(shorter) * clearlyDifferent) {
+        return before;
+    }
+    const double shortRate = msPerToken(shorter, 0, median);
+    const double slope = (msPerToken(longer, 0, median) - shortRate)
+            / (meanTokens(longer) - meanTokens(shorter)) * 2 * million;
+    const double fitted = std::clamp(slope / shortRate, 0.0, mostPairsPerToken);
+    // A part of the way: a third of the samples is few.
+    constexpr double weight = 0.125;
+    return before * (1 - weight) + fitted * weight;
+}
+
+/// Tokens that one step reads at most, from prompts that did not hold up the streams beside them
+/// for as long as they were read; 0 where every pause may have been a whole prompt.
+std::uint32_t fitTokensPerStep(const std::deque<PauseSample> &pauses, const EngineProfile &profile)
+{
+    constexpr std::size_t fewestLongPrompts = 4;
+    if (pauses.size() < fewestSamples) {
+        return 0;
+    }
+    // Single longer pauses have other causes: a preempted stream, a busy VM, the link.
+    constexpr double nearlyAll = 0.9;
+    std::vector<double> sorted;
+    for (const PauseSample &sample : pauses) {
+        sorted.push_back(msOf(sample.pause));
+    }
+    const Millis longest(std::llround(quantile(std::move(sorted), nearlyAll)));
+    const auto isLonger = [longest](const PauseSample &sample) {
+        return msOf(sample.reading) > msOf(longest) * clearlyLonger;
+    };
+    const auto longPrompts = std::count_if(pauses.begin(), pauses.end(), isLonger);
+    if (longest <= Millis(0) || static_cast<std::size_t>(longPrompts) < fewestLongPrompts) {
+        return 0;
+    }
+    const double tokens = msOf(longest) * pauseMargin / profile.readMsPerToken;
+    return static_cast<std::uint32_t>(std::ceil(tokens / profile.stepsPerEvent));
+}
+
+bool differsMuch(double a, double b)
+{
+    constexpr double fifth = 0.2;
+    return std::abs(a - b) > fifth * std::max(std::abs(a), std::abs(b));
+}
+
+} // namespace
+
+Millis readingTime(const EngineProfile &profile, std::uint32_t tokens)
+{
+    return Millis(std::llround(
+            std::ceil(profile.readMsPerToken * effectiveTokens(tokens, profile.pairsPerToken))));
+}
+
+Millis eventTime(const EngineProfile &profile)
+{
+    return Millis(std::llround(std::ceil(profile.stepMs * profile.stepsPerEvent)));
+}
+
+std::size_t wholeStepsPerEvent(const EngineProfile &profile)
+{
+    return static_cast<std::size_t>(std::max(1.0, std::round(profile.stepsPerEvent)));
+}
+
+void addReading(EngineSamples &samples, const EngineProfile &profile, const ReadingSample &sample)
+{
+    if (readingTime(profile, sample.tokens) < leastReading) {
+        return;
+    }
+    addBounded(sample.alone ? samples.readings : samples.busyReadings, sample);
+    ++samples.taken;
+}
+
+void addStream(EngineSamples &samples, const EngineProfile &profile, const StreamPace &stream,
+               Millis longestReading)
+{
+    if (stream.events < fewestEvents) {
+        return;
+    }
+    ++samples.taken;
+    if (stream.quietGap > Millis(0)) {
+        addBounded(samples.eventTimes, msOf(stream.quietGap));
+    }
+    if (stream.outputTokens > 0) {
+        addBounded(samples.eventSizes,
+                   static_cast<double>(stream.outputTokens) / static_cast<double>(stream.events),
+                   mostEventSizes);
+    }
+    if (longestReading > Millis(0)) {
+        addBounded(samples.pauses,
+                   PauseSample{std::max(stream.longestGap - eventTime(profile), Millis(0)),
+                               longestReading});
+    }
+}
+
+bool noteLoadTime(EngineProfile &profile, Millis time, bool firstLook)
+{
+    constexpr double weight = 0.2;
+    // Seen ready at once, the load may have ended long before.
+    constexpr double unseenShare = 0.7;
+    constexpr Millis leastLoad{5};
+    const bool warm = time * 2 < profile.coldLoad + profile.warmLoad;
+    Millis &known = warm ? profile.warmLoad : profile.coldLoad;
+    const double sample = msOf(time) * (firstLook ? unseenShare : 1.0);
+    known = std::max(Millis(std::llround(msOf(known) * (1 - weight) + sample * weight)), leastLoad);
+    return warm;
+}
+
+EngineProfile estimateProfile(const EngineSamples &samples, const EngineProfile &before)
+{
+    constexpr double mostSteps = 64;
+    EngineProfile profile = before;
+    if (samples.readings.size() >= fewestSamples) {
+        profile.pairsPerToken = fitPairs(samples.readings, before.pairsPerToken);
+        profile.readMsPerToken = msPerToken({samples.readings.begin(), samples.readings.end()},
+                                            profile.pairsPerToken, median);
+    } else if (samples.busyReadings.size() >= fewestSamples) {
+        profile.readMsPerToken
+                = msPerToken({samples.busyReadings.begin(), samples.busyReadings.end()},
+                             profile.pairsPerToken, lowerThird);
+    }
+    if (samples.eventSizes.size() >= fewestEventSizes) {
+        // Streams that end before the allowed length make events seem larger, never smaller.
+        profile.stepsPerEvent
+                = std::clamp(std::round(quantile(samples.eventSizes, 0)), 1.0, mostSteps);
+    }
+    if (samples.eventTimes.size() >= fewestSamples) {
+        profile.stepMs
+                = std::max(quantile(samples.eventTimes, lowerThird), 1.0) / profile.stepsPerEvent;
+    }
+    profile.tokensPerStep = fitTokensPerStep(samples.pauses, profile);
+    return profile;
+}
+
+void notePace(EnginePace &pace, const EngineProfile &profile, const ReadingSample &sample)
+{
+    if (readingTime(profile, sample.tokens) < leastReading) {
+        return;
+    }
+    pace.samples.push_back(sample);
+    if (pace.samples.size() > paceSamples) {
+        pace.samples.pop_front();
+    }
+    std::vector<double> ratios;
+    for (const ReadingSample &taken : pace.samples) {
+        ratios.push_back(msOf(taken.time) / msOf(readingTime(profile, taken.tokens)));
+    }
+    pace.slowness
+            = std::clamp(quantile(std::move(ratios), lowerThird), leastSlowness, mostSlowness);
+}
+
+bool differsMuch(const EngineProfile &a, const EngineProfile &b)
+{
+    return differsMuch(a.readMsPerToken, b.readMsPerToken) || differsMuch(a.stepMs, b.stepMs)
+            || differsMuch(a.stepsPerEvent, b.stepsPerEvent)
+            || differsMuch(a.tokensPerStep, b.tokensPerStep)
+            || differsMuch(msOf(a.coldLoad), msOf(b.coldLoad))
+            || differsMuch(msOf(a.warmLoad), msOf(b.warmLoad));
+}
+
+std::size_t warmBoundAfter(std::size_t before, std::size_t depth, bool fast) noexcept
+{
+    if (fast) {
+        return before == 0 ? 0 : std::max(before, depth + 1);
+    }
+    // One slow load may be an adapter that the host lost otherwise.
+    return before == 0 ? std::max<std::size_t>(depth, 1)
+                       : std::max<std::size_t>(std::min(before, (before + depth) / 2), 1);
+}
+
+} // namespace balsamport
--- a/src/edge/event_splitter.cpp
+++ b/src/edge/event_splitter.cpp
@@ -39,6 +39,7 @@
     while (!rest.empty()) {
         const std::size_t next = rest.find(eventEnd);
         noteId(splitter, rest.substr(0, next));
+        ++splitter.events;
         rest.remove_prefix(next == std::string_view::npos ? rest.size() : next + eventEnd.size());
     }
     return whole;
--- a/src/edge/event_splitter.h
+++ b/src/edge/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMPORT_EDGE_EVENT_SPLITTER_H
 #define BALSAMPORT_EDGE_EVENT_SPLITTER_H
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,7 @@
 {
     std::string pending; ///< The beginning of an event.
     std::string lastId; ///< Of the last whole event.
+    std::uint32_t events = 0; ///< Whole events so far.
 
     bool operator==(const EventSplitter &) const = default;
 };
--- a/src/edge/place_client.cpp
+++ b/src/edge/place_client.cpp
@@ -81,6 +81,22 @@
     }
 }
 
+wire::StreamPace toWire(const StreamPace &stream)
+{
+    wire::StreamPace message;
+    message.set_events(stream.events);
+    message.set_output_tokens(stream.outputTokens);
+    message.set_quiet_gap_ms(static_cast<std::uint32_t>(stream.quietGap.count()));
+    message.set_longest_gap_ms(static_cast<std::uint32_t>(stream.longestGap.count()));
+    return message;
+}
+
+StreamPace fromWire(const wire::StreamPace &message)
+{
+    return StreamPace{message.events(), message.output_tokens(), Millis(message.quiet_gap_ms()),
+                      Millis(message.longest_gap_ms())};
+}
+
 std::uint32_t leftUntil(Millis at, Millis now) noexcept
 {
     return static_cast<std::uint32_t>(std::max(at - now, Millis(0)).count());
@@ -101,6 +117,7 @@
     wire.set_output_tokens(request.outputTokens);
     wire.set_last_choice(request.lastChoice);
     wire.set_other_home(request.otherHome);
+    wire.set_longest_pause_ms(static_cast<std::uint32_t>(request.longestPause.count()));
     for (const PromptPart &part : request.parts) {
         balsamport::wire::PromptPart &added = *wire.add_parts();
         added.set_id(part.id);
@@ -168,11 +185,11 @@
             EventWeight::Notable, "owner_silent",
             {{"owner", found->second.owner.str()}, {"server", found->second.server.str()}});
     const Handler handler = found->second.handler;
-    this->note(place, PlaceEvent::Cancelled);
+    this->note(place, PlaceNote{PlaceEvent::Cancelled, {}, {}});
     handler(PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}, {}});
 }
 
-void PlaceClient::note(std::uint64_t place, PlaceEvent event, Millis firstPiece)
+void PlaceClient::note(std::uint64_t place, const PlaceNote &note)
 {
     const auto found = this->asked.find(place);
     if (found == this->asked.end()) {
@@ -180,19 +197,22 @@
     }
     if (found->second.owner == this->context.settings.vm) {
         const PlaceKey key{this->context.settings.vm, this->context.incarnation, place};
-        this->context.loop.post([this, key, event, firstPiece, server = found->second.server] {
-            this->engines.notePlace(server, key, event, firstPiece);
+        this->context.loop.post([this, key, note, server = found->second.server] {
+            this->engines.notePlace(server, key, note);
         });
     } else if (!found->second.owner.empty()) {
         wire::Envelope message;
         wire::PlaceUpdate &update = *message.mutable_place_update();
         update.set_place(place);
         update.set_backend_server(found->second.server.str());
-        update.set_event(toWire(event));
-        update.set_first_piece_ms(static_cast<std::uint32_t>(firstPiece.count()));
+        update.set_event(toWire(note.event));
+        update.set_first_piece_ms(static_cast<std::uint32_t>(note.firstPiece.count()));
+        if (note.stream) {
+            *update.mutable_stream() = toWire(*note.stream);
+        }
         this->peers.send(found->second.owner, std::move(message));
     }
-    if (event != PlaceEvent::Started) {
+    if (note.event != PlaceEvent::Started) {
         this->asked.erase(found);
     }
 }
@@ -228,6 +248,7 @@
     asked.outputTokens = request.output_tokens();
     asked.lastChoice = request.last_choice();
     asked.otherHome = request.other_home();
+    asked.longestPause = Millis(request.longest_pause_ms());
     for (const wire::PromptPart &part : request.parts()) {
         asked.parts.push_back(PromptPart{part.id(), part.tokens()});
     }
@@ -237,9 +258,12 @@
 void PlaceClient::servePeer(const VmId &peer, std::uint64_t incarnation,
                             const wire::PlaceUpdate &update)
 {
+    PlaceNote note{fromWire(update.event()), Millis(update.first_piece_ms()), std::nullopt};
+    if (update.has_stream()) {
+        note.stream = fromWire(update.stream());
+    }
     this->engines.notePlace(BackendServerId(update.backend_server()),
-                            PlaceKey{peer, incarnation, update.place()}, fromWire(update.event()),
-                            Millis(update.first_piece_ms()));
+                            PlaceKey{peer, incarnation, update.place()}, note);
 }
 
 void PlaceClient::answerPeer(const PlaceKey &key, const PlaceVerdict &verdict)
--- a/src/edge/place_client.h
+++ b/src/edge/place_client.h
@@ -25,8 +25,7 @@
     std::uint64_t ask(const EngineSite &engine, PlaceRequest request, Handler handler);
 
     /// @brief Tells the owner what became of a place. Ended and Cancelled forget it.
-    /// @param firstPiece of Started: time since the request was sent, where the engine is near
-    void note(std::uint64_t place, PlaceEvent event, Millis firstPiece = Millis(0));
+    void note(std::uint64_t place, const PlaceNote &note);
 
     /// @brief Takes a verdict, from a peer or from this daemon's engines.
     void take(std::uint64_t place, const PlaceVerdict &verdict);
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -19,6 +19,8 @@
 /// Bytes that wait for a slow caller before the backend server is held up.
 constexpr std::size_t maxUnwritten = 256 * 1024;
 constexpr std::size_t maxAnswerBytes = 8 * 1024 * 1024;
+/// Gaps of a stream that are remembered to judge its engine by.
+constexpr std::size_t mostGaps = 64;
 
 double secondsOf(Millis time)
 {
@@ -163,6 +165,9 @@
     const Millis now = monotonicNow();
     if (this->lastPieceAt > Millis(0)) {
         this->longestGap = std::max(this->longestGap, now - this->lastPieceAt);
+        if (this->gaps.size() < mostGaps) {
+            this->gaps.push_back(now - this->lastPieceAt);
+        }
     }
     this->lastPieceAt = now;
     if (!sent->started) {
@@ -171,8 +176,11 @@
         this->context.edge.metrics.summary(metric::edgeFirstPiece, this->route.name)
                 .observe(secondsOf(now - this->arrivedAt), now);
         if (sent->place != 0) {
-            this->context.places.note(sent->place, PlaceEvent::Started,
-                                      this->isNear(sent->server) ? now - sent->sentAt : Millis(0));
+            this->context.places.note(
+                    sent->place,
+                    PlaceNote{PlaceEvent::Started,
+                              this->isNear(sent->server) ? now - sent->sentAt : Millis(0),
+                              std::nullopt});
         }
     }
     this->relay(sent, std::move(events));
@@ -233,6 +241,7 @@
         return;
     }
     noteSurvival(this->context.state.crashes, this->fingerprint);
+    sent->finished = httpstatus::isSuccess(sent->answer.status);
     this->endAttempt(sent, PlaceEvent::Ended);
     if (!this->streamStarted) {
         HttpAnswer whole{sent->answer.status, sent->answer.headers, std::move(sent->body)};
@@ -260,6 +269,8 @@
                                   {"first_ms", this->firstPieceAt - this->arrivedAt},
                                   {"gap_ms", this->longestGap},
                                   {"prompt_tokens", promptTokensOf(this->request)},
+                                  {"output_tokens", this->request.outputTokens},
+                                  {"events", this->splitter.events},
                                   {"sends", this->sends}});
     this->end();
 }
@@ -273,8 +284,25 @@
         experience.inFlight -= experience.inFlight > 0 ? 1 : 0;
     }
     if (sent->place != 0) {
-        this->context.places.note(sent->place, event);
+        this->context.places.note(
+                sent->place,
+                PlaceNote{event,
+                          {},
+                          event == PlaceEvent::Ended ? this->streamPace(*sent) : std::nullopt});
+    }
+}
+
+std::optional<StreamPace> RequestFlow::streamPace(const Attempt &sent) const
+{
+    constexpr std::size_t quarters = 4;
+    const bool whole = sent.started && sent.finished && this->sends == 1;
+    if (!whole || this->gaps.empty() || !this->isNear(sent.server)) {
+        return std::nullopt;
     }
+    std::vector<Millis> sorted = this->gaps;
+    std::sort(sorted.begin(), sorted.end());
+    return StreamPace{this->splitter.events, this->request.outputTokens,
+                      sorted[sorted.size() / quarters], this->longestGap};
 }
 
 void RequestFlow::takeNotRun(const std::shared_ptr<Attempt> &sent)
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -122,7 +122,7 @@
         this->endAttempt(std::exchange(this->attempt, nullptr), PlaceEvent::Ended);
     }
     if (this->place != 0) {
-        this->context.places.note(this->place, PlaceEvent::Cancelled);
+        this->context.places.note(this->place, PlaceNote{PlaceEvent::Cancelled, {}, std::nullopt});
         this->place = 0;
     }
 }
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -49,6 +49,7 @@
         std::atomic<std::size_t> unwritten{0};
         std::atomic<bool> paused{false};
         bool started = false; ///< A piece of the answer has come.
+        bool finished = false; ///< The answer came whole and well.
         bool foreign = false; ///< The answer belongs to another request.
         ServerAnswer answer;
         std::string body;
@@ -75,6 +76,8 @@
     void relay(const std::shared_ptr<Attempt> &attempt, std::string text);
     void takeEnd(const std::shared_ptr<Attempt> &attempt, const Result<void> &result);
     void finishAnswer(const std::shared_ptr<Attempt> &attempt);
+    /// What the stream says of its engine; nothing where it was not one whole answer from near.
+    [[nodiscard]] std::optional<StreamPace> streamPace(const Attempt &attempt) const;
     void takeNotRun(const std::shared_ptr<Attempt> &attempt);
     void takeFailure(const std::shared_ptr<Attempt> &attempt, ErrorCode code);
     void endAttempt(const std::shared_ptr<Attempt> &attempt, PlaceEvent event);
@@ -118,6 +121,7 @@
     Millis firstPieceAt{0};
     Millis lastPieceAt{0};
     Millis longestGap{0}; ///< Between two pieces.
+    std::vector<Millis> gaps; ///< Between pieces, the first ones.
     EventSplitter splitter;
     std::unique_ptr<LoopTimer> timer;
     bool ended = false;
--- a/src/edge/request_place.cpp
+++ b/src/edge/request_place.cpp
@@ -142,6 +142,7 @@
     asked.priority = this->route.priority;
     asked.objectiveAt = this->objectiveAt;
     asked.deadlineAt = this->deadlineAt;
+    asked.longestPause = this->route.gapObjective;
     asked.outputTokens = this->request.outputTokens;
     asked.parts = this->request.promptParts;
     asked.lastChoice = this->plan.empty();
--- a/tests/src/unit-edge-places.cpp
+++ b/tests/src/unit-edge-places.cpp
@@ -14,6 +14,23 @@
 constexpr Millis start{10'000};
 constexpr Millis objective{1'000};
 constexpr Millis patience{5'000};
+/// Pause that the callers of streams allow.
+constexpr Millis longestPause{400};
+
+/// An engine that is known: the users' first sites.
+EngineProfile knownProfile()
+{
+    EngineProfile profile;
+    profile.readMsPerToken = 1 / 25.8;
+    profile.pairsPerToken = 28.4;
+    profile.stepMs = 9;
+    profile.stepsPerEvent = 3;
+    profile.tokensPerStep = 4'096;
+    profile.coldLoad = Millis(250);
+    profile.warmLoad = Millis(25);
+    profile.warmAdapters = 36;
+    return profile;
+}
 
 /// One engine, its limits, and a clock that the test moves.
 struct Engine
@@ -23,9 +40,11 @@
     AdapterVersions versions;
     Millis now = start;
     std::uint64_t next = 1;
+    std::deque<std::pair<Millis, PlaceKey>> reading; ///< Prompts handed over, and until when.
 
     explicit Engine(std::uint32_t adapterPlaces = 6)
     {
+        this->limits.profile = knownProfile();
         this->limits.engine.batchSlots = 64;
         this->limits.engine.kvTokens = 148'252;
         this->limits.engine.adapterPlaces = adapterPlaces;
@@ -52,6 +71,7 @@
         request.base = this->places.base;
         request.adapter = AdapterId(adapter);
         request.priority = priority;
+        request.longestPause = longestPause;
         request.objectiveAt = this->now + objective;
         request.deadlineAt = this->now + patience;
         request.parts = {PromptPart{request.key.number, tokens}};
@@ -60,6 +80,21 @@
         return request.key;
     }
 
+    /// A prompt that was handed over is read when the owner reckons so; then its stream starts.
+    void startWhenRead(const PlaceKey &key)
+    {
+        this->reading.emplace_back(this->places.prefillUntil, key);
+    }
+
+    void startThoseRead()
+    {
+        while (!this->reading.empty() && this->reading.front().first <= this->now) {
+            notePlaceStarted(this->places, this->limits, this->reading.front().second, Millis(0),
+                             this->now);
+            this->reading.pop_front();
+        }
+    }
+
     std::vector<PlaceAction> decide()
     {
         return nextPlaceActions(this->places, this->limits, this->versions, this->now);
@@ -99,7 +134,7 @@
                 const PlaceKey user = engine.ask(other);
                 engine.now += Millis(100);
                 REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
-                notePlaceStarted(engine.places, engine.limits, user);
+                notePlaceStarted(engine.places, engine.limits, user, Millis(0), engine.now);
             }
             engine.ask("a7");
             REQUIRE(only<EngineOrder>(engine.decide()).empty());
@@ -124,7 +159,7 @@
         noteOrderOutcome(engine.places, engine.limits, OrderOutcome::Accepted, engine.now);
         REQUIRE(only<GrantPlace>(engine.decide()).empty());
 
-        engine.now += engine.limits.coldLoad;
+        engine.now += engine.limits.profile.coldLoad;
         const auto checks = only<EngineOrder>(engine.decide());
         REQUIRE(checks.size() == 1);
         REQUIRE(checks.front().repeated);
@@ -134,7 +169,7 @@
         {
             const auto grants = only<GrantPlace>(engine.decide());
             REQUIRE(grants.front().key == key);
-            REQUIRE(grants.front().waits.adapter == engine.limits.coldLoad);
+            REQUIRE(grants.front().waits.adapter == engine.limits.profile.coldLoad);
             REQUIRE(grants.front().waits.turn == Millis(0));
         }
         SECTION("and its grant says apart how long it waited for its turn after that")
@@ -143,7 +178,7 @@
             REQUIRE(only<GrantPlace>(engine.decide()).empty());
             engine.now += Millis(90);
             const auto grants = only<GrantPlace>(engine.decide());
-            REQUIRE(grants.front().waits.adapter == engine.limits.coldLoad);
+            REQUIRE(grants.front().waits.adapter == engine.limits.profile.coldLoad);
             REQUIRE(grants.front().waits.turn == Millis(90));
         }
     }
@@ -265,9 +300,10 @@
         }
         const Millis end = engine.now + Millis(800);
         for (; engine.now < end; engine.now += Millis(5)) {
+            engine.startThoseRead();
             for (const GrantPlace &given : only<GrantPlace>(engine.decide())) {
                 grants.push_back(engine.now);
-                notePlaceStarted(engine.places, engine.limits, given.key);
+                engine.startWhenRead(given.key);
             }
         }
         REQUIRE(grants.size() >= 3);
@@ -282,7 +318,7 @@
         engine.ask("hot", 7'000);
         const auto first = only<GrantPlace>(engine.decide());
         REQUIRE(first.size() == 1);
-        notePlaceStarted(engine.places, engine.limits, first.front().key);
+        notePlaceStarted(engine.places, engine.limits, first.front().key, Millis(0), engine.now);
         const Millis read = engine.places.prefillUntil;
         engine.ask("hot", 3'000);
         Millis handedAt;
@@ -310,7 +346,14 @@
         std::uint64_t read = 0;
         const Millis begin = engine.now;
         std::vector<PlaceKey> unread;
+        std::vector<PlaceKey> readInStep;
+        constexpr Millis streamTime{2'000};
+        std::deque<std::pair<Millis, PlaceKey>> streams; // That run, and until when.
         for (; engine.now < begin + Millis(60'000); engine.now += Millis(1)) {
+            while (!streams.empty() && streams.front().first <= engine.now) {
+                notePlaceEnded(engine.places, streams.front().second, engine.now);
+                streams.pop_front();
+            }
             if (engine.now >= nextAsk) {
                 nextAsk += Millis(static_cast<std::int64_t>(gap(random)) + 1);
                 const auto tokens = std::min(7'000U, static_cast<std::uint32_t>(length(random)));
@@ -324,18 +367,22 @@
             if (engine.now < stepEnds) {
                 continue;
             }
-            std::uint32_t room = engine.limits.pieceTokens;
+            for (const PlaceKey &key : readInStep) {
+                notePlaceStarted(engine.places, engine.limits, key, Millis(0), engine.now);
+                streams.emplace_back(engine.now + streamTime, key);
+            }
+            readInStep.clear();
+            std::uint32_t room = engine.limits.profile.tokensPerStep;
             double work = 0;
             while (room > 0 && !queue.empty()) {
                 const std::uint32_t piece = std::min(room, queue.front());
-                work += piece / engine.limits.promptTokensPerMs;
+                work += piece * engine.limits.profile.readMsPerToken;
                 read += piece;
                 room -= piece;
                 queue.front() -= piece;
                 if (queue.front() == 0) {
                     queue.pop_front();
-                    notePlaceStarted(engine.places, engine.limits, unread.front());
-                    notePlaceEnded(engine.places, unread.front(), engine.now);
+                    readInStep.push_back(unread.front());
                     unread.erase(unread.begin());
                 }
             }
@@ -344,7 +391,7 @@
         }
         std::size_t pauses = 0;
         for (std::size_t i = 2; i < steps.size(); ++i) {
-            pauses += steps[i - 2] + steps[i - 1] + steps[i] > engine.limits.longestPause ? 1 : 0;
+            pauses += steps[i - 2] + steps[i - 1] + steps[i] > longestPause ? 1 : 0;
         }
         CAPTURE(pauses, steps.size(), asked, read);
         REQUIRE(pauses == 0);
@@ -398,7 +445,7 @@
         const PlaceKey key = engine.ask(adapter, 100);
         engine.now += Millis(10);
         REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
-        notePlaceStarted(engine.places, engine.limits, key);
+        notePlaceStarted(engine.places, engine.limits, key, Millis(0), engine.now);
     }
 
     SECTION("a request that has another choice is sent there")
@@ -425,7 +472,7 @@
         engine.ask("other", 100);
         (void)engine.decide();
         const Millis second = expectedWait(engine.places, engine.limits, request, engine.now);
-        REQUIRE(first == engine.limits.coldLoad + Millis(200));
+        REQUIRE(first == engine.limits.profile.coldLoad + Millis(200));
         REQUIRE(second >= first + Millis(200));
     }
 
@@ -443,7 +490,7 @@
         PlaceRequest again;
         again.adapter = AdapterId("a1");
         REQUIRE(expectedWait(engine.places, engine.limits, again, engine.now)
-                == engine.limits.warmLoad);
+                == engine.limits.profile.warmLoad);
     }
 }
 
@@ -510,7 +557,7 @@
         submitPlaceRequest(engine.places, engine.limits, request, engine.now);
         const auto elsewhere = only<SendElsewhere>(engine.decide());
         REQUIRE(elsewhere.size() == 1);
-        REQUIRE(elsewhere.front().wait > engine.limits.otherHomeWait);
+        REQUIRE(elsewhere.front().wait > engine.limits.profile.coldLoad / 3);
 
         SECTION("but keeps it where no other home holds the adapter")
         {
@@ -535,7 +582,7 @@
             const auto grants = only<GrantPlace>(engine.decide());
             REQUIRE(grants.size() == 1);
             told = grants.front().demand;
-            notePlaceStarted(engine.places, engine.limits, key);
+            notePlaceStarted(engine.places, engine.limits, key, Millis(0), engine.now);
             notePlaceEnded(engine.places, key, engine.now);
             engine.now += Millis(125);
         }
@@ -560,13 +607,16 @@
 {
     Engine engine;
     const PlaceLimits &limits = engine.limits;
-    const Millis work(100);
+    constexpr std::uint32_t tokens = 2'400;
+    const Millis work = readingTime(limits.profile, tokens);
+    const auto sample = [&](Millis time) {
+        notePace(engine.places.pace, limits.profile, ReadingSample{tokens, time, false});
+    };
 
     SECTION("an engine of the usual speed, whose prompts queue now and then")
     {
         for (int i = 0; i < 30; ++i) {
-            const Millis other(i % 3 == 0 ? 180 : 3);
-            noteReading(engine.places.pace, work + other, work);
+            sample(work + Millis(i % 3 == 0 ? 180 : 3));
         }
         REQUIRE(engine.places.pace.slowness < 1.1);
     }
@@ -574,7 +624,7 @@
     SECTION("load pattern: a third of the engines read a third slower")
     {
         for (int i = 0; i < 9; ++i) {
-            noteReading(engine.places.pace, Millis(work.count() * 13 / 10 + i), work);
+            sample(Millis(work.count() * 13 / 10 + i));
         }
         REQUIRE(engine.places.pace.slowness == Approx(1.33).margin(0.05));
 
@@ -587,10 +637,11 @@
             for (int i = 0; i < 12; ++i) {
                 engine.ask("a", 1'800);
             }
-            while (engine.now < begin + limits.longestPause) {
+            while (engine.now < begin + longestPause) {
+                engine.startThoseRead();
                 for (const GrantPlace &grant : only<GrantPlace>(engine.decide())) {
                     ++handed;
-                    notePlaceStarted(engine.places, limits, grant.key);
+                    engine.startWhenRead(grant.key);
                 }
                 engine.now += Millis(5);
             }
@@ -599,22 +650,28 @@
         }
     }
 
+    SECTION("load pattern: some engines read faster than their service does")
+    {
+        for (int i = 0; i < 9; ++i) {
+            sample(work / 2);
+        }
+        REQUIRE(engine.places.pace.slowness == Approx(0.5).margin(0.05));
+    }
+
     SECTION("load pattern: an engine turns slow for a few seconds")
     {
-        const auto sample
-                = [&](int slowness) { noteReading(engine.places.pace, work * slowness, work); };
         for (int i = 0; i < 9; ++i) {
-            sample(1);
+            sample(work);
         }
         for (int i = 0; i < 7; ++i) {
-            sample(3);
+            sample(work * 3);
         }
         REQUIRE(engine.places.pace.slowness > 2.0);
 
         SECTION("and is trusted again soon after")
         {
             for (int i = 0; i < 7; ++i) {
-                sample(1);
+                sample(work);
             }
             REQUIRE(engine.places.pace.slowness == Approx(1.0).margin(0.05));
         }
@@ -622,9 +679,9 @@
 
     SECTION("short prompts and stalls do not move it far")
     {
-        noteReading(engine.places.pace, Millis(400), Millis(5));
+        notePace(engine.places.pace, limits.profile, ReadingSample{100, Millis(400), true});
         REQUIRE(engine.places.pace.slowness == 1.0);
-        noteReading(engine.places.pace, Millis(60'000), work);
+        sample(Millis(60'000));
         REQUIRE(engine.places.pace.slowness <= 6.0);
     }
 
@@ -634,8 +691,74 @@
         const PlaceKey key = engine.ask("a", 2'580);
         REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
         // 2,580 tokens take 100 ms and 4 ms for attention.
-        const Millis steps = limits.idleStep * limits.stepsPerEvent;
-        notePlaceStarted(engine.places, limits, key, steps + Millis(104) * 2);
+        const std::optional<ReadingSample> reading
+                = notePlaceStarted(engine.places, limits, key,
+                                   eventTime(limits.profile) + Millis(104) * 2, engine.now);
         REQUIRE(engine.places.pace.slowness == Approx(2.0).margin(0.05));
+
+        SECTION("and says how fast the engine reads, as no other prompt was there")
+        {
+            REQUIRE(reading == ReadingSample{2'580, Millis(208), true});
+        }
+    }
+
+    SECTION("a prompt that another one follows before its first piece tells less")
+    {
+        engine.hold("a");
+        const PlaceKey key = engine.ask("a", 2'580);
+        REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
+        engine.now += Millis(100);
+        engine.ask("a", 2'580);
+        REQUIRE(only<GrantPlace>(engine.decide()).size() == 1);
+        const std::optional<ReadingSample> reading
+                = notePlaceStarted(engine.places, limits, key, Millis(240), engine.now);
+        REQUIRE(reading.has_value());
+        REQUIRE_FALSE(reading->alone);
+    }
+}
+
+TEST_CASE("an engine's owner sees how long loads take")
+{
+    Engine engine;
+    engine.ask("a1");
+    (void)engine.decide();
+    noteOrderOutcome(engine.places, engine.limits, OrderOutcome::Accepted, engine.now);
+    engine.now += engine.limits.profile.coldLoad;
+    REQUIRE(only<EngineOrder>(engine.decide()).front().repeated);
+
+    SECTION("a load that is over at the first look took that long or less")
+    {
+        const auto load = noteOrderOutcome(engine.places, engine.limits, OrderOutcome::AlreadyHolds,
+                                           engine.now);
+        REQUIRE(load.has_value());
+        REQUIRE(load->time == engine.limits.profile.coldLoad);
+        REQUIRE(load->firstLook);
+        REQUIRE_FALSE(load->depth.has_value());
+    }
+
+    SECTION("one that is over at a later look took until then")
+    {
+        noteOrderOutcome(engine.places, engine.limits, OrderOutcome::Accepted, engine.now);
+        engine.now += Millis(50);
+        REQUIRE(only<EngineOrder>(engine.decide()).front().repeated);
+        const auto load = noteOrderOutcome(engine.places, engine.limits, OrderOutcome::AlreadyHolds,
+                                           engine.now);
+        REQUIRE(load.has_value());
+        REQUIRE(load->time == engine.limits.profile.coldLoad + Millis(50));
+        REQUIRE_FALSE(load->firstLook);
+    }
+
+    SECTION("one that a report tells of had begun before, and says nothing")
+    {
+        EngineReport report;
+        report.modelLoaded = true;
+        report.pending = {AdapterId("a1")};
+        noteOrderOutcome(engine.places, engine.limits, OrderOutcome::Unknown, engine.now);
+        applyReport(engine.places, report, engine.now);
+        engine.now += Millis(50);
+        (void)engine.decide();
+        REQUIRE_FALSE(noteOrderOutcome(engine.places, engine.limits, OrderOutcome::AlreadyHolds,
+                                       engine.now)
+                              .has_value());
     }
 }
