Let delegates of data centres relay gossip, and daemons share what they measured of engines

A new peer gets the list only where it knows under half of the live daemons. In a fleet with more than 24 far daemons, a delegate tells two daemons of each other data centre, whose delegate relays it, or any of the two that had not heard from there. Of more than 16 near peers each is told in every second round. The claims on engines are looked up by engine once a look. As most owners of a large fleet have one engine and few samples, daemons tell each other the profiles that they measured and take the weighted median.

--- a/include/balsamport/edge/engine_profile.h
+++ b/include/balsamport/edge/engine_profile.h
@@ -107,13 +107,34 @@
 /// @return true where the load was a warm one, going by its time
 bool noteLoadTime(EngineProfile &profile, Millis time, bool firstLook);
 
-/// @brief Estimates a profile from samples.
+/// @brief A profile as one daemon measured it, and from how many samples.
+struct MeasuredProfile
+{
+    EngineProfile profile;
+    std::uint32_t readings = 0; ///< Behind the reading times.
+    std::uint32_t streams = 0; ///< Behind the times and sizes of events.
+    std::uint32_t pauses = 0; ///< Behind the tokens of a step.
+    std::uint32_t loads = 0; ///< Behind the times of loads.
+
+    bool operator==(const MeasuredProfile &) const = default;
+};
+
+/// @brief Measures a profile from a daemon's own samples.
 ///
 /// Of prompts that were read alone the median is taken. Other readings are too long where a prompt
-/// had to queue; where there are no better ones, their lower third is taken. What has too few
-/// samples stays as it was.
-/// @param before the profile so far
+/// had to queue; where there are no better ones, their lower third is taken.
+/// @param known the profile so far; what has no samples is taken from it
 /// @complexity O(n log n) for n samples, of which a bounded number is kept
+[[nodiscard]] MeasuredProfile measureProfile(const EngineSamples &samples,
+                                             const EngineProfile &known);
+
+/// @brief Joins what daemons measured: the median for each value, weighted by its samples. What has
+/// too few samples in all stays as it was.
+/// @param before the profile so far
+[[nodiscard]] EngineProfile joinProfiles(const std::vector<MeasuredProfile> &measured,
+                                         const EngineProfile &before);
+
+/// @brief Estimates a profile from the samples of one daemon.
 /// Example: `profile = estimateProfile(samples, profile);`
 [[nodiscard]] EngineProfile estimateProfile(const EngineSamples &samples,
                                             const EngineProfile &before);
--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -35,13 +35,17 @@
 /// @brief Times of the daemons' gossip.
 ///
 /// Daemons of a data centre tell each other of themselves. One of them, the delegate, tells those
-/// of other data centres of all its members, so that messages grow with the fleet and not with its
-/// square.
+/// of other data centres of all its members. In a large fleet it tells two daemons of each other
+/// data centre, whose delegate relays that to its own members: what crosses between data centres
+/// then grows with the fleet, not with its square.
 struct PeerTimings
 {
-    Millis nearPeriod{500}; ///< Between messages to a peer of the same data centre.
+    Millis nearPeriod{500}; ///< One round: between messages to a peer of the same data centre.
+    /// Beyond as many near peers each is told in every second round. Two messages still come within
+    /// nearAlive, so that one late message makes no peer seem silent.
+    std::size_t mostNearEachRound = 16;
     Millis farPeriod{1'000}; ///< Between messages of the delegate, for a small fleet.
-    std::size_t farPeersPerSecond = 24; ///< The delegate tells no more; a larger fleet hears later.
+    std::size_t mostTold = 24; ///< Far peers that the delegate tells itself; more are relayed to.
     Millis nearAlive{2'200}; ///< A near peer that was heard within this time is alive.
     Millis farAlive{5'000}; ///< A far one; its delegate may have to be replaced first.
     Millis forgetTime{20'000}; ///< A silent peer is then forgotten.
@@ -91,13 +95,32 @@
 /// @return true where the peer spoke lately
 [[nodiscard]] bool isAlive(const PeerTable &table, const Peer &peer, Millis now) noexcept;
 
-/// @brief Whom to tell in a round.
+/// @brief Whom to tell in a round. Of many near peers, one half or the other.
 struct GossipTargets
 {
     std::vector<const Peer *> near;
     std::vector<const Peer *> far; ///< Empty unless this daemon is the delegate.
+    bool relayed = false; ///< Those in far are to relay to their data centres.
 };
 
+/// @brief Says whether this daemon speaks for its data centre, and relays to it.
+/// @param leaving this daemon stops; another one becomes the delegate
+[[nodiscard]] bool isDelegate(const PeerTable &table, bool leaving, Millis now);
+
+/// @brief Says whether this daemon passes a message from another data centre on to its own: it is
+/// the delegate, or nobody passed anything on from there lately.
+/// @param from data centre of the sender; ask before its news is taken
+[[nodiscard]] bool shouldRelay(const PeerTable &table, const DataCentreId &from, bool leaving,
+                               Millis now);
+
+/// @brief Chooses whom a message for all daemons goes to beside those of the own data centre: all
+/// others in a small fleet, else two of each other data centre, who relay it.
+[[nodiscard]] GossipTargets farTargets(const PeerTable &table, Millis now);
+
+/// @brief Says whether a new peer lacks so many of the live daemons that it is told of all of them.
+/// @param knownPeers that the peer says it knows
+[[nodiscard]] bool needsMembers(const PeerTable &table, std::size_t knownPeers, Millis now);
+
 /// @brief Chooses whom to tell in this round, which is one nearPeriod long.
 /// @param leaving this daemon stops; another one becomes the delegate
 [[nodiscard]] GossipTargets gossipTargets(PeerTable &table, bool leaving, Millis now);
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -83,7 +83,8 @@
     OwnershipTimings ownershipTimings;
     EdgeContext context{this->settings, this->dialect,    this->loop,       this->log,
                         this->http,     processMetrics(), this->incarnation};
-    PeerController peers{this->context, this->messages, [this] { return this->selfNews(); }};
+    PeerController peers{this->context, this->messages, [this] { return this->selfNews(); },
+                         [this](wire::EdgeGossip &gossip) { this->engines.addProfiles(gossip); }};
     EngineController engines{this->context,
                              [this] { return this->published.state().contentRevision; },
                              [this](const BackendServerId &server, Millis lease) {
@@ -380,6 +381,7 @@
     case wire::Envelope::kCrashNote:
         learnCrashes(this->state.crashes, Fingerprint(message.crash_note().fingerprint()),
                      message.crash_note().crashes(), monotonicNow());
+        this->peers.relayCrashes(message.crash_note());
         break;
     default:
         this->log.write(EventWeight::Notable, "message_ignored", {{"peer", peer.str()}});
@@ -391,6 +393,7 @@
     const wire::EdgeGossip &gossip = message.edge_gossip();
     const VmId peer(message.sender().vm());
     this->peers.take(gossip, message.sender().incarnation());
+    this->engines.takeProfiles(peer, gossip);
     const Millis now = monotonicNow();
     const Millis age(gossip.published_age_ms());
     if (gossip.content_revision() <= this->published.state().contentRevision) {
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -24,8 +24,53 @@
 constexpr Millis soonest{1};
 /// Samples of a service between two estimates of its profile.
 constexpr std::uint64_t samplesPerEstimate = 4;
+/// Loads that count in a daemon's weight, as its estimate follows about as many.
+constexpr std::uint32_t mostLoadWeight = 16;
+/// What another daemon measured counts for this long after it was told.
+constexpr Millis toldTime{20'000};
 constexpr double percent = 100.0;
 
+MeasuredProfile profileFromWire(const wire::ServiceProfile &message)
+{
+    // Another build may know no bounds; a wild value must not end up in a division.
+    constexpr double least = 1e-4;
+    MeasuredProfile measured;
+    EngineProfile &profile = measured.profile;
+    profile.readMsPerToken = std::max<double>(message.read_ms_per_token(), least);
+    profile.pairsPerToken = std::max<double>(message.pairs_per_token(), 0);
+    profile.stepMs = std::max<double>(message.step_ms(), least);
+    profile.stepsPerEvent = std::max<double>(message.steps_per_event(), 1);
+    profile.tokensPerStep = message.tokens_per_step();
+    profile.coldLoad = Millis(message.cold_load_ms());
+    profile.warmLoad = Millis(message.warm_load_ms());
+    profile.warmAdapters = message.warm_adapters();
+    measured.readings = message.readings();
+    measured.streams = message.streams();
+    measured.pauses = message.pauses();
+    measured.loads = message.loads();
+    return measured;
+}
+
+wire::ServiceProfile profileToWire(const ServiceId &service, const MeasuredProfile &measured)
+{
+    const EngineProfile &profile = measured.profile;
+    wire::ServiceProfile message;
+    message.set_service(service.str());
+    message.set_read_ms_per_token(static_cast<float>(profile.readMsPerToken));
+    message.set_pairs_per_token(static_cast<float>(profile.pairsPerToken));
+    message.set_step_ms(static_cast<float>(profile.stepMs));
+    message.set_steps_per_event(static_cast<float>(profile.stepsPerEvent));
+    message.set_tokens_per_step(profile.tokensPerStep);
+    message.set_cold_load_ms(static_cast<std::uint32_t>(profile.coldLoad.count()));
+    message.set_warm_load_ms(static_cast<std::uint32_t>(profile.warmLoad.count()));
+    message.set_warm_adapters(static_cast<std::uint32_t>(profile.warmAdapters));
+    message.set_readings(measured.readings);
+    message.set_streams(measured.streams);
+    message.set_pauses(measured.pauses);
+    message.set_loads(measured.loads);
+    return message;
+}
+
 std::string_view nameOf(OrderKind kind) noexcept
 {
     switch (kind) {
@@ -80,6 +125,7 @@
     auto term = std::make_unique<Term>();
     term->server = server;
     term->limits.engine = limits;
+    this->joinService(server.service);
     term->limits.profile = this->learnt[server.service].profile;
     term->places.server = server.id;
     if (!limits.models.empty()) {
@@ -217,48 +263,97 @@
     if (learning.samples.taken == before || learning.samples.taken % samplesPerEstimate != 0) {
         return;
     }
-    learning.profile = estimateProfile(learning.samples, learning.profile);
-    this->spreadProfile(term.server.service);
+    this->joinService(term.server.service);
 }
 
 void EngineController::learnLoad(Term &term, const FinishedLoad &load)
 {
     ServiceLearning &learning = this->learnt[term.server.service];
-    const bool warm = noteLoadTime(learning.profile, load.time, load.firstLook);
+    const bool warm = noteLoadTime(learning.loads, load.time, load.firstLook);
     if (load.depth) {
-        learning.profile.warmAdapters
-                = warmBoundAfter(learning.profile.warmAdapters, *load.depth, warm);
+        learning.loads.warmAdapters
+                = warmBoundAfter(learning.loads.warmAdapters, *load.depth, warm);
     }
-    this->spreadProfile(term.server.service);
+    learning.loadCount = std::min(learning.loadCount + 1, mostLoadWeight);
+    this->joinService(term.server.service);
 }
 
-void EngineController::spreadProfile(const ServiceId &service)
+MeasuredProfile EngineController::measuredBy(const ServiceLearning &learning)
+{
+    MeasuredProfile measured = measureProfile(learning.samples, learning.profile);
+    measured.profile.coldLoad = learning.loads.coldLoad;
+    measured.profile.warmLoad = learning.loads.warmLoad;
+    measured.profile.warmAdapters = learning.loads.warmAdapters;
+    measured.loads = learning.loadCount;
+    return measured;
+}
+
+void EngineController::joinService(const ServiceId &service)
 {
     ServiceLearning &learning = this->learnt[service];
+    const Millis now = monotonicNow();
+    std::erase_if(learning.told,
+                  [now](const auto &entry) { return now - entry.second.at > toldTime; });
+    std::vector<MeasuredProfile> measured{measuredBy(learning)};
+    for (const auto &[vm, told] : learning.told) {
+        measured.push_back(told.measured);
+    }
+    learning.profile = joinProfiles(measured, learning.profile);
     for (const auto &[id, term] : this->terms) {
         if (term->server.service == service) {
             term->limits.profile = learning.profile;
         }
     }
-    if (!differsMuch(learning.profile, learning.logged)) {
-        return;
+    if (differsMuch(learning.profile, learning.logged)) {
+        learning.logged = learning.profile;
+        this->logProfile(service, learning);
     }
-    learning.logged = learning.profile;
+}
+
+void EngineController::logProfile(const ServiceId &service, const ServiceLearning &learning)
+{
     constexpr double thousand = 1000.0;
+    const EngineProfile &profile = learning.profile;
     this->context.log.write(
             EventWeight::Notable, "engine_profile",
             {{"service", service.str()},
-             {"read_us_per_token",
-              static_cast<std::int64_t>(learning.profile.readMsPerToken * thousand)},
+             {"read_us_per_token", static_cast<std::int64_t>(profile.readMsPerToken * thousand)},
              {"attention_tokens_per_million_pairs",
-              static_cast<std::int64_t>(learning.profile.pairsPerToken)},
-             {"step_us", static_cast<std::int64_t>(learning.profile.stepMs * thousand)},
-             {"steps_per_event", static_cast<std::int64_t>(learning.profile.stepsPerEvent)},
-             {"tokens_per_step", learning.profile.tokensPerStep},
-             {"cold_load_ms", learning.profile.coldLoad},
-             {"warm_load_ms", learning.profile.warmLoad},
-             {"warm_adapters", learning.profile.warmAdapters},
-             {"samples", learning.samples.taken}});
+              static_cast<std::int64_t>(profile.pairsPerToken)},
+             {"step_us", static_cast<std::int64_t>(profile.stepMs * thousand)},
+             {"steps_per_event", static_cast<std::int64_t>(profile.stepsPerEvent)},
+             {"tokens_per_step", profile.tokensPerStep},
+             {"cold_load_ms", profile.coldLoad},
+             {"warm_load_ms", profile.warmLoad},
+             {"warm_adapters", profile.warmAdapters},
+             {"own_samples", learning.samples.taken},
+             {"daemons", learning.told.size() + 1}});
+}
+
+void EngineController::takeProfiles(const VmId &peer, const wire::EdgeGossip &gossip)
+{
+    for (const wire::ServiceProfile &message : gossip.profiles()) {
+        const ServiceId service(message.service());
+        ToldProfile &told = this->learnt[service].told[peer];
+        const MeasuredProfile measured = profileFromWire(message);
+        const bool changed = told.measured != measured;
+        told = ToldProfile{measured, monotonicNow()};
+        const bool owned = std::any_of(
+                this->terms.begin(), this->terms.end(),
+                [&service](const auto &entry) { return entry.second->server.service == service; });
+        if (changed && owned) {
+            this->joinService(service);
+        }
+    }
+}
+
+void EngineController::addProfiles(wire::EdgeGossip &gossip) const
+{
+    for (const auto &[service, learning] : this->learnt) {
+        if (learning.samples.taken > 0 || learning.loadCount > 0) {
+            *gossip.add_profiles() = profileToWire(service, measuredBy(learning));
+        }
+    }
 }
 
 void EngineController::suspect(Term &term, std::string_view reason)
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -3,6 +3,7 @@
 
 #include "edge_context.h"
 
+#include <balsamport.pb.h>
 #include <balsamport/edge/engine_places.h>
 
 #include <functional>
@@ -84,13 +85,28 @@
 
     [[nodiscard]] std::size_t waitingRequests() const;
 
+    /// @brief Takes the profiles that another daemon measured.
+    void takeProfiles(const VmId &peer, const wire::EdgeGossip &gossip);
+
+    /// @brief Adds the profiles that this daemon measured.
+    void addProfiles(wire::EdgeGossip &gossip) const;
+
 private:
+    /// A profile that another daemon measured.
+    struct ToldProfile
+    {
+        MeasuredProfile measured;
+        Millis at;
+    };
     /// What is learnt of the engines of a service.
     struct ServiceLearning
     {
-        EngineProfile profile;
+        EngineProfile profile; ///< In force: what all daemons measured.
         EngineProfile logged; ///< As the log has it.
         EngineSamples samples;
+        EngineProfile loads; ///< Times of loads that this daemon saw.
+        std::uint32_t loadCount = 0;
+        std::map<VmId, ToldProfile> told;
     };
     struct Term
     {
@@ -126,8 +142,10 @@
     void learnFrom(Term &term, const std::optional<ReadingSample> &reading,
                    const std::optional<StreamPace> &stream, Millis longestReading);
     void learnLoad(Term &term, const FinishedLoad &load);
-    /// Gives a service's profile to all engines of it.
-    void spreadProfile(const ServiceId &service);
+    [[nodiscard]] static MeasuredProfile measuredBy(const ServiceLearning &learning);
+    /// Joins what all daemons measured of a service, and gives it to its engines.
+    void joinService(const ServiceId &service);
+    void logProfile(const ServiceId &service, const ServiceLearning &learning);
     void logGrant(const Term &term, const GrantPlace &grant, Millis now);
 
     EdgeContext &context;
--- a/src/edge/engine_profile.cpp
+++ b/src/edge/engine_profile.cpp
@@ -143,6 +143,44 @@
     return static_cast<std::uint32_t>(std::ceil(tokens / profile.stepsPerEvent));
 }
 
+/// A value, and the samples behind it.
+struct Weighted
+{
+    double value = 0;
+    std::uint32_t weight = 0;
+};
+
+/// Stands for a bound that is not known.
+constexpr double unbounded = 1e12;
+
+std::uint32_t weightOf(const std::vector<Weighted> &values)
+{
+    std::uint32_t sum = 0;
+    for (const Weighted &one : values) {
+        sum += one.weight;
+    }
+    return sum;
+}
+
+/// @return what stood before where too few samples are behind the values
+double weightedMedian(std::vector<Weighted> values, std::size_t fewest, double before)
+{
+    const std::uint32_t total = weightOf(values);
+    if (total < fewest || total == 0) {
+        return before;
+    }
+    std::sort(values.begin(), values.end(),
+              [](const Weighted &a, const Weighted &b) { return a.value < b.value; });
+    std::uint32_t below = 0;
+    for (const Weighted &one : values) {
+        below += one.weight;
+        if (below * 2 >= total && one.weight > 0) {
+            return one.value;
+        }
+    }
+    return before;
+}
+
 bool differsMuch(double a, double b)
 {
     constexpr double fifth = 0.2;
@@ -211,30 +249,98 @@
     return warm;
 }
 
-EngineProfile estimateProfile(const EngineSamples &samples, const EngineProfile &before)
+MeasuredProfile measureProfile(const EngineSamples &samples, const EngineProfile &known)
 {
     constexpr double mostSteps = 64;
-    EngineProfile profile = before;
-    if (samples.readings.size() >= fewestSamples) {
-        profile.pairsPerToken = fitPairs(samples.readings, before.pairsPerToken);
+    // Readings between others tell less; some of them were still alone.
+    constexpr std::size_t busyShare = 4;
+    constexpr std::size_t fewestAlone = 3;
+    MeasuredProfile measured;
+    EngineProfile &profile = measured.profile;
+    profile = known;
+    const std::size_t alone = samples.readings.size();
+    const std::size_t busy = samples.busyReadings.size();
+    measured.readings = static_cast<std::uint32_t>(alone + busy / busyShare);
+    if (alone >= fewestAlone || (alone > 0 && busy < fewestSamples)) {
+        profile.pairsPerToken = fitPairs(samples.readings, known.pairsPerToken);
         profile.readMsPerToken = msPerToken({samples.readings.begin(), samples.readings.end()},
                                             profile.pairsPerToken, median);
-    } else if (samples.busyReadings.size() >= fewestSamples) {
+    } else if (busy >= fewestSamples) {
         profile.readMsPerToken
                 = msPerToken({samples.busyReadings.begin(), samples.busyReadings.end()},
                              profile.pairsPerToken, lowerThird);
+    } else {
+        measured.readings = 0;
     }
-    if (samples.eventSizes.size() >= fewestEventSizes) {
+    if (!samples.eventSizes.empty() && !samples.eventTimes.empty()) {
+        measured.streams = static_cast<std::uint32_t>(samples.eventSizes.size());
         // Streams that end before the allowed length make events seem larger, never smaller.
         profile.stepsPerEvent
                 = std::clamp(std::round(quantile(samples.eventSizes, 0)), 1.0, mostSteps);
-    }
-    if (samples.eventTimes.size() >= fewestSamples) {
         profile.stepMs
                 = std::max(quantile(samples.eventTimes, lowerThird), 1.0) / profile.stepsPerEvent;
     }
-    profile.tokensPerStep = fitTokensPerStep(samples.pauses, profile);
-    return profile;
+    if (samples.pauses.size() >= fewestSamples) {
+        measured.pauses = static_cast<std::uint32_t>(samples.pauses.size());
+        profile.tokensPerStep = fitTokensPerStep(samples.pauses, profile);
+    }
+    return measured;
+}
+
+EngineProfile joinProfiles(const std::vector<MeasuredProfile> &measured,
+                           const EngineProfile &before)
+{
+    EngineProfile joined = before;
+    std::vector<Weighted> reading;
+    std::vector<Weighted> attention;
+    std::vector<Weighted> events;
+    std::vector<Weighted> readPerEvent;
+    std::vector<Weighted> cold;
+    std::vector<Weighted> warm;
+    std::vector<Weighted> hosts;
+    double smallestEvent = 0;
+    for (const MeasuredProfile &one : measured) {
+        const EngineProfile &profile = one.profile;
+        const double perEvent = profile.tokensPerStep == 0
+                ? unbounded
+                : profile.tokensPerStep * profile.stepsPerEvent;
+        reading.push_back({profile.readMsPerToken, one.readings});
+        attention.push_back({profile.pairsPerToken, one.readings});
+        events.push_back({profile.stepMs * profile.stepsPerEvent, one.streams});
+        readPerEvent.push_back({perEvent, one.pauses});
+        cold.push_back({msOf(profile.coldLoad), one.loads});
+        warm.push_back({msOf(profile.warmLoad), one.loads});
+        hosts.push_back({static_cast<double>(profile.warmAdapters),
+                         profile.warmAdapters == 0 ? 0 : one.loads});
+        if (one.streams > 0) {
+            smallestEvent = smallestEvent == 0 ? profile.stepsPerEvent
+                                               : std::min(smallestEvent, profile.stepsPerEvent);
+        }
+    }
+    joined.readMsPerToken = weightedMedian(reading, fewestSamples, before.readMsPerToken);
+    joined.pairsPerToken = weightedMedian(attention, fewestSamples, before.pairsPerToken);
+    const double eventMs
+            = weightedMedian(events, fewestSamples, before.stepMs * before.stepsPerEvent);
+    if (weightOf(events) >= fewestEventSizes) {
+        joined.stepsPerEvent = smallestEvent;
+    }
+    joined.stepMs = eventMs / joined.stepsPerEvent;
+    const double perEvent = weightedMedian(readPerEvent, fewestSamples, unbounded);
+    joined.tokensPerStep = perEvent >= unbounded
+            ? 0
+            : static_cast<std::uint32_t>(std::ceil(perEvent / joined.stepsPerEvent));
+    joined.coldLoad
+            = Millis(std::llround(weightedMedian(cold, fewestSamples, msOf(before.coldLoad))));
+    joined.warmLoad
+            = Millis(std::llround(weightedMedian(warm, fewestSamples, msOf(before.warmLoad))));
+    joined.warmAdapters = static_cast<std::size_t>(
+            weightedMedian(hosts, 1, static_cast<double>(before.warmAdapters)));
+    return joined;
+}
+
+EngineProfile estimateProfile(const EngineSamples &samples, const EngineProfile &before)
+{
+    return joinProfiles({measureProfile(samples, before)}, before);
 }
 
 void notePace(EnginePace &pace, const EngineProfile &profile, const ReadingSample &sample)
--- a/src/edge/event_splitter.cpp
+++ b/src/edge/event_splitter.cpp
@@ -1,4 +1,6 @@
-#include "event_splitter.h"
+#include <balsamport/edge/event_splitter.h>
+
+#include <algorithm>
 
 namespace balsamport {
 
@@ -28,12 +30,15 @@
 
 std::string takePiece(EventSplitter &splitter, std::string_view piece)
 {
+    // What was pending has no end of an event, but may have its first byte.
+    const std::size_t before = splitter.pending.size();
+    const std::size_t from = before - std::min(before, eventEnd.size() - 1);
     splitter.pending += piece;
-    const std::size_t end = splitter.pending.rfind(eventEnd);
+    const std::size_t end = std::string_view(splitter.pending).substr(from).rfind(eventEnd);
     if (end == std::string::npos) {
         return std::string();
     }
-    std::string whole = splitter.pending.substr(0, end + eventEnd.size());
+    std::string whole = splitter.pending.substr(0, from + end + eventEnd.size());
     splitter.pending.erase(0, whole.size());
     std::string_view rest = whole;
     while (!rest.empty()) {
--- a/src/edge/order_ownership.cpp
+++ b/src/edge/order_ownership.cpp
@@ -38,6 +38,20 @@
     return nullptr;
 }
 
+/// The live peer that claims each engine; the first of several.
+std::map<BackendServerId, const Peer *> claimants(const PeerTable &peers, Millis now)
+{
+    std::map<BackendServerId, const Peer *> result;
+    for (const auto &[vm, peer] : peers.peers) {
+        if (!peer.owned.empty() && isAlive(peers, peer, now)) {
+            for (const BackendServerId &engine : peer.owned) {
+                result.emplace(engine, &peer);
+            }
+        }
+    }
+    return result;
+}
+
 void noteTouch(OrderOwnership &state, const OwnershipTimings &timings, const PeerTable &peers,
                Millis now)
 {
@@ -69,9 +83,11 @@
     noteTouch(state, timings, peers, now);
     OwnershipChange change;
     std::set<BackendServerId> known;
+    const std::map<BackendServerId, const Peer *> claims = claimants(peers, now);
     for (const EngineSite &engine : engines) {
         known.insert(engine.id);
-        const Peer *peer = claimant(peers, engine.id, now);
+        const auto claim = claims.find(engine.id);
+        const Peer *peer = claim == claims.end() ? nullptr : claim->second;
         if (peer != nullptr) {
             state.claimedByPeerAt[engine.id] = peer->heardAt;
         }
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -42,10 +42,12 @@
 } // namespace
 
 PeerController::PeerController(EdgeContext &owner, MessageClient &client,
-                               std::function<SelfNews()> selfNews)
+                               std::function<SelfNews()> selfNews,
+                               std::function<void(wire::EdgeGossip &)> profiles)
     : context(owner)
     , messages(client)
     , self(std::move(selfNews))
+    , addProfiles(std::move(profiles))
     , timer(owner.loop.makeTimer())
 {
     this->peers.self = owner.settings.vm;
@@ -71,7 +73,8 @@
         this->messages.notify(peer->endpoint, nearMessage);
     }
     if (!targets.far.empty()) {
-        const wire::Envelope message = this->dataCentreGossip(now);
+        wire::Envelope message = this->dataCentreGossip(now);
+        message.mutable_edge_gossip()->set_relay(targets.relayed);
         for (const Peer *peer : targets.far) {
             this->messages.notify(peer->endpoint, message);
         }
@@ -129,6 +132,8 @@
     gossip.set_content_revision(news.contentRevision);
     gossip.set_published_age_ms(static_cast<std::uint32_t>(news.publishedAge.count()));
     gossip.set_store_reachable(news.storeReachable);
+    gossip.set_known_peers(static_cast<std::uint32_t>(this->believedAlive.size()));
+    this->addProfiles(gossip);
     return message;
 }
 
@@ -173,6 +178,8 @@
 {
     const Millis now = monotonicNow();
     PeerNews news = newsOf(gossip.self());
+    const bool relays = gossip.relay() && news.dataCentre != this->peers.dataCentre
+            && shouldRelay(this->peers, news.dataCentre, this->self().leaving, now);
     news.incarnation = incarnation;
     news.storeReachable = gossip.store_reachable();
     const bool isNew = hearPeer(this->peers, news, now);
@@ -181,9 +188,7 @@
                                 {{"peer", news.vm.str()},
                                  {"data_centre", news.dataCentre.str()},
                                  {"incarnation", incarnation}});
-        wire::Envelope answer = this->gossip();
-        this->addMembers(*answer.mutable_edge_gossip(), now);
-        this->messages.notify(news.endpoint, std::move(answer));
+        this->greet(this->peers.peers.at(news.vm), gossip.known_peers(), now);
     }
     for (const wire::EdgeMember &member : gossip.members()) {
         const PeerNews told = newsOf(member);
@@ -193,12 +198,71 @@
             this->tell(told.endpoint);
         }
     }
+    if (relays) {
+        this->relay(gossip, incarnation);
+    }
     return isNew;
 }
 
+void PeerController::greet(const Peer &peer, std::size_t knownPeers, Millis now)
+{
+    const bool isNear = peer.dataCentre == this->peers.dataCentre;
+    const bool lacksMembers = needsMembers(this->peers, knownPeers, now);
+    if (!isNear && !lacksMembers && farTargets(this->peers, now).relayed) {
+        return; // Its own delegate tells it.
+    }
+    wire::Envelope answer = this->gossip();
+    if (lacksMembers) {
+        this->addMembers(*answer.mutable_edge_gossip(), now);
+    }
+    this->messages.notify(peer.endpoint, std::move(answer));
+}
+
+void PeerController::relay(const wire::EdgeGossip &gossip, std::uint64_t incarnation)
+{
+    wire::Envelope message = this->gossip();
+    wire::EdgeGossip &relayed = *message.mutable_edge_gossip();
+    relayed.set_speaks_for_members(true);
+    *relayed.mutable_members() = gossip.members();
+    wire::EdgeMember &sender = *relayed.add_members();
+    sender = gossip.self();
+    sender.set_incarnation(incarnation);
+    this->sendToDataCentre(message);
+}
+
 void PeerController::tellAll()
 {
-    this->sendToAll(this->gossip());
+    wire::Envelope message = this->gossip();
+    this->sendToDataCentre(message);
+    const GossipTargets targets = farTargets(this->peers, monotonicNow());
+    message.mutable_edge_gossip()->set_relay(targets.relayed);
+    for (const Peer *peer : targets.far) {
+        this->messages.notify(peer->endpoint, message);
+    }
+}
+
+void PeerController::tellCrashes(Fingerprint fingerprint, std::uint32_t crashes)
+{
+    wire::Envelope message;
+    message.mutable_crash_note()->set_fingerprint(fingerprint.number());
+    message.mutable_crash_note()->set_crashes(crashes);
+    this->sendToDataCentre(message);
+    const GossipTargets targets = farTargets(this->peers, monotonicNow());
+    message.mutable_crash_note()->set_relay(targets.relayed);
+    for (const Peer *peer : targets.far) {
+        this->messages.notify(peer->endpoint, message);
+    }
+}
+
+void PeerController::relayCrashes(const wire::CrashNote &note)
+{
+    if (!note.relay() || !isDelegate(this->peers, this->self().leaving, monotonicNow())) {
+        return;
+    }
+    wire::Envelope message;
+    *message.mutable_crash_note() = note;
+    message.mutable_crash_note()->set_relay(false);
+    this->sendToDataCentre(message);
 }
 
 void PeerController::send(const VmId &peer, wire::Envelope message)
@@ -218,13 +282,6 @@
     }
 }
 
-void PeerController::sendToAll(const wire::Envelope &message)
-{
-    for (const auto &[vm, peer] : this->peers.peers) {
-        this->messages.notify(peer.endpoint, message);
-    }
-}
-
 std::size_t PeerController::liveDaemons() const
 {
     const Millis now = monotonicNow();
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -29,7 +29,9 @@
 class PeerController
 {
 public:
-    PeerController(EdgeContext &context, MessageClient &messages, std::function<SelfNews()> self);
+    /// @param addProfiles adds what this daemon measured of engines to its gossip
+    PeerController(EdgeContext &context, MessageClient &messages, std::function<SelfNews()> self,
+                   std::function<void(wire::EdgeGossip &)> addProfiles);
 
     void start();
 
@@ -37,13 +39,18 @@
     /// @return true where the peer is new or has started again
     bool take(const wire::EdgeGossip &gossip, std::uint64_t incarnation);
 
-    /// @brief Tells all peers at once, for example that this daemon leaves.
+    /// @brief Tells all peers of this daemon at once, for example that it leaves.
     void tellAll();
 
+    /// @brief Tells all peers that a request crashed servers.
+    void tellCrashes(Fingerprint fingerprint, std::uint32_t crashes);
+
+    /// @brief Passes a note on to the own data centre where its sender asks the delegate for it.
+    void relayCrashes(const wire::CrashNote &note);
+
     /// @brief Sends a message to a peer that is known. Messages to others are dropped.
     void send(const VmId &peer, wire::Envelope message);
     void sendToDataCentre(const wire::Envelope &message);
-    void sendToAll(const wire::Envelope &message);
 
     [[nodiscard]] const PeerTable &table() const noexcept { return this->peers; }
     /// @return live daemons, this one included
@@ -57,10 +64,14 @@
     [[nodiscard]] wire::Envelope gossip() const;
     [[nodiscard]] wire::Envelope dataCentreGossip(Millis now) const;
     void addMembers(wire::EdgeGossip &gossip, Millis now) const;
+    /// Tells the own data centre what the delegate of another one said.
+    void relay(const wire::EdgeGossip &gossip, std::uint64_t incarnation);
+    void greet(const Peer &peer, std::size_t knownPeers, Millis now);
 
     EdgeContext &context;
     MessageClient &messages;
     std::function<SelfNews()> self;
+    std::function<void(wire::EdgeGossip &)> addProfiles;
     PeerTable peers;
     std::unique_ptr<LoopTimer> timer;
     std::set<VmId> believedAlive;
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -8,6 +8,14 @@
 
 namespace balsamport {
 
+namespace {
+
+constexpr std::string_view delegateRole = "delegate";
+/// Daemons of another data centre that a message for all of it is sent to.
+constexpr std::size_t relaysPerDataCentre = 2;
+
+} // namespace
+
 bool hearPeer(PeerTable &table, const PeerNews &news, Millis heardAt)
 {
     if (news.vm == table.self || news.vm.empty()) {
@@ -68,38 +76,93 @@
     return peer.heardAt >= Millis(0) && now - peer.heardAt <= limit;
 }
 
-GossipTargets gossipTargets(PeerTable &table, bool leaving, Millis now)
+bool isDelegate(const PeerTable &table, bool leaving, Millis now)
 {
-    GossipTargets targets;
-    std::vector<VmId> delegates;
-    if (!leaving) {
-        delegates.push_back(table.self);
+    if (leaving) {
+        return false;
+    }
+    std::vector<VmId> members{table.self};
+    for (const auto &[vm, peer] : table.peers) {
+        if (peer.dataCentre == table.dataCentre && !peer.leaving && isAlive(table, peer, now)) {
+            members.push_back(vm);
+        }
     }
+    return rendezvousFirst(delegateRole, members) == table.self;
+}
+
+bool shouldRelay(const PeerTable &table, const DataCentreId &from, bool leaving, Millis now)
+{
+    // Two rounds of the sender's delegate.
+    const Millis missed = table.timings.farPeriod * 2;
+    const bool heardLately
+            = std::any_of(table.peers.begin(), table.peers.end(), [&](const auto &entry) {
+                  return entry.second.dataCentre == from && entry.second.heardAt >= Millis(0)
+                          && now - entry.second.heardAt < missed;
+              });
+    return !leaving && (!heardLately || isDelegate(table, leaving, now));
+}
+
+GossipTargets farTargets(const PeerTable &table, Millis now)
+{
+    GossipTargets targets;
+    std::map<DataCentreId, std::vector<const Peer *>> byDataCentre;
     for (const auto &[vm, peer] : table.peers) {
         if (peer.dataCentre != table.dataCentre) {
             targets.far.push_back(&peer);
-            continue;
-        }
-        targets.near.push_back(&peer);
-        if (!peer.leaving && isAlive(table, peer, now)) {
-            delegates.push_back(vm);
+            byDataCentre[peer.dataCentre].push_back(&peer);
         }
     }
+    if (targets.far.size() <= table.timings.mostTold) {
+        return targets;
+    }
+    targets.relayed = true;
+    targets.far.clear();
+    for (auto &[dataCentre, members] : byDataCentre) {
+        // The likely delegate and the next, as the delegate may be gone. Members that fell silent
+        // come last, in turn, so that a data centre that was cut off is found again.
+        const auto rank = [&](const Peer *peer) {
+            const bool usable = !peer->leaving && isAlive(table, *peer, now);
+            const std::uint64_t score
+                    = rendezvousScore(hash64(delegateRole), hash64(peer->vm.str()));
+            return std::make_pair(usable ? 1 : 0, usable ? score : mixHash(score, table.round));
+        };
+        const std::size_t relays = std::min(relaysPerDataCentre, members.size());
+        std::partial_sort(members.begin(), members.begin() + static_cast<std::ptrdiff_t>(relays),
+                          members.end(),
+                          [&rank](const Peer *a, const Peer *b) { return rank(a) > rank(b); });
+        targets.far.insert(targets.far.end(), members.begin(),
+                           members.begin() + static_cast<std::ptrdiff_t>(relays));
+    }
+    return targets;
+}
+
+bool needsMembers(const PeerTable &table, std::size_t knownPeers, Millis now)
+{
+    const auto alive = static_cast<std::size_t>(
+            std::count_if(table.peers.begin(), table.peers.end(),
+                          [&](const auto &entry) { return isAlive(table, entry.second, now); }));
+    // What is missing otherwise is told in the usual rounds.
+    return knownPeers * 2 < alive;
+}
+
+GossipTargets gossipTargets(PeerTable &table, bool leaving, Millis now)
+{
+    GossipTargets targets;
     const std::uint64_t round = table.round++;
     const auto roundsPerFar = static_cast<std::uint64_t>(std::max<std::int64_t>(
             1, table.timings.farPeriod.count() / table.timings.nearPeriod.count()));
-    const std::size_t far = targets.far.size();
-    // All of a small fleet every farPeriod, a part of a large one in turn.
-    const std::size_t stride = (far + table.timings.farPeersPerSecond - 1)
-            / std::max<std::size_t>(1, table.timings.farPeersPerSecond);
-    if (round % roundsPerFar != 0 || rendezvousFirst("delegate", delegates) != table.self) {
-        targets.far.clear();
-    } else if (stride > 1) {
-        std::vector<const Peer *> part;
-        for (std::size_t i = round / roundsPerFar % stride; i < far; i += stride) {
-            part.push_back(targets.far[i]);
+    if (round % roundsPerFar == 0 && isDelegate(table, leaving, now)) {
+        targets = farTargets(table, now);
+    }
+    std::vector<const Peer *> near;
+    for (const auto &[vm, peer] : table.peers) {
+        if (peer.dataCentre == table.dataCentre) {
+            near.push_back(&peer);
         }
-        targets.far = std::move(part);
+    }
+    const std::size_t stride = near.size() > table.timings.mostNearEachRound ? 2 : 1;
+    for (std::size_t i = round % stride; i < near.size(); i += stride) {
+        targets.near.push_back(near[i]);
     }
     return targets;
 }
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -369,10 +369,7 @@
 {
     const std::uint32_t crashes
             = noteCrash(this->context.state.crashes, this->fingerprint, monotonicNow());
-    wire::Envelope message;
-    message.mutable_crash_note()->set_fingerprint(this->fingerprint.number());
-    message.mutable_crash_note()->set_crashes(crashes);
-    this->context.peers.sendToAll(message);
+    this->context.peers.tellCrashes(this->fingerprint, crashes);
     this->context.edge.log.write(EventWeight::Notable, "crash_suspected",
                                  {{"request", this->request.id.str()},
                                   {"server", sent->server.str()},
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -2,9 +2,10 @@
 #define BALSAMPORT_EDGE_REQUEST_FLOW_H
 
 #include "edge_state.h"
-#include "event_splitter.h"
 #include "place_client.h"
 
+#include <balsamport/edge/event_splitter.h>
+
 #include <atomic>
 #include <memory>
 #include <optional>
@@ -72,6 +73,8 @@
     [[nodiscard]] ExchangeHandlers handlersOf(const std::shared_ptr<Attempt> &attempt);
     void takeHead(const std::shared_ptr<Attempt> &attempt, const ResponseHead &head);
     void takeBody(const std::shared_ptr<Attempt> &attempt, const std::string &piece);
+    /// Goes on with an answer that was held up, once what came of it has been taken.
+    void resumeIfPaused(Attempt &attempt);
     [[nodiscard]] bool isNear(const BackendServerId &server) const;
     void relay(const std::shared_ptr<Attempt> &attempt, std::string text);
     void takeEnd(const std::shared_ptr<Attempt> &attempt, const Result<void> &result);
--- a/tests/src/unit-engine-profile.cpp
+++ b/tests/src/unit-engine-profile.cpp
@@ -211,3 +211,43 @@
     b.readMsPerToken *= 1.3;
     REQUIRE(differsMuch(a, b));
 }
+
+TEST_CASE("load pattern: many daemons that own one engine each, and have few samples")
+{
+    const TrueEngine engine{1 / 25.8, 28.4, 8.2, 3, 4'096, 2'000, 120};
+    std::mt19937 random(20261204);
+    std::vector<MeasuredProfile> measured;
+    for (int daemon = 0; daemon < 30; ++daemon) {
+        EngineSamples samples;
+        EngineProfile own;
+        play(engine, samples, own, 6, random);
+        measured.push_back(measureProfile(samples, own));
+    }
+    const EngineProfile joined = joinProfiles(measured, EngineProfile());
+    REQUIRE(joined.readMsPerToken == Approx(engine.readMsPerToken).epsilon(0.15));
+    REQUIRE(joined.stepsPerEvent == Approx(engine.stepsPerEvent).margin(0.6));
+
+    SECTION("one that measured nonsense does not move the others")
+    {
+        MeasuredProfile wrong;
+        wrong.profile.readMsPerToken = 9;
+        wrong.profile.coldLoad = Millis(60'000);
+        wrong.readings = 64;
+        wrong.loads = 16;
+        measured.push_back(wrong);
+        for (MeasuredProfile &one : measured) {
+            one.loads = std::max(one.loads, 2U);
+        }
+        const EngineProfile again = joinProfiles(measured, EngineProfile());
+        REQUIRE(again.readMsPerToken == Approx(joined.readMsPerToken).epsilon(0.3));
+        REQUIRE(again.coldLoad < Millis(1'000));
+    }
+
+    SECTION("too few samples in all leave the cautious start")
+    {
+        MeasuredProfile few;
+        few.profile.readMsPerToken = 9;
+        few.readings = 2;
+        REQUIRE(joinProfiles({few}, EngineProfile()) == EngineProfile());
+    }
+}
