End answers without end, and go on with answers that were held up

Found by e2e-hazards, which plays what hit operators elsewhere against a real daemon: a late second copy of an answer on a kept connection, a slow but sound stream, one that stalls with a byte now and then, bytes without end in a head, a body and a stream, garbage on each port and in the store, and a start after a server has left.

Two faults came up. A stream's unfinished event, and the heads and bodies of the daemon's own calls, had no bound: the exchange went on until its time was over, with all bytes kept or, beyond 8 MB of a listing, silently left out. An event of more than 256 KiB, heads of more than 64 KiB and longer answers now end the exchange as no answer. And an answer that was held up because the daemon read it slower than it came was never gone on with unless a part of a stream was then passed on: a body of more than 256 KiB at full speed ended with 504. It goes on as soon as what came has been taken.

--- a/include/balsamport/http/http_client.h
+++ b/include/balsamport/http/http_client.h
@@ -26,6 +26,8 @@
     Millis idleTimeout{0}; ///< Longest silence while the answer is awaited; 0 for none.
     /// Opens a new connection, so that a kept one cannot break under the request.
     bool freshConnection = false;
+    /// Longest answer, its head included; a longer one ends with BadResponse. 0 for any body.
+    std::size_t maxAnswerBytes = 0;
     Millis keptConnectionAge{5'000}; ///< A connection that was idle for longer is not used again.
 };
 
--- a/src/edge/edge_context.cpp
+++ b/src/edge/edge_context.cpp
@@ -18,11 +18,10 @@
         answer->headers = head.headers;
     };
     handlers.onPiece = [answer](std::string_view piece) {
-        if (answer->body.size() + piece.size() <= maxAnswerBytes) {
-            answer->body += piece;
-        }
+        answer->body += piece;
         return true;
     };
+    request.maxAnswerBytes = maxAnswerBytes;
     handlers.onDone = [answer, &loop = context.loop,
                        task = std::move(handler)](const Result<void> &result) {
         Result<HttpAnswer> whole = result.has_error() ? Result<HttpAnswer>(result.error())
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -149,8 +149,10 @@
     const bool streams = this->streamStarted && httpstatus::isSuccess(sent->answer.status)
             && !sent->answer.didNotRun;
     if (!streams) {
-        sent->unwritten = 0;
+        sent->unwritten -= std::min(piece.size(), sent->unwritten.load());
+        this->resumeIfPaused(*sent);
         if (sent->body.size() + piece.size() > maxAnswerBytes) {
+            sent->foreign = true;
             this->context.edge.http.cancel(sent->exchange);
             return;
         }
@@ -159,7 +161,13 @@
     }
     std::string events = takePiece(this->splitter, piece);
     sent->unwritten -= std::min(piece.size(), sent->unwritten.load());
+    if (isOverlong(this->splitter)) {
+        sent->foreign = true; // Bytes without end are no answer to the request.
+        this->context.edge.http.cancel(sent->exchange);
+        return;
+    }
     if (events.empty()) {
+        this->resumeIfPaused(*sent);
         return;
     }
     const Millis now = monotonicNow();
@@ -186,6 +194,13 @@
     this->relay(sent, std::move(events));
 }
 
+void RequestFlow::resumeIfPaused(Attempt &sent)
+{
+    if (sent.unwritten <= maxUnwritten && sent.paused.exchange(false)) {
+        this->context.edge.http.resume(sent.exchange);
+    }
+}
+
 bool RequestFlow::isNear(const BackendServerId &server) const
 {
     const auto known = this->context.state.catalog.servers.find(server);
--- a/src/http/curl_exchange.cpp
+++ b/src/http/curl_exchange.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t millisPerSecond = 1000;
+/// Bytes of all heads of one answer, interim ones included. Source: common limits of HTTP servers
+/// are 8 to 64 KiB.
+constexpr std::size_t maxHeadBytes = 64 * 1024;
 
 std::string_view trimLineEnd(std::string_view line) noexcept
 {
@@ -129,8 +132,15 @@
 
 std::size_t CurlExchange::onHeader(char *data, std::size_t size, std::size_t count, void *user)
 {
-    static_cast<CurlExchange *>(user)->takeHeaderLine(std::string_view(data, size * count));
-    return size * count;
+    auto *self = static_cast<CurlExchange *>(user);
+    const std::size_t bytes = size * count;
+    self->headBytes += bytes;
+    if (self->headBytes > maxHeadBytes) {
+        self->overlong = true;
+        return 0; // Ends the exchange.
+    }
+    self->takeHeaderLine(std::string_view(data, bytes));
+    return bytes;
 }
 
 void CurlExchange::takeHeaderLine(std::string_view line)
@@ -169,9 +179,15 @@
 {
     auto *self = static_cast<CurlExchange *>(user);
     const std::size_t bytes = size * count;
+    const std::size_t most = self->request.maxAnswerBytes;
+    if (most != 0 && self->headBytes + self->bodyBytes + bytes > most) {
+        self->overlong = true;
+        return 0; // Ends the exchange.
+    }
     if (self->handlers.onPiece && !self->handlers.onPiece(std::string_view(data, bytes))) {
         return CURL_WRITEFUNC_PAUSE;
     }
+    self->bodyBytes += bytes;
     return bytes;
 }
 
@@ -184,6 +200,9 @@
     if (!this->sendingStarted) {
         return Error{ErrorCode::ConnectFailed, detail};
     }
+    if (this->overlong) {
+        return Error{ErrorCode::BadResponse, this->request.url + ": the answer has no end"};
+    }
     switch (code) {
     case CURLE_OPERATION_TIMEDOUT:
         return Error{ErrorCode::Timeout, detail};
--- a/src/http/curl_exchange.h
+++ b/src/http/curl_exchange.h
@@ -48,6 +48,9 @@
     bool headAnnounced = false;
     bool sendingStarted = false;
     bool sendRefused = false;
+    std::size_t headBytes = 0; ///< Of all heads so far, interim ones included.
+    std::size_t bodyBytes = 0;
+    bool overlong = false; ///< The answer was longer than any may be.
 };
 
 } // namespace balsamport
--- /dev/null
+++ b/tests/e2e/e2e-hazards.cpp
@@ -0,0 +1,170 @@
+/// What hit operators of similar systems, played against a real edge daemon.
+#include "edge_world.h"
+#include "rogue_replica.h"
+
+#include <catch2/catch.hpp>
+
+using namespace balsamport;
+using namespace balsamport::testing;
+
+namespace {
+
+constexpr int okStatus = 200;
+constexpr Millis startTime{10'000};
+constexpr Millis routeTimeout{2'500};
+/// A request is answered this long after its route's timeout at the latest.
+constexpr Millis timeoutSlack{500};
+
+void configureRogue(EdgeWorld &world)
+{
+    world.store->put("op/config",
+                     fmt::format(R"({{"version":{},"routes":[
+ {{"name":"rogue","host":"h","prefix":"/rogue/","kind":"unsafe","timeout_ms":{},
+   "target_latency_ms":200,"priority":1,"service":"rogue","max_attempts":1}},
+ {{"name":"flow","host":"h","prefix":"/flow/","kind":"streaming","timeout_ms":{},
+   "target_latency_ms":200,"priority":1,"service":"rogue","max_attempts":1}},
+ {{"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout_ms":1000,
+   "target_latency_ms":200,"priority":2,"service":"app","max_attempts":2}}],
+ "services":[{{"name":"rogue","max_connections":110}},{{"name":"app","max_connections":110}}]}})",
+                                 ++world.configVersion, routeTimeout.count(),
+                                 routeTimeout.count()));
+}
+
+} // namespace
+
+TEST_CASE("a daemon before a server that breaks the rules of HTTP")
+{
+    EdgeWorld world(1);
+    standins::ReplicaOptions options;
+    options.id = "r1";
+    options.service = "rogue";
+    options.dataCentre = "a";
+    options.address = freeAddress(); // Of the stand-in that describes it; nobody is sent there.
+    options.announced = freeAddress();
+    RogueReplica rogue(options.announced);
+    const auto description = standins::ReplicaStandin::start(options).value();
+    world.store->put(description->key(), description->description(false));
+    world.startAll();
+    configureRogue(world);
+    REQUIRE(eventually(startTime, [&] {
+        return world.allReady() && world.call(0, "/rogue/plain", "first").status == okStatus;
+    }));
+
+    SECTION("a late second copy of an answer reaches nobody")
+    {
+        for (int i = 0; i < 30; ++i) {
+            const std::string id = "t" + std::to_string(i);
+            const CallerView seen = world.call(0, "/rogue/twice", id);
+            CAPTURE(i, seen.status);
+            // Where the copy met the next request, that one may have run and is not called not-run.
+            REQUIRE((seen.status == okStatus ? seen.body == "done " + id : seen.status == 502));
+            sleepFor(Millis(i % 3 * 15));
+        }
+    }
+
+    SECTION("a slow but sound stream is not cut")
+    {
+        const CallerView seen = world.call(0, "/flow/slow", "slow");
+        REQUIRE(seen.status == okStatus);
+        std::string expected;
+        for (int i = 1; i <= RogueReplica::slowEvents; ++i) {
+            expected += "id: " + std::to_string(i) + "\ndata: slow\n\n";
+        }
+        REQUIRE(seen.body == expected);
+    }
+
+    SECTION("a stream that stalls, with a byte now and then, ends with its route's timeout")
+    {
+        const Millis begin = monotonicNow();
+        const CallerView seen = world.call(0, "/flow/stall", "stall");
+        REQUIRE(seen.status == 0); // It does not look whole.
+        REQUIRE(monotonicNow() - begin < routeTimeout + timeoutSlack);
+        REQUIRE(eventually(Millis(1'000), [&] { return rogue.writing == 0; }));
+    }
+
+    SECTION("bytes without end are no answer: the connection is dropped at once")
+    {
+        constexpr std::size_t mostBytes = 32 * 1024 * 1024;
+        for (const char *path :
+             {"/flow/endless-body", "/rogue/endless-head", "/rogue/endless-body"}) {
+            const std::size_t before = rogue.sent;
+            const Millis begin = monotonicNow();
+            const CallerView seen = world.call(0, path, std::string("e") + (path + 1));
+            CAPTURE(path, seen.status, (monotonicNow() - begin).count());
+            REQUIRE((seen.status == 0 || seen.status == 502));
+            REQUIRE(seen.body.find('x') == std::string::npos);
+            REQUIRE(monotonicNow() - begin < Millis(2'000));
+            REQUIRE(eventually(Millis(1'000), [&] { return rogue.writing == 0; }));
+            REQUIRE(rogue.sent - before < mostBytes);
+        }
+        REQUIRE(world.call(0, "/look/1", "after").body == "done after");
+    }
+}
+
+TEST_CASE("a daemon that is sent what nobody should send")
+{
+    EdgeWorld world(1);
+    world.startAll();
+    world.configure();
+    REQUIRE(eventually(startTime, [&] { return world.allReady(); }));
+    asio::io_context context;
+    const auto throwAt = [&](const std::string &address, const std::string &bytes) {
+        asio::ip::tcp::socket socket(context);
+        const auto port
+                = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+        socket.connect({asio::ip::address_v4::loopback(), port});
+        asio::error_code ignored;
+        asio::write(socket, asio::buffer(bytes), ignored);
+        sleepFor(Millis(20));
+    };
+    const std::string zmqGreeting("\xff\0\0\0\0\0\0\0\x01\x7f\x03\0NULL", 16);
+    const std::vector<std::string> messages{
+            std::string(5'000, '\0'),
+            std::string(5'000, '\xff'),
+            zmqGreeting,
+            zmqGreeting + std::string(64, '\0') + std::string("\x04\x19\x05READY", 8),
+            "GET / HTTP/1.1\r\n\r\n",
+            "GET /look/1 HTTP/9.9\r\nContent-Length: -5\r\n\r\n",
+            std::string(
+                    "POST /book/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz")};
+    for (const std::string &bytes : messages) {
+        for (const std::string &address :
+             {world.edges[0].control, world.edges[0].front, world.edges[0].ready}) {
+            throwAt(address, bytes);
+        }
+    }
+    REQUIRE(world.call(0, "/look/1", "l1").body == "done l1");
+    REQUIRE(world.isReady(0));
+
+    SECTION("also where the store holds what cannot be read")
+    {
+        world.store->put("servers/x1", std::string("\x00\xff\xfe{", 4));
+        world.store->put("servers/x2", "{\"service\":7,\"address\":[],\"state\":\"gone\"}");
+        world.store->put("op/version/", "[]");
+        world.store->put("op/config", "{\"version\":\"new\"}");
+        sleepFor(Millis(1'500));
+        REQUIRE(world.call(0, "/look/1", "l2").body == "done l2");
+        REQUIRE(world.isReady(0));
+    }
+}
+
+TEST_CASE("a daemon that starts again")
+{
+    EdgeWorld world(2);
+    world.startAll();
+    world.configure();
+    REQUIRE(eventually(startTime, [&] { return world.allReady(); }));
+    world.store->remove("servers/s2");
+    sleepFor(Millis(1'500));
+
+    SECTION("uses no server that has left meanwhile, whatever its peers said before")
+    {
+        world.edges[0].process->killNow();
+        world.startEdge(0);
+        REQUIRE(eventually(startTime, [&] { return world.isReady(0); }));
+        for (int i = 0; i < 20; ++i) {
+            REQUIRE(world.call(0, "/book/1", "g" + std::to_string(i)).status == okStatus);
+        }
+        REQUIRE(world.replicas.at("s2").standin->runs().empty());
+    }
+}
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -1,6 +1,7 @@
 #include <balsamport/http/http_client.h>
 #include <balsamport/http/http_server.h>
 
+#include <asio.hpp>
 #include <catch2/catch.hpp>
 
 #include <atomic>
@@ -45,6 +46,58 @@
     }
 }
 
+/// A server that answers each connection with a beginning, and then with the same text again and
+/// again until the caller closes.
+class EndlessServer
+{
+public:
+    EndlessServer(std::string begin, std::string repeated)
+        : beginning(std::move(begin))
+        , text(std::move(repeated))
+        , acceptor(this->context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , thread([this] { this->run(); })
+    { }
+    ~EndlessServer()
+    {
+        this->stopping = true;
+        asio::ip::tcp::socket last(this->context);
+        asio::error_code ignored;
+        last.connect(this->acceptor.local_endpoint(), ignored); // Ends a waiting accept.
+        this->thread.join();
+    }
+    EndlessServer(const EndlessServer &) = delete;
+    EndlessServer &operator=(const EndlessServer &) = delete;
+
+    [[nodiscard]] std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/";
+    }
+
+    std::atomic<std::size_t> sent{0};
+
+private:
+    void run()
+    {
+        while (!this->stopping) {
+            asio::ip::tcp::socket socket(this->context);
+            asio::error_code failure;
+            this->acceptor.accept(socket, failure);
+            std::string next = this->beginning;
+            while (!failure && !this->stopping) {
+                this->sent += asio::write(socket, asio::buffer(next), failure);
+                next = this->text;
+            }
+        }
+    }
+
+    std::string beginning;
+    std::string text;
+    std::atomic<bool> stopping{false};
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor;
+    std::thread thread;
+};
+
 OutgoingRequest get(const std::string &path)
 {
     OutgoingRequest request;
@@ -249,3 +302,54 @@
         kept.clear();
     }
 }
+
+TEST_CASE("a server that sends bytes without end")
+{
+    constexpr std::size_t mostBytes = 1024 * 1024;
+    HttpClient client;
+    OutgoingRequest request;
+    request.timeout = Millis(20'000);
+    request.maxAnswerBytes = mostBytes;
+    const auto begin = std::chrono::steady_clock::now();
+    const auto requireRefused = [&](EndlessServer &server) {
+        request.url = server.url();
+        const Result<HttpAnswer> answer = client.fetch(request);
+        REQUIRE(answer.has_error());
+        REQUIRE(answer.error().code != ErrorCode::Timeout);
+        REQUIRE(answer.error().code != ErrorCode::ConnectFailed);
+        REQUIRE(std::chrono::steady_clock::now() - begin < std::chrono::seconds(10));
+    };
+
+    SECTION("in its head, as fields")
+    {
+        EndlessServer server("HTTP/1.1 200 OK\r\n", "X-More: " + std::string(200, 'x') + "\r\n");
+        requireRefused(server);
+    }
+    SECTION("in its head, as one line")
+    {
+        EndlessServer server("HTTP/1.1 200 OK\r\nX-More: ", std::string(4096, 'x'));
+        requireRefused(server);
+    }
+    SECTION("as interim answers, one after another")
+    {
+        EndlessServer server("", "HTTP/1.1 100 Continue\r\n\r\n");
+        requireRefused(server);
+    }
+    SECTION("that are no answer at all")
+    {
+        EndlessServer server("", std::string(4096, '\x7f'));
+        requireRefused(server);
+    }
+    SECTION("in its body, which has no length")
+    {
+        EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'x'));
+        requireRefused(server);
+        REQUIRE(server.sent < 64 * mostBytes);
+    }
+    SECTION("in its body, in chunks")
+    {
+        EndlessServer server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                             "5\r\nhello\r\n");
+        requireRefused(server);
+    }
+}
