Answer questions for places over their own connection, and contact far owners early

The first question between two daemons opens a connection, and so did its answer: each takes four ways of 30 ms before the message itself.

An owner now replies over the connection of the question, and a daemon tells up to six far owners a round of itself before it has a request for them.

e2e-edge and e2e-hazards pass: questions cross two daemons there.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -56,7 +56,7 @@
     void takeEntry(const PublishedEntry &entry, Millis now);
     void takeServer(const PublishedEntry &entry, const ServerEntry &server, Millis now);
     void takeConfig(const EdgeConfig &config);
-    void takeMessage(const wire::Envelope &message);
+    void takeMessage(const wire::Envelope &message, const Replier &reply);
     void takeGossip(const wire::Envelope &message);
     void takeRequest(std::shared_ptr<const IncomingRequest> request,
                      std::shared_ptr<ResponseWriter> writer);
@@ -131,8 +131,8 @@
     Result<std::unique_ptr<MessageServer>> peerServer = MessageServer::start(
             "tcp://" + this->settings.peerAddress,
             VmInstanceName{this->settings.vm.str(), this->incarnation}, CurveKeys{},
-            [this](const wire::Envelope &message, const Replier & /*reply*/) {
-                this->loop.post([this, message] { this->takeMessage(message); });
+            [this](const wire::Envelope &message, const Replier &reply) {
+                this->loop.post([this, message, reply] { this->takeMessage(message, reply); });
             });
     if (peerServer.has_error()) {
         return peerServer.error();
@@ -345,7 +345,7 @@
     }
 }
 
-void EdgeDaemon::Impl::takeMessage(const wire::Envelope &message)
+void EdgeDaemon::Impl::takeMessage(const wire::Envelope &message, const Replier &reply)
 {
     const VmId peer(message.sender().vm());
     const std::uint64_t run = message.sender().incarnation();
@@ -354,6 +354,7 @@
         // It has started again and remembers none of its requests.
         knownRun = run;
         this->engines.dropPlacesOf(peer, run);
+        this->places.forgetQuestionsOf(peer, run);
     }
     switch (message.body_case()) {
     case wire::Envelope::kEdgeGossip:
@@ -370,14 +371,11 @@
                                      message.published_pull().since_revision()));
         break;
     case wire::Envelope::kPlaceRequest:
-        this->places.servePeer(peer, run, message.place_request());
+        this->places.servePeer(peer, run, message.place_request(), reply);
         break;
     case wire::Envelope::kPlaceUpdate:
         this->places.servePeer(peer, run, message.place_update());
         break;
-    case wire::Envelope::kPlaceReply:
-        this->places.take(message.place_reply().place(), verdictOf(message.place_reply()));
-        break;
     case wire::Envelope::kCrashNote:
         learnCrashes(this->state.crashes, Fingerprint(message.crash_note().fingerprint()),
                      message.crash_note().crashes(), monotonicNow());
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -11,6 +11,8 @@
 constexpr int membersPerMessage = 400;
 /// Seeds are told again while they are unknown, every so many rounds.
 constexpr std::uint64_t roundsPerSeed = 4;
+/// Far owners that a daemon opens a connection to in one round; all of a large fleet take seconds.
+constexpr std::size_t contactsPerRound = 6;
 
 std::string endpointOf(const std::string &address)
 {
@@ -79,15 +81,40 @@
             this->messages.notify(peer->endpoint, message);
         }
     }
+    this->contactFarOwners(now);
     if (roundNumber % roundsPerSeed == 0 || this->believedAlive.empty()) {
         this->tellSeeds();
     }
     this->timer->set(this->peers.timings.nearPeriod, [this] { this->round(); });
 }
 
+void PeerController::contactFarOwners(Millis now)
+{
+    if (!farTargets(this->peers, now).relayed) {
+        return; // All daemons speak to each other anyway.
+    }
+    std::size_t left = contactsPerRound;
+    for (const auto &[vm, peer] : this->peers.peers) {
+        if (peer.dataCentre == this->peers.dataCentre || peer.owned.empty()
+            || !isAlive(this->peers, peer, now)) {
+            continue;
+        }
+        std::uint64_t &run = this->contacted[vm];
+        if (run == peer.incarnation) {
+            continue;
+        }
+        run = peer.incarnation;
+        this->tell(peer.endpoint);
+        if (--left == 0) {
+            return;
+        }
+    }
+}
+
 void PeerController::noteSilence(Millis now)
 {
     for (const VmId &vm : forgetPeers(this->peers, now)) {
+        this->contacted.erase(vm);
         this->context.log.write(EventWeight::Notable, "peer_forgotten", {{"peer", vm.str()}});
     }
     std::set<VmId> alive;
@@ -273,6 +300,25 @@
     }
 }
 
+void PeerController::askOwner(const VmId &owner, wire::Envelope question, Millis timeout,
+                              std::function<void(const wire::PlaceReply &reply)> handler)
+{
+    const auto found = this->peers.peers.find(owner);
+    if (found == this->peers.peers.end()) {
+        return;
+    }
+    this->messages.request(found->second.endpoint, std::move(question), timeout,
+                           [&loop = this->context.loop,
+                            task = std::move(handler)](const Result<wire::Envelope> &reply) {
+                               if (reply.has_error()) {
+                                   return false; // The request's own timers go on without it.
+                               }
+                               const wire::PlaceReply &told = reply.value().place_reply();
+                               loop.post([task, told] { task(told); });
+                               return told.verdict() == wire::PlaceReply::QUEUED;
+                           });
+}
+
 void PeerController::sendToDataCentre(const wire::Envelope &message)
 {
     for (const auto &[vm, peer] : this->peers.peers) {
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -8,6 +8,7 @@
 #include <balsamport/wire/message_client.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -50,6 +51,14 @@
 
     /// @brief Sends a message to a peer that is known. Messages to others are dropped.
     void send(const VmId &peer, wire::Envelope message);
+
+    /// @brief Asks the owner of an engine for a place. Replies come over the connection of the
+    /// question: one of the owner's own may have to be opened first, which takes four ways between
+    /// the regions.
+    /// @param timeout for each awaited reply
+    /// @param handler called on the loop's thread for each reply, a queued request's two included
+    void askOwner(const VmId &owner, wire::Envelope question, Millis timeout,
+                  std::function<void(const wire::PlaceReply &reply)> handler);
     void sendToDataCentre(const wire::Envelope &message);
 
     [[nodiscard]] const PeerTable &table() const noexcept { return this->peers; }
@@ -67,6 +76,8 @@
     /// Tells the own data centre what the delegate of another one said.
     void relay(const wire::EdgeGossip &gossip, std::uint64_t incarnation);
     void greet(const Peer &peer, std::size_t knownPeers, Millis now);
+    /// Opens connections to far daemons that own engines, before a request has to wait for one.
+    void contactFarOwners(Millis now);
 
     EdgeContext &context;
     MessageClient &messages;
@@ -75,6 +86,7 @@
     PeerTable peers;
     std::unique_ptr<LoopTimer> timer;
     std::set<VmId> believedAlive;
+    std::map<VmId, std::uint64_t> contacted; ///< Far owners that were told of this daemon, by run.
 };
 
 } // namespace balsamport
--- a/src/edge/place_client.cpp
+++ b/src/edge/place_client.cpp
@@ -171,7 +171,9 @@
     entry.timer = this->context.loop.makeTimer();
     entry.timer->set(ackTime, [this, place] { this->expire(place); });
     this->asked.emplace(place, std::move(entry));
-    this->peers.send(*owner, toWire(server, request, now));
+    this->peers.askOwner(
+            *owner, toWire(server, request, now), std::max(request.deadlineAt - now, ackTime),
+            [this, place](const wire::PlaceReply &reply) { this->take(place, verdictOf(reply)); });
     return place;
 }
 
@@ -234,7 +236,7 @@
 }
 
 void PlaceClient::servePeer(const VmId &peer, std::uint64_t incarnation,
-                            const wire::PlaceRequest &request)
+                            const wire::PlaceRequest &request, const Replier &reply)
 {
     const Millis now = monotonicNow();
     PlaceRequest asked;
@@ -252,12 +254,14 @@
     for (const wire::PromptPart &part : request.parts()) {
         asked.parts.push_back(PromptPart{part.id(), part.tokens()});
     }
+    this->questions.insert_or_assign(asked.key, reply);
     this->engines.submit(BackendServerId(request.backend_server()), std::move(asked));
 }
 
 void PlaceClient::servePeer(const VmId &peer, std::uint64_t incarnation,
                             const wire::PlaceUpdate &update)
 {
+    this->questions.erase(PlaceKey{peer, incarnation, update.place()});
     PlaceNote note{fromWire(update.event()), Millis(update.first_piece_ms()), std::nullopt};
     if (update.has_stream()) {
         note.stream = fromWire(update.stream());
@@ -268,6 +272,10 @@
 
 void PlaceClient::answerPeer(const PlaceKey &key, const PlaceVerdict &verdict)
 {
+    const auto question = this->questions.find(key);
+    if (question == this->questions.end()) {
+        return;
+    }
     wire::Envelope message;
     wire::PlaceReply &reply = *message.mutable_place_reply();
     reply.set_place(key.number);
@@ -276,7 +284,17 @@
     reply.set_retry_after_ms(static_cast<std::uint32_t>(verdict.retryAfter.count()));
     reply.set_wait_ms(static_cast<std::uint32_t>(verdict.wait.count()));
     reply.set_adapter_per_second(static_cast<float>(verdict.demand));
-    this->peers.send(key.vm, std::move(message));
+    question->second(std::move(message));
+    if (verdict.kind != PlaceVerdict::Kind::Queued) {
+        this->questions.erase(question);
+    }
+}
+
+void PlaceClient::forgetQuestionsOf(const VmId &peer, std::uint64_t incarnation)
+{
+    std::erase_if(this->questions, [&](const auto &entry) {
+        return entry.first.vm == peer && entry.first.incarnation != incarnation;
+    });
 }
 
 } // namespace balsamport
--- a/src/edge/place_client.h
+++ b/src/edge/place_client.h
@@ -4,6 +4,8 @@
 #include "engine_controller.h"
 #include "peer_controller.h"
 
+#include <balsamport/wire/message_server.h>
+
 #include <functional>
 #include <map>
 
@@ -31,12 +33,17 @@
     void take(std::uint64_t place, const PlaceVerdict &verdict);
 
     /// @brief Serves a peer's messages.
-    void servePeer(const VmId &peer, std::uint64_t incarnation, const wire::PlaceRequest &request);
+    void servePeer(const VmId &peer, std::uint64_t incarnation, const wire::PlaceRequest &request,
+                   const Replier &reply);
     void servePeer(const VmId &peer, std::uint64_t incarnation, const wire::PlaceUpdate &update);
 
     /// @brief Sends the verdict on a peer's request back to it.
     void answerPeer(const PlaceKey &key, const PlaceVerdict &verdict);
 
+    /// @brief Forgets the open questions of a daemon that has started again.
+    /// @param incarnation those of this run are kept
+    void forgetQuestionsOf(const VmId &peer, std::uint64_t incarnation);
+
 private:
     struct Asked
     {
@@ -54,6 +61,7 @@
     const OrderOwnership &ownership;
     std::uint64_t nextPlace = 1;
     std::map<std::uint64_t, Asked> asked;
+    std::map<PlaceKey, Replier> questions; ///< Of peers, that have no last verdict yet.
 };
 
 /// @return a verdict as a peer sent it
