--- a/include/balsamport/edge/engine_profile.h
+++ b/include/balsamport/edge/engine_profile.h
@@ -19,7 +19,7 @@
     double readMsPerToken = 0.05; ///< To read one token of a prompt.
     double pairsPerToken = 25; ///< Cost of a million pairs of tokens, in tokens read.
     double stepMs = 12; ///< One step of the streams that run, without prompts.
-    double stepsPerEvent = 4; ///< Tokens of a stream that arrive together.
+    double stepsPerEvent = 5; ///< Tokens of a stream that arrive together.
     std::uint32_t tokensPerStep = 0; ///< Of prompts, read in one step; 0 while no bound is known.
     Millis coldLoad{400}; ///< An adapter from the store.
     Millis warmLoad{60}; ///< An adapter from the engine's host memory.
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -112,7 +112,9 @@
 /// Time for prompts within the steps of one event, less these steps and the way to the caller.
 Millis prefillPerEvent(const EnginePlaces &state, const PlaceLimits &limits)
 {
-    const Millis steps = scaled(eventTime(limits.profile), state.pace.slowness);
+    // Steps take longer in a full batch than in the quiet streams that the profile comes from.
+    constexpr double loadedStep = 1.5;
+    const Millis steps = scaled(eventTime(limits.profile), state.pace.slowness * loadedStep);
     return longestPause(state) - limits.deliveryJitter - steps;
 }
 
--- a/src/edge/engine_profile.cpp
+++ b/src/edge/engine_profile.cpp
@@ -11,6 +11,8 @@
 constexpr Millis leastReading{20};
 /// Samples kept of each kind; a busy service gives as many within seconds.
 constexpr std::size_t mostSamples = 64;
+/// Prompts read alone that are taken for better than any number of others.
+constexpr std::size_t fewestAlone = 3;
 /// Streams whose sizes of events are kept; few of them use all tokens that they are allowed.
 constexpr std::size_t mostEventSizes = 256;
 /// Fewer samples of a kind change nothing.
@@ -254,7 +256,6 @@
     constexpr double mostSteps = 64;
     // Readings between others tell less; some of them were still alone.
     constexpr std::size_t busyShare = 4;
-    constexpr std::size_t fewestAlone = 3;
     MeasuredProfile measured;
     EngineProfile &profile = measured.profile;
     profile = known;
