Take no profile from another daemon that no engine can have

Cause, found on reading the change: a message whose numbers are none (NaN) would have reached the sort behind the weighted median, where comparisons with it break the order that sorting needs, and a huge weight would have outvoted all other daemons. Such a profile is logged (profile_ignored) and left out.

unit-engine-profile: five such profiles.

--- a/include/balsamport/edge/engine_profile.h
+++ b/include/balsamport/edge/engine_profile.h
@@ -119,6 +119,10 @@
     bool operator==(const MeasuredProfile &) const = default;
 };
 
+/// @brief Says whether a profile that another daemon told can be one of an engine: its values are
+/// numbers above 0, and no weight is beyond what a daemon keeps.
+[[nodiscard]] bool isPlausible(const MeasuredProfile &measured) noexcept;
+
 /// @brief Measures a profile from a daemon's own samples.
 ///
 /// Of prompts that were read alone the median is taken. Other readings are too long where a prompt
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -32,14 +32,12 @@
 
 MeasuredProfile profileFromWire(const wire::ServiceProfile &message)
 {
-    // Another build may know no bounds; a wild value must not end up in a division.
-    constexpr double least = 1e-4;
     MeasuredProfile measured;
     EngineProfile &profile = measured.profile;
-    profile.readMsPerToken = std::max<double>(message.read_ms_per_token(), least);
-    profile.pairsPerToken = std::max<double>(message.pairs_per_token(), 0);
-    profile.stepMs = std::max<double>(message.step_ms(), least);
-    profile.stepsPerEvent = std::max<double>(message.steps_per_event(), 1);
+    profile.readMsPerToken = message.read_ms_per_token();
+    profile.pairsPerToken = message.pairs_per_token();
+    profile.stepMs = message.step_ms();
+    profile.stepsPerEvent = message.steps_per_event();
     profile.tokensPerStep = message.tokens_per_step();
     profile.coldLoad = Millis(message.cold_load_ms());
     profile.warmLoad = Millis(message.warm_load_ms());
@@ -334,8 +332,13 @@
 {
     for (const wire::ServiceProfile &message : gossip.profiles()) {
         const ServiceId service(message.service());
-        ToldProfile &told = this->learnt[service].told[peer];
         const MeasuredProfile measured = profileFromWire(message);
+        if (!isPlausible(measured)) {
+            this->context.log.write(EventWeight::Notable, "profile_ignored",
+                                    {{"peer", peer.str()}, {"service", service.str()}});
+            continue;
+        }
+        ToldProfile &told = this->learnt[service].told[peer];
         const bool changed = told.measured != measured;
         told = ToldProfile{measured, monotonicNow()};
         const bool owned = std::any_of(
--- a/src/edge/engine_profile.cpp
+++ b/src/edge/engine_profile.cpp
@@ -251,6 +251,23 @@
     return warm;
 }
 
+bool isPlausible(const MeasuredProfile &measured) noexcept
+{
+    // Slower than any engine; also keeps sums and products of it finite.
+    constexpr double mostMs = 1e6;
+    constexpr std::uint32_t mostWeight = mostEventSizes + mostSamples;
+    const auto isTime = [](double value) { return value > 0 && value <= mostMs; };
+    const EngineProfile &profile = measured.profile;
+    const auto weights = {measured.readings, measured.streams, measured.pauses, measured.loads};
+    // Comparisons with what is no number are false.
+    return isTime(profile.readMsPerToken) && isTime(profile.stepMs) && profile.stepsPerEvent >= 1
+            && profile.stepsPerEvent <= mostMs && profile.pairsPerToken >= 0
+            && profile.pairsPerToken <= mostMs && isTime(msOf(profile.coldLoad))
+            && isTime(msOf(profile.warmLoad))
+            && std::all_of(weights.begin(), weights.end(),
+                           [](std::uint32_t weight) { return weight <= mostWeight; });
+}
+
 MeasuredProfile measureProfile(const EngineSamples &samples, const EngineProfile &known)
 {
     constexpr double mostSteps = 64;
--- a/tests/src/unit-engine-profile.cpp
+++ b/tests/src/unit-engine-profile.cpp
@@ -251,3 +251,36 @@
         REQUIRE(joinProfiles({few}, EngineProfile()) == EngineProfile());
     }
 }
+
+TEST_CASE("a profile that no engine can have is not taken from another daemon")
+{
+    MeasuredProfile told;
+    told.readings = 20;
+    REQUIRE(isPlausible(told));
+
+    SECTION("no number")
+    {
+        told.profile.readMsPerToken = std::nan("");
+        REQUIRE_FALSE(isPlausible(told));
+    }
+    SECTION("without end")
+    {
+        told.profile.stepMs = HUGE_VAL;
+        REQUIRE_FALSE(isPlausible(told));
+    }
+    SECTION("no time at all")
+    {
+        told.profile.coldLoad = Millis(0);
+        REQUIRE_FALSE(isPlausible(told));
+    }
+    SECTION("less than a step for an event")
+    {
+        told.profile.stepsPerEvent = 0;
+        REQUIRE_FALSE(isPlausible(told));
+    }
+    SECTION("a weight that would outvote all others")
+    {
+        told.loads = 4'000'000'000U;
+        REQUIRE_FALSE(isPlausible(told));
+    }
+}
