Serve callers sooner after a restart, and late rather than not at all

Cause: after all daemons died, the new ones refused 190 requests in 0.16 s for want of a configuration and 131 for want of an owner; a caller comes back once. Cause: the engine was first asked for the end of a load after the learnt time, so that learnt times fell slowly once the store was free again.

--- a/include/balsamport/edge/engine_places.h
+++ b/include/balsamport/edge/engine_places.h
@@ -68,11 +68,13 @@
     Millis objectiveAt; ///< The first piece is late after this.
     Millis giveUpAt; ///< Refused if it still waits then; filled in by submitPlaceRequest().
     Millis deadlineAt; ///< The caller has gone after this.
+    Millis patientUntil; ///< The caller leaves by then if no piece has come.
     Millis longestPause; ///< Of its stream, that its caller allows; 0 for any.
     std::uint32_t outputTokens = 0;
     std::vector<PromptPart> parts;
     bool lastChoice = false; ///< No other engine is left to try.
     bool otherHome = false; ///< The next engine to try is a home of the adapter, too.
+    bool late = false; ///< Its first piece will come after the objective.
     bool examined = false; ///< It was decided that the request may wait here.
     PlaceWaits waits;
 
@@ -88,7 +90,7 @@
     /// For the way of an event and of a prompt, and for the error of the reckoned reading. Source:
     /// trials of 15, 40 and 60 ms, see docs/design/platform.md.
     Millis deliveryJitter{60};
-    std::int64_t latePatience = 4; ///< A late request waits for this part of the time it has left.
+    std::int64_t latePatience = 2; ///< A late request waits for this part of its caller's patience.
     std::uint32_t loadsAtOnce = 3; ///< The engine takes four; one is left for a replacement.
 
     bool operator==(const PlaceLimits &) const = default;
@@ -193,6 +195,7 @@
     BaseModelId base;
     bool synced = false; ///< A report has been read since the owner's term began.
     bool ordersAllowed = false; ///< The lease of any earlier owner is over.
+    Millis ordersFrom{-1}; ///< When that is expected; -1 before a report has been read.
     bool suspected = false; ///< A request did not reach it; its report is being asked for.
     bool unreachable = false; ///< It gave no report. Nobody waits for it before it answers again.
     bool modelLoaded = false;
--- a/include/balsamport/edge/order_ownership.h
+++ b/include/balsamport/edge/order_ownership.h
@@ -13,7 +13,8 @@
 /// @brief Which engines this daemon gives orders to and grants places on.
 ///
 /// There is nobody to elect an owner. An engine without a live owner is claimed by the first live
-/// daemon of its data centre by rendezvous, which then stays the owner until it stops. A new owner
+/// daemon of its data centre by rendezvous, which then stays the owner until it stops. Of two that
+/// claim one, a daemon that has just started gives way; else the lower rank does. A new owner
 /// gives no order before the engine's own order count has stood still for longer than a lease,
 /// unless it knows that nobody else gave any; see isUncontested().
 struct OrderOwnership
@@ -30,7 +31,11 @@
 /// @brief Times of claims.
 struct OwnershipTimings
 {
-    Millis settle{700}; ///< After the start, so that peers with claims are heard first.
+    /// After the start an engine of the own data centre is claimed, so that places are granted
+    /// there soon. Near peers greet a new daemon at once; whoever claims an engine already keeps
+    /// it.
+    Millis earlyClaim{200};
+    Millis settle{700}; ///< After the start; all peers with claims have been heard by then.
     Millis farSettle{8'000}; ///< The same for engines of other data centres.
     Millis silence{2'600}; ///< A peer's claim holds this long without being repeated.
     Millis standstill{1'200}; ///< Longer between two looks, and peers may have taken over.
@@ -55,10 +60,16 @@
 {
     std::vector<BackendServerId> gained;
     std::vector<BackendServerId> lost;
+    /// Will be gained after earlyClaim, unless a peer claims them meanwhile.
+    std::vector<BackendServerId> likely;
 
     bool operator==(const OwnershipChange &) const = default;
 };
 
+/// @brief Says whether this daemon started too lately to have heard all claims of others.
+[[nodiscard]] bool isSettling(const OrderOwnership &state, const OwnershipTimings &timings,
+                              Millis now) noexcept;
+
 /// @brief Claims engines without an owner, and gives up those that are gone or that a peer which
 /// ranks higher claims as well.
 /// @param leaving this daemon stops and keeps none
--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -23,6 +23,7 @@
     Millis firstTold; ///< When this VM learnt of it.
     bool leaving = false;
     bool storeReachable = false;
+    bool settling = false; ///< Started too lately to have heard all claims of others.
     std::uint32_t newsLeft = newsRounds; ///< Rounds in which near peers are still told of it.
     std::set<BackendServerId> owned; ///< Backend servers that it gives orders to.
 
@@ -74,6 +75,7 @@
     DataCentreId dataCentre;
     bool leaving = false;
     bool storeReachable = false;
+    bool settling = false;
     std::set<BackendServerId> owned;
 
     bool operator==(const PeerNews &) const = default;
--- a/include/balsamport/edge/server_catalog.h
+++ b/include/balsamport/edge/server_catalog.h
@@ -6,11 +6,22 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace balsamport {
 
+/// @brief An adapter of a base model.
+struct AdapterName
+{
+    BaseModelId base;
+    AdapterId adapter;
+
+    auto operator<=>(const AdapterName &) const = default;
+    bool operator==(const AdapterName &) const = default;
+};
+
 /// @brief A backend server as it describes itself.
 struct ServerEntry
 {
@@ -22,6 +33,8 @@
     bool draining = false;
     std::int64_t startedAtWallMs = 0; ///< Changes where a restart kept the id; 0 if not told.
     bool holdsModel = true; ///< An engine that has a base model in place, or a plain service.
+    /// In an engine's places when it last renewed its entry, a second or two ago.
+    std::set<AdapterName> adapters;
 
     bool operator==(const ServerEntry &) const = default;
 };
@@ -55,7 +68,7 @@
 void noteStoreTrouble(ServerCatalog &catalog, Millis now) noexcept;
 
 /// @brief Takes a server's description.
-/// @return true where it changed
+/// @return true where more changed than the adapters that it holds
 bool upsertServer(ServerCatalog &catalog, const ServerEntry &entry);
 
 /// @brief Takes the deletion of a server's entry. It is removed at once while the store is well.
--- a/include/balsamport/edge/server_choice.h
+++ b/include/balsamport/edge/server_choice.h
@@ -100,6 +100,16 @@
 [[nodiscard]] std::optional<BackendServerId> lastHome(const AdapterHomes &homes,
                                                       std::string_view adapter, Millis now);
 
+/// @brief What a request wants of an engine.
+struct EngineWish
+{
+    AdapterName name; ///< Without an adapter, for the base model itself.
+    double requestsPerSecond = 0; ///< For the adapter in the whole region; 0 if not known.
+    std::optional<BackendServerId> last; ///< Where this daemon had it served last, if known.
+
+    bool operator==(const EngineWish &) const = default;
+};
+
 /// @brief Engines for a request, best first.
 struct EngineRanking
 {
@@ -112,18 +122,15 @@
 
 /// @brief Ranks the engines for an adapter: its homes in the own region first, one or more by its
 /// demand, the least busy of them first; then the rest of the region; then the other regions. An
-/// adapter with little demand has one home in all regions: where it was served last, or the less
-/// busy of its first two engines.
-/// @param requestsPerSecond for the adapter, in the whole region
-/// @param last where this daemon had it served last; nothing if it is not known
+/// adapter with little demand has one home in all regions: where it was served last, an engine that
+/// holds it, or the less busy of its first two engines. Engines that hold the adapter become its
+/// homes before others; where the demand is not known, as after a start, all near ones do.
 /// @param random spreads requests over homes that are alike
 /// @complexity O(n log n)
 [[nodiscard]] EngineRanking rankEngines(const std::vector<const ServerEntry *> &servers,
                                         const Location &location,
                                         const ServerExperiences &experiences,
-                                        std::string_view adapter, double requestsPerSecond,
-                                        const std::optional<BackendServerId> &last,
-                                        std::uint64_t random, Millis now);
+                                        const EngineWish &wish, std::uint64_t random, Millis now);
 
 /// @brief Ranks the replicas of a plain service: the least loaded near one first.
 /// @param random breaks ties, so that daemons do not all choose alike
--- a/include/balsamport/edge/service_config.h
+++ b/include/balsamport/edge/service_config.h
@@ -43,6 +43,7 @@
     Millis timeout{0}; ///< Longest wait of a caller; 0 for none.
     Millis objective{0}; ///< Answers, or first pieces of streams, are late after this time.
     Millis gapObjective{0}; ///< Longest pause between pieces of a stream.
+    Millis silencePatience{0}; ///< A caller leaves a stream that is silent for so long; 0: never.
 
     bool operator==(const EdgeRoute &) const = default;
 };
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -56,6 +56,8 @@
     void takeEntry(const PublishedEntry &entry, Millis now);
     void takeServer(const PublishedEntry &entry, const ServerEntry &server, Millis now);
     void takeConfig(const EdgeConfig &config);
+    /// Goes on with the requests that came before the first configuration.
+    void resumeEarlyRequests();
     void takeMessage(const wire::Envelope &message, const Replier &reply);
     void takeGossip(const wire::Envelope &message);
     void takeRequest(std::shared_ptr<const IncomingRequest> request,
@@ -183,6 +185,7 @@
 void EdgeDaemon::Impl::begin()
 {
     this->ownership.startedAt = monotonicNow();
+    this->state.startedAt = this->ownership.startedAt;
     this->lastTick = this->ownership.startedAt;
     this->loop.onSignals([this](int number) { this->takeSignal(number); });
     this->log.write(EventWeight::Vital, "start",
@@ -264,6 +267,9 @@
         const ServerEntry &entry = this->state.catalog.servers.at(server).entry;
         this->engines.gain(entry, *this->limitsOf(entry.service));
     }
+    for (const BackendServerId &server : change.likely) {
+        this->engines.watch(this->state.catalog.servers.at(server).entry);
+    }
     if (!change.lost.empty() || !change.gained.empty()) {
         this->peers.tellAll();
     }
@@ -281,6 +287,19 @@
         this->takeEntry(entry, now);
     }
     this->updateEngines(now);
+    this->resumeEarlyRequests();
+}
+
+void EdgeDaemon::Impl::resumeEarlyRequests()
+{
+    if (!this->state.config) {
+        return;
+    }
+    // Those that are refused leave the set.
+    const auto running = this->flows.running;
+    for (const std::shared_ptr<RequestFlow> &flow : running) {
+        flow->configInForce();
+    }
 }
 
 void EdgeDaemon::Impl::takeEntry(const PublishedEntry &entry, Millis now)
@@ -321,6 +340,7 @@
                      {"address", server.address},
                      {"data_centre", server.dataCentre.str()},
                      {"draining", server.draining},
+                     {"adapters", server.adapters.size()},
                      {"revision", entry.revision}});
     const EngineLimits *limits = this->limitsOf(server.service);
     if (limits != nullptr) {
@@ -472,6 +492,7 @@
     news.publishedAge = this->published.age(monotonicNow());
     news.storeReachable = this->published.storeReachable();
     news.leaving = this->state.leaving;
+    news.settling = isSettling(this->ownership, this->ownershipTimings, monotonicNow());
     news.owned = this->ownership.owned;
     return news;
 }
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -15,6 +15,7 @@
 /// @brief What requests are decided by. Of the loop's thread only.
 struct EdgeState
 {
+    Millis startedAt; ///< Of this process.
     std::shared_ptr<const EdgeConfig> config; ///< Nothing before the first one.
     ServerCatalog catalog;
     ServerExperiences experiences;
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -118,6 +118,42 @@
     return found == this->terms.end() ? nullptr : found->second.get();
 }
 
+void EngineController::watch(const ServerEntry &server)
+{
+    if (!this->watched.emplace(server.id, WatchedCount{}).second) {
+        return;
+    }
+    OutgoingRequest request = this->context.dialect.writeReportRequest(server);
+    request.timeout = reportTimeout;
+    request.connectTimeout = reportConnectTimeout;
+    fetchOnLoop(this->context, std::move(request),
+                [this, server = server.id](const Result<HttpAnswer> &answer) {
+                    this->takeWatched(server, answer);
+                });
+}
+
+void EngineController::takeWatched(const BackendServerId &server, const Result<HttpAnswer> &answer)
+{
+    const auto found = this->watched.find(server);
+    if (found == this->watched.end() || found->second.seenAt >= Millis(0)) {
+        return;
+    }
+    const Result<EngineReport> report = answer.has_error()
+            ? answer.error()
+            : this->context.dialect.readReport(answer.value(), BaseModelId());
+    if (report.has_error()) {
+        this->context.log.write(EventWeight::Notable, "engine_report_failed",
+                                {{"server", server.str()},
+                                 {"error", errorName(report.error().code)},
+                                 {"detail", report.error().detail}});
+        this->watched.erase(found);
+        return;
+    }
+    found->second = WatchedCount{report.value().orderCount, monotonicNow()};
+    this->context.log.write(EventWeight::Notable, "engine_watched",
+                            {{"server", server.str()}, {"order_count", report.value().orderCount}});
+}
+
 void EngineController::gain(const ServerEntry &server, const EngineLimits &limits)
 {
     auto term = std::make_unique<Term>();
@@ -131,6 +167,12 @@
     }
     term->timer = this->context.loop.makeTimer();
     term->reportTimer = this->context.loop.makeTimer();
+    const auto count = this->watched.find(server.id);
+    if (count != this->watched.end()) {
+        term->orderCount = count->second.orderCount;
+        term->countSeenAt = count->second.seenAt;
+        this->watched.erase(count);
+    }
     Term &held = *term;
     this->terms[server.id] = std::move(term);
     this->context.log.write(EventWeight::Notable, "engine_owned",
@@ -393,6 +435,7 @@
 
 void EngineController::doubt(std::string_view reason)
 {
+    this->watched.clear();
     for (const auto &[id, term] : this->terms) {
         term->places.ordersAllowed = false;
         term->countSeenAt = Millis(-1);
@@ -573,6 +616,7 @@
         term.countSeenAt = now;
     }
     const Millis quiet = this->context.settings.leaseTime + leaseSlack;
+    term.places.ordersFrom = term.countSeenAt + quiet;
     const bool uncontested = this->isUncontested(term.server.id, quiet);
     if (!uncontested && now - term.countSeenAt < quiet) {
         this->reportAfter(term, quiet - (now - term.countSeenAt) + soonest);
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -66,6 +66,10 @@
                      std::function<bool(const BackendServerId &, Millis lease)> uncontested,
                      VerdictHandler onVerdict);
 
+    /// @brief Reads the order count of an engine that this daemon may soon own, so that the time
+    /// for which it has stood still is known when the term begins.
+    void watch(const ServerEntry &server);
+
     /// @brief Begins a term as the owner of an engine.
     void gain(const ServerEntry &server, const EngineLimits &limits);
     void lose(const BackendServerId &server);
@@ -124,7 +128,15 @@
         std::unique_ptr<LoopTimer> reportTimer;
     };
 
+    /// An order count that was read before a term began.
+    struct WatchedCount
+    {
+        std::uint64_t orderCount = 0;
+        Millis seenAt{-1}; ///< -1 while its report is under way.
+    };
+
     [[nodiscard]] Term *find(const BackendServerId &server);
+    void takeWatched(const BackendServerId &server, const Result<HttpAnswer> &answer);
     void sendWaitingAway(Term &term);
     void decide(Term &term);
     void decideSoon(Term &term);
@@ -155,6 +167,7 @@
     AdapterVersions versions;
     std::map<ServiceId, ServiceLearning> learnt;
     std::map<BackendServerId, std::unique_ptr<Term>> terms;
+    std::map<BackendServerId, WatchedCount> watched;
 };
 
 } // namespace balsamport
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t maxCachedParts = 64;
 /// Between questions whether a load has ended. A warm load takes about as long.
 constexpr Millis loadPollTime{30};
+/// Part of the expected time of a load after which the engine is asked first. Loads take much less
+/// than was learnt as soon as fewer run in the fleet; asked only then, they would seem as long.
+constexpr double firstLookShare = 0.6;
 /// Between questions whether a base model has been loaded.
 constexpr Millis modelPollTime{400};
 /// Share of the key-value memory that granted requests may fill.
@@ -135,6 +138,17 @@
     return pieces;
 }
 
+bool isWarm(const EnginePlaces &state, const AdapterId &adapter)
+{
+    return std::find(state.warm.begin(), state.warm.end(), adapter) != state.warm.end();
+}
+
+/// Expected time of a load.
+Millis loadTime(const EnginePlaces &state, const PlaceLimits &limits, const AdapterId &adapter)
+{
+    return isWarm(state, adapter) ? limits.profile.warmLoad : limits.profile.coldLoad;
+}
+
 double demandFor(const EnginePlaces &state, const AdapterId &adapter, Millis now)
 {
     const auto found = state.rates.find(adapter);
@@ -387,10 +401,23 @@
     return action;
 }
 
+/// Lets a request wait although its first piece will be late: a late answer is worth more to its
+/// caller than none. Those who can still be in time go first.
+void waitOnLate(PlaceRequest &request, const PlaceLimits &limits, Millis now)
+{
+    const Millis left = std::max(request.patientUntil - now, Millis(0));
+    request.late = true;
+    request.giveUpAt = now + left / limits.latePatience;
+}
+
 /// Refuses those who have waited for as long as it made sense.
-void dropOverdue(EnginePlaces &state, Millis now, std::vector<PlaceAction> &actions)
+void dropOverdue(EnginePlaces &state, const PlaceLimits &limits, Millis now,
+                 std::vector<PlaceAction> &actions)
 {
-    std::erase_if(state.waiting, [&](const PlaceRequest &request) {
+    std::erase_if(state.waiting, [&](PlaceRequest &request) {
+        if (request.giveUpAt <= now && !request.late) {
+            waitOnLate(request, limits, now);
+        }
         const bool over = request.giveUpAt <= now;
         if (over) {
             actions.emplace_back(
@@ -400,21 +427,20 @@
     });
 }
 
-bool isWarm(const EnginePlaces &state, const AdapterId &adapter)
-{
-    return std::find(state.warm.begin(), state.warm.end(), adapter) != state.warm.end();
-}
-
 /// Decides whether a new request would wait too long here.
 std::optional<PlaceAction> sendAwayAction(const EnginePlaces &state, const PlaceLimits &limits,
-                                          const PlaceRequest &request, Millis now)
+                                          PlaceRequest &request, Millis now)
 {
-    const Millis wait = expectedWait(state, limits, request, now);
+    Millis wait = expectedWait(state, limits, request, now);
     const bool held = state.places.count(request.adapter) != 0 || isWarm(state, request.adapter);
     const Millis most = request.otherHome ? otherHomeWait(limits) : elsewhereWait(limits, held);
     if (!request.lastChoice && wait > most) {
         return SendElsewhere{request.key, wait, demandFor(state, request.adapter, now)};
     }
+    if (now + wait > request.giveUpAt && !request.late) {
+        waitOnLate(request, limits, now);
+        wait = expectedWait(state, limits, request, now); // Behind others that are late as well.
+    }
     if (now + wait > request.giveUpAt) {
         return RefusePlace{request.key, std::max(wait, leastRetryAfter),
                            demandFor(state, request.adapter, now)};
@@ -589,9 +615,7 @@
         place.cachedParts.clear();
         place.looks = 0;
         place.timed = !order.repeated;
-        place.checkAt = now
-                + (isWarm(state, order.adapter) ? limits.profile.warmLoad
-                                                : limits.profile.coldLoad);
+        place.checkAt = now + scaled(loadTime(state, limits, order.adapter), firstLookShare);
     }
     place.looks += order.repeated ? 1 : 0;
 }
@@ -632,9 +656,11 @@
 {
     const Millis lastUseful
             = request.objectiveAt - firstPieceTime(state, uncachedTokens(state, request), limits);
-    const Millis left = std::max(request.deadlineAt - now, Millis(0));
     countDemand(state, request, now);
-    request.giveUpAt = lastUseful > now ? lastUseful : now + left / limits.latePatience;
+    request.giveUpAt = lastUseful;
+    if (lastUseful <= now) {
+        waitOnLate(request, limits, now);
+    }
     state.waiting.push_back(std::move(request));
 }
 
@@ -654,7 +680,7 @@
         sendAllAway(state, actions);
         return actions;
     }
-    dropOverdue(state, now, actions);
+    dropOverdue(state, limits, now, actions);
     if (state.suspected) {
         return actions;
     }
@@ -725,14 +751,19 @@
     const auto place = state.places.find(request.adapter);
     if (place != state.places.end()) {
         const bool loading = place->second.phase != PlacePhase::Ready;
-        return loading ? std::max(wait, place->second.checkAt - now) : wait;
+        const Millis loadedAt
+                = std::max(place->second.checkAt,
+                           place->second.loadStartedAt + loadTime(state, limits, request.adapter));
+        return loading ? std::max(wait, loadedAt - now) : wait;
     }
+    Millis untilOrders;
     if (!state.ordersAllowed) {
-        return std::max(wait, placeWait * 4);
+        untilOrders = state.ordersFrom < Millis(0) ? placeWait * 4
+                                                   : std::max(state.ordersFrom - now, Millis(0));
     }
-    const Millis load
-            = isWarm(state, request.adapter) ? limits.profile.warmLoad : limits.profile.coldLoad;
-    return std::max(wait, load + placeWaitFor(state, limits, request));
+    return std::max(wait,
+                    untilOrders + loadTime(state, limits, request.adapter)
+                            + placeWaitFor(state, limits, request));
 }
 
 std::optional<ReadingSample> notePlaceStarted(EnginePlaces &state, const PlaceLimits &limits,
--- a/src/edge/order_ownership.cpp
+++ b/src/edge/order_ownership.cpp
@@ -74,13 +74,25 @@
     return rendezvousFirst(engine.str(), std::vector<VmId>{a, b}) == a;
 }
 
+/// Whether an owner gives its engine up to a peer that claims it as well.
+bool givesWay(const Peer &peer, const VmId &self, const BackendServerId &engine, bool settling)
+{
+    return settling == peer.settling ? ranksAbove(peer.vm, self, engine) : settling;
+}
+
 } // namespace
 
+bool isSettling(const OrderOwnership &state, const OwnershipTimings &timings, Millis now) noexcept
+{
+    return now - state.startedAt < timings.settle;
+}
+
 OwnershipChange updateOwnership(OrderOwnership &state, const OwnershipTimings &timings,
                                 const std::vector<EngineSite> &engines, const PeerTable &peers,
                                 bool leaving, Millis now)
 {
     noteTouch(state, timings, peers, now);
+    const bool settling = isSettling(state, timings, now);
     OwnershipChange change;
     std::set<BackendServerId> known;
     const std::map<BackendServerId, const Peer *> claims = claimants(peers, now);
@@ -92,7 +104,7 @@
             state.claimedByPeerAt[engine.id] = peer->heardAt;
         }
         if (state.owned.count(engine.id) != 0) {
-            if (leaving || (peer != nullptr && ranksAbove(peer->vm, peers.self, engine.id))) {
+            if (leaving || (peer != nullptr && givesWay(*peer, peers.self, engine.id, settling))) {
                 state.owned.erase(engine.id);
                 change.lost.push_back(engine.id);
             }
@@ -101,18 +113,24 @@
         const auto claimed = state.claimedByPeerAt.find(engine.id);
         const bool claimHolds
                 = claimed != state.claimedByPeerAt.end() && now - claimed->second < timings.silence;
-        if (leaving || peer != nullptr || claimHolds || now - state.startedAt < timings.settle) {
+        if (leaving || peer != nullptr || claimHolds) {
             continue;
         }
         // Members of other data centres are heard of later than those of the own one.
-        if (engine.dataCentre != peers.dataCentre && now - state.startedAt < timings.farSettle) {
+        const bool near = engine.dataCentre == peers.dataCentre;
+        const bool settled
+                = now - state.startedAt >= (near ? timings.earlyClaim : timings.farSettle);
+        if (!near && !settled) {
             continue;
         }
         if (rendezvousFirst(engine.id.str(), candidates(peers, engine.dataCentre, now))
-            == peers.self) {
+            != peers.self) {
+            continue;
+        }
+        if (settled) {
             state.owned.insert(engine.id);
-            change.gained.push_back(engine.id);
         }
+        (settled ? change.gained : change.likely).push_back(engine.id);
     }
     for (auto engine = state.owned.begin(); engine != state.owned.end();) {
         if (known.count(*engine) == 0) {
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -35,6 +35,7 @@
     news.endpoint = member.endpoint();
     news.dataCentre = DataCentreId(member.data_centre());
     news.leaving = member.leaving();
+    news.settling = member.settling();
     for (const std::string &server : member.owned_servers()) {
         news.owned.insert(BackendServerId(server));
     }
@@ -153,6 +154,7 @@
     own.set_endpoint(endpointOf(this->context.settings.peerAddress));
     own.set_data_centre(this->peers.dataCentre.str());
     own.set_leaving(news.leaving);
+    own.set_settling(news.settling);
     for (const BackendServerId &server : news.owned) {
         own.add_owned_servers(server.str());
     }
@@ -189,6 +191,7 @@
         member.set_data_centre(peer.dataCentre.str());
         member.set_silent_ms(static_cast<std::uint32_t>((now - peer.heardAt).count()));
         member.set_leaving(peer.leaving);
+        member.set_settling(peer.settling);
         for (const BackendServerId &server : peer.owned) {
             member.add_owned_servers(server.str());
         }
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -21,6 +21,7 @@
     Millis publishedAge{0};
     bool storeReachable = false;
     bool leaving = false;
+    bool settling = false; ///< Its claims give way to those of others.
     std::set<BackendServerId> owned;
 
     bool operator==(const SelfNews &) const = default;
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -35,6 +35,7 @@
     peer.dataCentre = news.dataCentre;
     peer.leaving = news.leaving;
     peer.storeReachable = news.storeReachable;
+    peer.settling = news.settling;
     peer.owned = news.owned;
     peer.heardAt = heardAt;
     return isNew;
--- a/src/edge/place_client.cpp
+++ b/src/edge/place_client.cpp
@@ -114,6 +114,7 @@
     wire.set_priority(request.priority);
     wire.set_objective_ms(leftUntil(request.objectiveAt, now));
     wire.set_deadline_ms(leftUntil(request.deadlineAt, now));
+    wire.set_patience_ms(leftUntil(request.patientUntil, now));
     wire.set_output_tokens(request.outputTokens);
     wire.set_last_choice(request.lastChoice);
     wire.set_other_home(request.otherHome);
@@ -247,6 +248,7 @@
     asked.priority = request.priority();
     asked.objectiveAt = now + Millis(request.objective_ms());
     asked.deadlineAt = now + Millis(request.deadline_ms());
+    asked.patientUntil = now + Millis(request.patience_ms());
     asked.outputTokens = request.output_tokens();
     asked.lastChoice = request.last_choice();
     asked.otherHome = request.other_home();
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -18,6 +18,11 @@
 constexpr Millis defaultWait{30'000};
 /// Retry-After while the daemon knows no configuration or no servers.
 constexpr Millis startRetryAfter{1'000};
+/// A daemon has read its configuration within this time of its start, from a peer or the store;
+/// later ones are refused at once. Source: firstReadAfter(), and the way to the store.
+constexpr Millis startTime{1'500};
+/// Part of a caller's time that its request waits for the first configuration.
+constexpr std::int64_t startPatience = 4;
 
 } // namespace
 
@@ -33,33 +38,66 @@
 void RequestFlow::start()
 {
     this->context.running.insert(this->shared_from_this());
-    if (!this->readRoute() || !this->admit()) {
+    if (!this->readRequest()) {
         return;
     }
-    const std::weak_ptr<RequestFlow> weak = this->weak_from_this();
-    this->timer->set(timeUntil(this->deadlineAt, this->arrivedAt), [weak] {
-        if (const auto self = weak.lock()) {
-            self->expire();
-        }
-    });
-    this->writer->onGone([weak, &loop = this->context.edge.loop] {
+    this->writer->onGone([weak = this->weak_from_this(), &loop = this->context.edge.loop] {
         loop.post([weak] {
             if (const auto self = weak.lock()) {
                 self->callerGone();
             }
         });
     });
+    if (this->context.state.config) {
+        this->begin();
+        return;
+    }
+    const Millis wait = this->request.timeLeft.value_or(defaultWait);
+    this->awaitConfig(
+            std::min(timeUntil(this->context.state.startedAt + startTime, this->arrivedAt),
+                     wait / startPatience));
+}
+
+void RequestFlow::awaitConfig(Millis patience)
+{
+    this->early = true;
+    this->timer->set(patience, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->early = false;
+            self->begin();
+        }
+    });
+}
+
+void RequestFlow::configInForce()
+{
+    if (this->early && !this->ended) {
+        this->early = false;
+        this->begin();
+    }
+}
+
+void RequestFlow::begin()
+{
+    if (this->ended || !this->readRoute() || !this->admit()) {
+        return;
+    }
+    this->timer->set(timeUntil(this->deadlineAt, monotonicNow()), [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->expire();
+        }
+    });
     this->planServers();
-    if (this->plan.empty()) {
-        this->refuse(ErrorCode::NoBackendServer, startRetryAfter);
-    } else if (this->engine) {
+    if (this->engine) {
         this->askNext();
+    } else if (this->plan.empty()) {
+        this->refuse(ErrorCode::NoBackendServer, startRetryAfter);
     } else {
         this->sendToNextReplica();
     }
 }
 
-bool RequestFlow::readRoute()
+bool RequestFlow::readRequest()
 {
     Result<CallerRequest> read = this->context.edge.dialect.readRequest(*this->incoming);
     if (read.has_error()) {
@@ -67,6 +105,11 @@
         return false;
     }
     this->request = std::move(read).value();
+    return true;
+}
+
+bool RequestFlow::readRoute()
+{
     if (!this->context.state.config) {
         this->refuse(ErrorCode::ConfigUnavailable, startRetryAfter);
         return false;
@@ -215,6 +258,9 @@
 {
     this->ended = true;
     this->timer->cancel();
+    if (this->ownerTimer) {
+        this->ownerTimer->cancel();
+    }
     // The caller of this function still uses the flow.
     this->context.edge.loop.post([&running = this->context.running,
                                   self = this->shared_from_this()] { running.erase(self); });
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -38,6 +38,9 @@
                 std::shared_ptr<ResponseWriter> writer);
     void start();
 
+    /// @brief Goes on with a request that came before the first configuration.
+    void configInForce();
+
 private:
     /// One send to a backend server, shared with the callbacks of its exchange.
     struct Attempt
@@ -56,6 +59,12 @@
         std::string body;
     };
 
+    [[nodiscard]] bool readRequest();
+    /// Waits a moment for the first configuration of a daemon that has just started.
+    void awaitConfig(Millis patience);
+    void begin();
+    /// Asks again soon: no engine that was asked has an owner yet.
+    void awaitOwner();
     [[nodiscard]] bool readRoute();
     [[nodiscard]] bool admit();
     void planServers();
@@ -127,6 +136,9 @@
     std::vector<Millis> gaps; ///< Between pieces, the first ones.
     EventSplitter splitter;
     std::unique_ptr<LoopTimer> timer;
+    std::unique_ptr<LoopTimer> ownerTimer; ///< Of awaitOwner(); made when it is needed.
+    bool ownerAnswered = false; ///< An engine's owner has decided on the request.
+    bool early = false; ///< Came before the first configuration and waits for it.
     bool ended = false;
 };
 
--- a/src/edge/request_place.cpp
+++ b/src/edge/request_place.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t mostEngines = 3;
 /// Engines that are asked in place of those that are down, or whose owner is not known.
 constexpr std::size_t maxSpares = 4;
+/// Where all daemons have just started, each engine has an owner again after this time. Source:
+/// OwnershipTimings::settle, a tick of the daemon and the way between regions.
+constexpr Millis ownerPatience{1'200};
+/// Between questions who owns an engine.
+constexpr Millis ownerPace{150};
 /// Replicas of a plain service that are tried.
 constexpr std::size_t maxReplicas = 4;
 
@@ -53,9 +58,10 @@
         this->plan.resize(std::min(this->plan.size(), maxReplicas));
         return;
     }
-    this->ranking = rankEngines(servers, location, state.experiences, this->request.adapter.str(),
-                                demandFor(state.demand, this->adapterName(), now),
-                                lastHome(state.homes, this->request.adapter.str(), now),
+    const EngineWish wish{AdapterName{this->request.base, this->request.adapter},
+                          demandFor(state.demand, this->adapterName(), now),
+                          lastHome(state.homes, this->request.adapter.str(), now)};
+    this->ranking = rankEngines(servers, location, state.experiences, wish,
                                 hash64(this->request.id.str()), now);
     this->plan = this->ranking.servers;
     this->leaveOutFailed();
@@ -119,13 +125,33 @@
     }
 }
 
+void RequestFlow::awaitOwner()
+{
+    if (!this->ownerTimer) {
+        this->ownerTimer = this->context.edge.loop.makeTimer();
+    }
+    this->ownerTimer->set(ownerPace, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->ended) {
+            self->planServers();
+            self->askNext();
+        }
+    });
+}
+
 void RequestFlow::askNext()
 {
     if (this->ended) {
         return;
     }
     const Millis now = monotonicNow();
-    if (this->plan.empty() || timeUntil(this->deadlineAt, now) < leastUsefulTime) {
+    const bool inTime = timeUntil(this->deadlineAt, now) >= leastUsefulTime;
+    if (this->plan.empty() && inTime && !this->ownerAnswered
+        && now - this->arrivedAt < ownerPatience) {
+        this->awaitOwner();
+        return;
+    }
+    if (this->plan.empty() || !inTime) {
         this->refuse(ErrorCode::Overloaded, std::max(this->retryHint, defaultRetryAfter));
         return;
     }
@@ -142,6 +168,9 @@
     asked.priority = this->route.priority;
     asked.objectiveAt = this->objectiveAt;
     asked.deadlineAt = this->deadlineAt;
+    asked.patientUntil = this->route.silencePatience > Millis(0)
+            ? std::min(this->deadlineAt, this->arrivedAt + this->route.silencePatience)
+            : this->deadlineAt;
     asked.longestPause = this->route.gapObjective;
     asked.outputTokens = this->request.outputTokens;
     asked.parts = this->request.promptParts;
@@ -188,6 +217,7 @@
         || verdict.kind == PlaceVerdict::Kind::Refused) {
         this->noteTold(server, verdict.demand, now);
     }
+    this->ownerAnswered = this->ownerAnswered || verdict.kind != PlaceVerdict::Kind::NotOwner;
     switch (verdict.kind) {
     case PlaceVerdict::Kind::Queued:
         return;
--- a/src/edge/server_catalog.cpp
+++ b/src/edge/server_catalog.cpp
@@ -10,6 +10,8 @@
 bool upsertServer(ServerCatalog &catalog, const ServerEntry &entry)
 {
     CatalogServer &held = catalog.servers[entry.id];
+    // Adapters come and go all the time; only the choice of an engine looks at them.
+    held.entry.adapters = entry.adapters;
     const bool changed = held.entry != entry;
     held.entry = entry;
     held.missingSince = Millis(-1);
--- a/src/edge/server_choice.cpp
+++ b/src/edge/server_choice.cpp
@@ -49,6 +49,7 @@
 
 enum CandidateGroup : int {
     LastServed,
+    Holder,
     Home,
     SameRegion,
     OtherRegion,
@@ -58,6 +59,7 @@
 {
     BackendServerId id;
     bool troubled = false;
+    bool holds = false; ///< The adapter is in place there.
     int group = 0; ///< One of CandidateGroup; the lowest goes first.
     std::int64_t waitSteps = 0;
     std::uint64_t score = 0;
@@ -77,6 +79,49 @@
     return a.score != b.score ? a.score > b.score : a.id < b.id;
 }
 
+/// Which engines become homes: near ones, then those that hold the adapter, then by rendezvous.
+bool isBetterHome(const Candidate &a, const Candidate &b)
+{
+    if (a.group != b.group) {
+        return a.group < b.group;
+    }
+    if (a.holds != b.holds) {
+        return a.holds;
+    }
+    return a.score != b.score ? a.score > b.score : a.id < b.id;
+}
+
+bool holdsAdapter(const ServerEntry &server, const EngineWish &wish)
+{
+    return server.adapters.count(wish.name) != 0;
+}
+
+std::size_t nearHolders(const std::vector<const ServerEntry *> &servers, const Location &location,
+                        const EngineWish &wish)
+{
+    return static_cast<std::size_t>(
+            std::count_if(servers.begin(), servers.end(), [&](const ServerEntry *server) {
+                return holdsAdapter(*server, wish)
+                        && distanceTo(location, server->dataCentre) != Distance::OtherRegion;
+            }));
+}
+
+/// A candidate without its group.
+Candidate candidateFor(const ServerEntry &server, const ServerExperiences &experiences,
+                       const EngineWish &wish, Millis now)
+{
+    const ServerExperience experience = experienceOf(experiences, server.id);
+    const bool hinted
+            = experience.waitToldAt >= Millis(0) && now - experience.waitToldAt < waitHintTime;
+    Candidate candidate;
+    candidate.id = server.id;
+    candidate.troubled = isTroubled(experience, now) || !server.holdsModel;
+    candidate.holds = holdsAdapter(server, wish);
+    candidate.waitSteps = hinted ? experience.wait.count() / waitStep.count() : 0;
+    candidate.score = rendezvousScore(hash64(wish.name.adapter.str()), hash64(server.id.str()));
+    return candidate;
+}
+
 /// An adapter with little demand chooses between two engines; a busy one has as many as it needs.
 std::size_t homeCount(std::string_view adapter, double requestsPerSecond, std::size_t engines)
 {
@@ -162,39 +207,30 @@
 }
 
 EngineRanking rankEngines(const std::vector<const ServerEntry *> &servers, const Location &location,
-                          const ServerExperiences &experiences, std::string_view adapter,
-                          double requestsPerSecond, const std::optional<BackendServerId> &last,
+                          const ServerExperiences &experiences, const EngineWish &wish,
                           std::uint64_t random, Millis now)
 {
-    const std::uint64_t adapterHash = hash64(adapter);
+    const std::string &adapter = wish.name.adapter.str();
+    const bool known = wish.requestsPerSecond > 0;
+    const std::size_t holders = known || adapter.empty() ? 0 : nearHolders(servers, location, wish);
     EngineRanking ranking;
-    ranking.regional = adapter.empty() || requestsPerSecond >= demandForRegionalHome;
+    ranking.regional
+            = adapter.empty() || wish.requestsPerSecond >= demandForRegionalHome || holders > 1;
     std::vector<Candidate> candidates;
     for (const ServerEntry *server : servers) {
-        const ServerExperience experience = experienceOf(experiences, server->id);
-        const bool hinted
-                = experience.waitToldAt >= Millis(0) && now - experience.waitToldAt < waitHintTime;
-        Candidate candidate;
-        candidate.id = server->id;
-        candidate.troubled = isTroubled(experience, now) || !server->holdsModel;
+        Candidate candidate = candidateFor(*server, experiences, wish, now);
         const bool far = distanceTo(location, server->dataCentre) == Distance::OtherRegion;
         candidate.group = far && ranking.regional ? OtherRegion : SameRegion;
-        candidate.waitSteps = hinted ? experience.wait.count() / waitStep.count() : 0;
-        candidate.score = rendezvousScore(adapterHash, hash64(server->id.str()));
-        candidates.push_back(candidate);
+        candidates.push_back(std::move(candidate));
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-        if (a.group != b.group) {
-            return a.group < b.group;
-        }
-        return a.score != b.score ? a.score > b.score : a.id < b.id;
-    });
+    std::sort(candidates.begin(), candidates.end(), isBetterHome);
     const auto near = static_cast<std::size_t>(
             std::count_if(candidates.begin(), candidates.end(), [](const Candidate &candidate) {
                 return candidate.group == SameRegion;
             }));
-    const std::size_t homes = std::min(homeCount(adapter, requestsPerSecond, candidates.size()),
-                                       near == 0 ? candidates.size() : near);
+    const std::size_t wanted
+            = holders > 1 ? holders : homeCount(adapter, wish.requestsPerSecond, candidates.size());
+    const std::size_t homes = std::min(wanted, near == 0 ? candidates.size() : near);
     for (std::size_t i = 0; i < homes; ++i) {
         Candidate &home = candidates[i];
         home.group = std::min(home.group, static_cast<int>(Home));
@@ -204,8 +240,11 @@
             home.score = mixHash(random, hash64(home.id.str()));
         }
     }
+    if (!ranking.regional && !candidates.empty() && candidates.front().holds) {
+        candidates.front().group = Holder;
+    }
     for (Candidate &candidate : candidates) {
-        if (!ranking.regional && candidate.id == last) {
+        if (!ranking.regional && candidate.id == wish.last) {
             candidate.group = LastServed;
         }
     }
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -101,6 +101,8 @@
         REQUIRE(route->resumable);
         REQUIRE(route->repeatability == Repeatability::AtMostOnce);
         REQUIRE(route->objective == Millis(1'000));
+        // Callers leave a silent stream after four objectives, the longest of the three times.
+        REQUIRE(route->silencePatience == Millis(4'000));
         REQUIRE(findRoute(config, "h.example", "/b/x")->targets.size() == 2);
         REQUIRE(config.services.at(ServiceId("llm")).engine->adapterPlaces == 6);
         REQUIRE_FALSE(config.services.at(ServiceId("app")).engine);
@@ -113,8 +115,17 @@
         REQUIRE(entry.id == BackendServerId("i-1"));
         REQUIRE(entry.startedAtWallMs == 17);
         REQUIRE(entry.holdsModel);
+        REQUIRE(entry.adapters.empty());
         std::string empty = serverText;
         const std::string models = R"([{"name":"m","version":1,"adapters":[]}])";
+        std::string holding = serverText;
+        holding.replace(holding.find(models), models.size(),
+                        R"([{"name":"m","version":1,"adapters":["a3@2","a7",5]}])");
+        const std::set<AdapterName> held{{BaseModelId("m"), AdapterId("a3")},
+                                         {BaseModelId("m"), AdapterId("a7")}};
+        REQUIRE(std::get<ServerEntry>(readEntry({"servers/i-1", holding, 4, false}).value())
+                        .adapters
+                == held);
         empty.replace(empty.find(models), models.size(), "[]");
         REQUIRE_FALSE(std::get<ServerEntry>(readEntry({"servers/i-1", empty, 4, false}).value())
                               .holdsModel);
