Keep callers' keys from backend servers, and heed what servers say of themselves

The adapter now takes the key from the request and never writes it; a configuration with organisations lets in only callers whose key it lists, by a keyed hash and a comparison in constant time, and names the organisation to the server. Keys are looked up for each request, so that withdrawn ones fail on open connections too. Quotas are not built.

Servers: an answer that says that its server leaves, or a 503 that asks for a pause, is decoded by the adapter. No new request goes there, the engine's owner sends those who wait elsewhere and gives no order, and the data centre is told. Where all replicas want a pause, callers are refused at once with the shortest. unit-platform (a key is passed on), unit-organisations and unit-server-notices.

--- a/include/balsamport/core/http_status.h
+++ b/include/balsamport/core/http_status.h
@@ -8,6 +8,7 @@
 constexpr int created = 201;
 constexpr int accepted = 202;
 constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
 constexpr int notFound = 404;
 constexpr int conflict = 409;
 constexpr int gone = 410;
--- a/include/balsamport/core/ids.h
+++ b/include/balsamport/core/ids.h
@@ -73,6 +73,7 @@
 using ServiceId = StringId<struct ServiceIdTag>;
 using RequestId = StringId<struct RequestIdTag>;
 using CallerId = StringId<struct CallerIdTag>;
+using OrganisationId = StringId<struct OrganisationIdTag>;
 using CallerClassId = StringId<struct CallerClassIdTag>;
 /// The caller's Idempotency-Key, or a ticket.
 using RequestKey = StringId<struct RequestKeyTag>;
--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -59,6 +59,9 @@
                               "From a request's arrival until it was sent to a backend server"};
 constexpr MetricInfo edgeRetries{"balsamport_edge_retries_total", MetricKind::Counter, "reason",
                                  "Second sends that the shared budget allowed"};
+constexpr MetricInfo edgeNotices{"balsamport_edge_server_notices_total", MetricKind::Counter,
+                                 "kind",
+                                 "Answers by which backend servers said that they leave or pause"};
 constexpr MetricInfo edgeOrders{"balsamport_edge_orders_total", MetricKind::Counter, "outcome",
                                 "Orders given to engines, by the engine's answer"};
 constexpr MetricInfo edgeLoadTime{"balsamport_edge_load_seconds", MetricKind::Summary, "",
@@ -80,40 +83,13 @@
 
 /// Every metric; docs/METRICS.md lists the same.
 inline constexpr std::array all{
-        requests,
-        outcomes,
-        refusals,
-        firstToken,
-        loadStall,
-        queueWait,
-        claimLatency,
-        retries,
-        batchFill,
-        queueDepth,
-        loads,
-        linkBytes,
-        revision,
-        revisionAge,
-        platformReachable,
-        platformCalls,
-        viewConfirmed,
-        quarantined,
-        wireBytes,
-        connections,
-        edgeAnswers,
-        edgeFailures,
-        edgeFirstPiece,
-        edgeWait,
-        edgeRetries,
-        edgeOrders,
-        edgeLoadTime,
-        edgePeers,
-        edgeOwned,
-        edgeWaiting,
-        edgePublishedAge,
-        edgeConfigVersion,
-        edgeStoreCalls,
-        logDrops,
+        requests,      outcomes,         refusals,          firstToken,     loadStall,
+        queueWait,     claimLatency,     retries,           batchFill,      queueDepth,
+        loads,         linkBytes,        revision,          revisionAge,    platformReachable,
+        platformCalls, viewConfirmed,    quarantined,       wireBytes,      connections,
+        edgeAnswers,   edgeFailures,     edgeFirstPiece,    edgeWait,       edgeRetries,
+        edgeNotices,   edgeOrders,       edgeLoadTime,      edgePeers,      edgeOwned,
+        edgeWaiting,   edgePublishedAge, edgeConfigVersion, edgeStoreCalls, logDrops,
 };
 
 } // namespace balsamport::metric
--- a/include/balsamport/edge/dialect.h
+++ b/include/balsamport/edge/dialect.h
@@ -27,6 +27,7 @@
     std::string path;
     std::string host;
     HttpHeaders headers; ///< To be passed on; those of one connection only are left out.
+    std::string key; ///< The caller's. A secret: never passed on or logged.
     std::string body;
     std::optional<Millis> timeLeft; ///< How long the caller waits; nothing if it did not say.
     BaseModelId base; ///< Empty for plain services.
@@ -47,6 +48,7 @@
     std::int32_t priority = 0; ///< 0 goes first.
     std::string resumeAfter; ///< Id of the last stream event that the caller has; empty for none.
     bool engine = false;
+    OrganisationId organisation; ///< The caller's; empty where it needs none.
 
     bool operator==(const Dispatch &) const = default;
 };
@@ -59,6 +61,8 @@
     bool belongsToRequest = false; ///< It carries the id of the request.
     bool didNotRun = false; ///< The server says that it has not run the request.
     bool valid = true; ///< A success that carries what a success must.
+    bool serverLeaving = false; ///< The server takes no new requests from now on.
+    std::optional<Millis> pause; ///< For which the server wants no more requests.
 
     bool operator==(const ServerAnswer &) const = default;
 };
--- a/include/balsamport/edge/service_config.h
+++ b/include/balsamport/edge/service_config.h
@@ -3,6 +3,7 @@
 
 #include <balsamport/core/clock.h>
 #include <balsamport/core/ids.h>
+#include <balsamport/edge/organisations.h>
 
 #include <cstdint>
 #include <map>
@@ -36,6 +37,7 @@
     std::string prefix; ///< Begins and ends with a slash.
     std::vector<RouteTarget> targets;
     Repeatability repeatability = Repeatability::AtMostOnce;
+    bool isPublic = false; ///< Callers need no key.
     bool streaming = false;
     bool resumable = false; ///< A broken stream may go on at another backend server.
     std::uint32_t maxAttempts = 1; ///< Backend servers that one request may run on.
@@ -74,6 +76,8 @@
     std::uint64_t version = 0;
     std::map<std::string, std::vector<EdgeRoute>> routesByHost; ///< Longest prefix first.
     std::map<ServiceId, EdgeService> services;
+    bool needsKeys = false; ///< Callers of routes that are not public need a key.
+    Organisations organisations;
 
     bool operator==(const EdgeConfig &) const = default;
 };
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -60,6 +60,7 @@
     void resumeEarlyRequests();
     void takeMessage(const wire::Envelope &message, const Replier &reply);
     void takeGossip(const wire::Envelope &message);
+    void takeNotice(const VmId &peer, const wire::ServerNotice &notice);
     void takeRequest(std::shared_ptr<const IncomingRequest> request,
                      std::shared_ptr<ResponseWriter> writer);
     void takeEntries(const VmId &peer, const wire::PublishedItems &items);
@@ -111,7 +112,7 @@
             [this](const std::vector<PublishedEntry> &changed, std::uint64_t since, bool own) {
                 this->takeChanges(changed, since, own);
             }};
-    FlowContext flows{this->context, this->state, this->places, this->peers, {}};
+    FlowContext flows{this->context, this->state, this->places, this->peers, this->engines, {}};
     std::unique_ptr<LoopTimer> tickTimer = this->loop.makeTimer();
     std::unique_ptr<LoopTimer> stopTimer = this->loop.makeTimer();
     Millis lastTick;
@@ -209,6 +210,7 @@
         this->log.write(EventWeight::Notable, "server_gone",
                         {{"server", server.str()}, {"reason", "not listed again"}});
     }
+    forgetNotices(this->state.notices, this->state.catalog, now);
     this->updateEngines(now);
     this->updateGauges(now);
     this->lastTick = now;
@@ -401,11 +403,36 @@
                      message.crash_note().crashes(), monotonicNow());
         this->peers.relayCrashes(message.crash_note());
         break;
+    case wire::Envelope::kServerNotice:
+        this->takeNotice(peer, message.server_notice());
+        break;
     default:
         this->log.write(EventWeight::Notable, "message_ignored", {{"peer", peer.str()}});
     }
 }
 
+void EdgeDaemon::Impl::takeNotice(const VmId &peer, const wire::ServerNotice &notice)
+{
+    const BackendServerId server(notice.backend_server());
+    const auto known = this->state.catalog.servers.find(server);
+    if (known == this->state.catalog.servers.end()
+        || known->second.entry.address != notice.address()
+        || known->second.entry.startedAtWallMs != notice.started_at_wall_ms()) {
+        return; // Of a run that is over, or of a server that is not listed here yet.
+    }
+    const Millis now = monotonicNow();
+    const Millis pause(notice.pause_ms());
+    const bool leaves
+            = notice.leaving() && noteLeaving(this->state.notices, known->second.entry, now);
+    const bool pauses
+            = pause > Millis(0) && notePause(this->state.notices, known->second.entry, pause, now);
+    if (leaves || pauses) {
+        this->log.write(EventWeight::Notable, leaves ? "server_leaving" : "server_paused",
+                        {{"server", server.str()}, {"told_by", peer.str()}, {"pause_ms", pause}});
+        this->engines.heed(server, leaves, pause);
+    }
+}
+
 void EdgeDaemon::Impl::takeGossip(const wire::Envelope &message)
 {
     const wire::EdgeGossip &gossip = message.edge_gossip();
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -4,6 +4,7 @@
 #include <balsamport/edge/crash_memory.h>
 #include <balsamport/edge/server_catalog.h>
 #include <balsamport/edge/server_choice.h>
+#include <balsamport/edge/server_notices.h>
 #include <balsamport/edge/service_config.h>
 #include <balsamport/edge/shared_retry_budget.h>
 
@@ -19,6 +20,7 @@
     std::shared_ptr<const EdgeConfig> config; ///< Nothing before the first one.
     ServerCatalog catalog;
     ServerExperiences experiences;
+    ServerNotices notices;
     AdapterDemand demand;
     AdapterHomes homes;
     /// Longest wait that a caller of each route has asked for: a caller that comes back after a
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -218,6 +218,8 @@
         this->sendWaitingAway(*term);
     }
     if (restarted) {
+        term->leaving = false;
+        term->places.pausedUntil = Millis(-1);
         this->context.log.write(EventWeight::Notable, "engine_restarted",
                                 {{"server", server.id.str()}});
         term->places.places.clear();
@@ -228,10 +230,26 @@
     }
 }
 
+void EngineController::heed(const BackendServerId &server, bool leaving, Millis pause)
+{
+    Term *term = this->find(server);
+    if (term == nullptr) {
+        return;
+    }
+    if (leaving) {
+        term->leaving = true;
+        this->sendWaitingAway(*term);
+    }
+    if (pause > Millis(0)) {
+        term->places.pausedUntil = monotonicNow() + pause;
+    }
+    this->decide(*term);
+}
+
 void EngineController::submit(const BackendServerId &server, PlaceRequest request)
 {
     Term *term = this->find(server);
-    if (term == nullptr || term->server.draining) {
+    if (term == nullptr || term->server.draining || term->leaving) {
         this->onVerdict(request.key, server,
                         PlaceVerdict{PlaceVerdict::Kind::NotOwner, {}, {}, {}, {}});
         return;
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -77,6 +77,11 @@
     /// @brief Takes an engine's new description, or new limits of its service.
     void update(const ServerEntry &server, const EngineLimits &limits);
 
+    /// @brief Heeds what an engine said of itself in an answer. Who waits there is sent elsewhere.
+    /// @param leaving it takes no new requests
+    /// @param pause it wants no requests for so long; 0 for none
+    void heed(const BackendServerId &server, bool leaving, Millis pause);
+
     /// @brief Takes a request for a place. The verdict may be given before this returns.
     void submit(const BackendServerId &server, PlaceRequest request);
     void notePlace(const BackendServerId &server, const PlaceKey &key, const PlaceNote &note);
@@ -123,6 +128,7 @@
         Millis orderedAt{-1}; ///< When the last order was answered.
         bool lostOrder = false; ///< The last order got no answer.
         bool reading = false; ///< A report is under way.
+        bool leaving = false; ///< It said so itself, before its entry did.
         std::uint32_t failedReports = 0;
         std::unique_ptr<LoopTimer> timer;
         std::unique_ptr<LoopTimer> reportTimer;
--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -676,7 +676,7 @@
         }
         return lost;
     });
-    if (state.unreachable) {
+    if (state.unreachable || now < state.pausedUntil) {
         sendAllAway(state, actions);
         return actions;
     }
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -49,7 +49,11 @@
     sent->place = placeNumber;
     sent->sentAt = now;
     this->attempt = sent;
-    if (found == this->context.state.catalog.servers.end() || found->second.entry.draining) {
+    const auto takes = [&](const ServerEntry &entry) {
+        return !entry.draining && !isLeaving(this->context.state.notices, entry)
+                && pauseLeft(this->context.state.notices, entry, now) == Millis(0);
+    };
+    if (found == this->context.state.catalog.servers.end() || !takes(found->second.entry)) {
         this->takeNotRun(sent);
         return;
     }
@@ -68,6 +72,7 @@
     dispatch.priority = this->route.priority;
     dispatch.resumeAfter = this->streamStarted ? this->splitter.lastId : std::string();
     dispatch.engine = this->engine;
+    dispatch.organisation = this->organisation;
     OutgoingRequest outgoing = this->context.edge.dialect.writeRequest(this->request, dispatch);
     outgoing.connectTimeout = connectTimeout;
     // The flow's own timer ends the request; this one only keeps the exchange from staying.
@@ -128,6 +133,7 @@
         return;
     }
     sent->answer = this->context.edge.dialect.readAnswer(this->request, head);
+    this->heedNotices(*sent);
     if (!sent->answer.belongsToRequest && !sent->answer.didNotRun) {
         sent->foreign = true;
         this->context.edge.http.cancel(sent->exchange);
@@ -141,6 +147,38 @@
     }
 }
 
+void RequestFlow::heedNotices(const Attempt &sent)
+{
+    const auto known = this->context.state.catalog.servers.find(sent.server);
+    const Millis pause = sent.answer.pause.value_or(Millis(0));
+    if (known == this->context.state.catalog.servers.end()
+        || (!sent.answer.serverLeaving && pause == Millis(0))) {
+        return;
+    }
+    const ServerEntry &entry = known->second.entry;
+    const Millis now = monotonicNow();
+    ServerNotices &notices = this->context.state.notices;
+    const bool leaves = sent.answer.serverLeaving && noteLeaving(notices, entry, now);
+    const bool pauses = pause > Millis(0) && notePause(notices, entry, pause, now);
+    if (!leaves && !pauses) {
+        return;
+    }
+    this->context.edge.metrics.counter(metric::edgeNotices, leaves ? "leaving" : "paused").add();
+    this->context.edge.log.write(EventWeight::Notable, leaves ? "server_leaving" : "server_paused",
+                                 {{"request", this->request.id.str()},
+                                  {"server", sent.server.str()},
+                                  {"pause_ms", pause}});
+    this->context.engines.heed(sent.server, leaves, pause);
+    wire::Envelope message;
+    wire::ServerNotice &notice = *message.mutable_server_notice();
+    notice.set_backend_server(sent.server.str());
+    notice.set_address(entry.address);
+    notice.set_started_at_wall_ms(entry.startedAtWallMs);
+    notice.set_leaving(leaves);
+    notice.set_pause_ms(static_cast<std::uint32_t>(pause.count()));
+    this->context.peers.sendToDataCentre(message);
+}
+
 void RequestFlow::takeBody(const std::shared_ptr<Attempt> &sent, const std::string &piece)
 {
     if (this->ended || sent != this->attempt || sent->foreign) {
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -121,6 +121,9 @@
         return false;
     }
     this->route = *found;
+    if (!this->identifyCaller(config)) {
+        return false;
+    }
     const ServiceId *chosen = chooseService(this->route, hash64(this->request.id.str()));
     if (chosen == nullptr) {
         this->refuse(ErrorCode::NoBackendServer, startRetryAfter);
@@ -133,6 +136,22 @@
     return true;
 }
 
+bool RequestFlow::identifyCaller(const EdgeConfig &config)
+{
+    const std::string key = std::exchange(this->request.key, std::string());
+    if (!config.needsKeys || this->route.isPublic) {
+        return true;
+    }
+    const Organisation *found = findOrganisation(config.organisations, key);
+    if (found == nullptr) {
+        this->fail(httpstatus::unauthorized, ErrorCode::Unauthorized);
+        return false;
+    }
+    this->organisation = found->id;
+    this->route.priority = found->priority.value_or(this->route.priority);
+    return true;
+}
+
 bool RequestFlow::admit()
 {
     Millis wait = this->request.timeLeft.value_or(defaultWait);
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -24,6 +24,7 @@
     EdgeState &state;
     PlaceClient &places;
     PeerController &peers;
+    EngineController &engines;
     std::set<std::shared_ptr<RequestFlow>> running; ///< Requests in progress.
 };
 
@@ -66,8 +67,11 @@
     /// Asks again soon: no engine that was asked has an owner yet.
     void awaitOwner();
     [[nodiscard]] bool readRoute();
+    [[nodiscard]] bool identifyCaller(const EdgeConfig &config);
     [[nodiscard]] bool admit();
     void planServers();
+    /// Refuses where no server of the service takes requests for now.
+    void refusePaused();
     [[nodiscard]] std::string adapterName() const;
     /// Takes an owner's word on the demand for the request's adapter at one of its homes.
     void noteTold(const BackendServerId &server, double perSecond, Millis now);
@@ -79,6 +83,8 @@
                      const PlaceVerdict &verdict);
     void sendToNextReplica();
     void send(const BackendServerId &server, std::uint64_t place, AdapterVersion version);
+    /// Heeds what a server said of itself: that it leaves, or wants a pause.
+    void heedNotices(const Attempt &attempt);
     [[nodiscard]] ExchangeHandlers handlersOf(const std::shared_ptr<Attempt> &attempt);
     void takeHead(const std::shared_ptr<Attempt> &attempt, const ResponseHead &head);
     void takeBody(const std::shared_ptr<Attempt> &attempt, const std::string &piece);
@@ -111,6 +117,7 @@
     std::shared_ptr<ResponseWriter> writer;
     CallerRequest request;
     EdgeRoute route;
+    OrganisationId organisation; ///< The caller's; empty where it needs no key.
     ServiceId service;
     bool engine = false;
     Fingerprint fingerprint;
--- a/src/edge/request_place.cpp
+++ b/src/edge/request_place.cpp
@@ -49,8 +49,9 @@
 {
     const EdgeState &state = this->context.state;
     const Location &location = this->context.edge.settings.location;
-    const auto servers = usableServers(state.catalog, this->service);
     const Millis now = monotonicNow();
+    const auto servers
+            = takingRequests(state.notices, usableServers(state.catalog, this->service), now);
     if (!this->engine) {
         this->plan = rankReplicas(servers, location, state.experiences,
                                   hash64(this->request.id.str()), now);
@@ -250,10 +251,18 @@
     }
 }
 
+void RequestFlow::refusePaused()
+{
+    const EdgeState &state = this->context.state;
+    const auto pause = shortestPause(state.notices, usableServers(state.catalog, this->service),
+                                     monotonicNow());
+    this->refuse(ErrorCode::NoBackendServer, pause.value_or(defaultRetryAfter));
+}
+
 void RequestFlow::sendToNextReplica()
 {
     if (this->plan.empty()) {
-        this->refuse(ErrorCode::NoBackendServer, defaultRetryAfter);
+        this->refusePaused();
         return;
     }
     const BackendServerId server = this->plan.front();
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -2,6 +2,8 @@
 #include "settings_file.h"
 #include "wire_dialect.h"
 
+#include <balsamport/edge/server_notices.h>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -138,6 +140,42 @@
         REQUIRE(std::get<AdapterDeclaration>(meaning.value()).version == AdapterVersion(2));
     }
 
+    SECTION("a configuration that names organisations and their keys")
+    {
+        const auto configWith = [](const std::string &tenants) {
+            return readEntry({"op/config",
+                              R"({"version":8,"routes":[{"name":"p","host":"h","prefix":"/p/",)"
+                              R"("kind":"safe","service":"app","public":true}],)"
+                              R"("services":[{"name":"app"}],"tenants":)"
+                                      + tenants + "}",
+                              4, false});
+        };
+        const auto meaning
+                = configWith(R"([{"name":"growers","api_keys":["k1","k2"],"priority":0},)"
+                             R"({"name":"hirers","api_keys":["k3"]}])");
+        const auto &config = std::get<EdgeConfig>(meaning.value());
+        REQUIRE(config.needsKeys);
+        REQUIRE(findRoute(config, "h", "/p/x")->isPublic);
+        REQUIRE(findOrganisation(config.organisations, "k2")->id == OrganisationId("growers"));
+        REQUIRE(findOrganisation(config.organisations, "k2")->priority == 0);
+        REQUIRE_FALSE(findOrganisation(config.organisations, "k3")->priority);
+        REQUIRE(findOrganisation(config.organisations, "k4") == nullptr);
+
+        SECTION("is refused as a whole where one cannot be read")
+        {
+            for (const char *tenants :
+                 {"{}", "[{}]", R"([{"name":"x"}])", R"([{"name":"x","api_keys":"k1"}])", "[5]"}) {
+                REQUIRE(configWith(tenants).error().code == ErrorCode::ConfigInvalidValue);
+            }
+        }
+
+        SECTION("lets nobody in where it names no organisation")
+        {
+            const auto none = configWith("[]");
+            REQUIRE(std::get<EdgeConfig>(none.value()).needsKeys);
+        }
+    }
+
     SECTION("entries of other writers are refused, and harm nothing else")
     {
         for (const char *text :
@@ -201,6 +239,28 @@
         REQUIRE_FALSE(findHeader(outgoing.headers, "X-Private"));
     }
 
+    SECTION("the caller's key stays here, and nobody but the system names its organisation")
+    {
+        IncomingRequest keyed = callerRequest();
+        keyed.headers.push_back({"x-credential", "secret-1"});
+        keyed.headers.push_back({"X-Tenant", "forged"});
+        const CallerRequest caller = readRequest(keyed).value();
+        REQUIRE(caller.key == "secret-1");
+        Dispatch dispatch;
+        dispatch.address = "10.0.0.9:80";
+        const auto leaks = [](const OutgoingRequest &outgoing) {
+            return std::any_of(outgoing.headers.begin(), outgoing.headers.end(),
+                               [](const HttpHeader &header) {
+                                   return header.value.find("secret") != std::string::npos;
+                               });
+        };
+        REQUIRE_FALSE(leaks(writeRequest(caller, dispatch)));
+        REQUIRE_FALSE(findHeader(writeRequest(caller, dispatch).headers, "X-Tenant"));
+        dispatch.organisation = OrganisationId("growers");
+        REQUIRE_FALSE(leaks(writeRequest(caller, dispatch)));
+        REQUIRE(findHeader(writeRequest(caller, dispatch).headers, "X-Tenant") == "growers");
+    }
+
     SECTION("without an id it is refused")
     {
         IncomingRequest anonymous = callerRequest();
@@ -229,6 +289,42 @@
                        {"Keep-Alive", "timeout=15"},
                        {"Transfer-Encoding", "chunked"}}};
 
+    SECTION("that says that the replica is leaving")
+    {
+        REQUIRE_FALSE(readAnswer(request, head).serverLeaving);
+        head.headers.push_back({"Server-Leaving", "1"});
+        REQUIRE(readAnswer(request, head).serverLeaving);
+
+        SECTION("says so of the replica only where it belongs to the request")
+        {
+            head.headers[0].value = "other";
+            REQUIRE_FALSE(readAnswer(request, head).serverLeaving);
+        }
+    }
+
+    SECTION("with a pause that the replica wants")
+    {
+        ResponseHead full{503, {{"X-Request-Id", "id1"}, {"X-Not-Executed", "1"}}};
+        const auto pauseFor = [&](const char *retryAfter) {
+            ResponseHead told = full;
+            told.headers.push_back({"Retry-After", retryAfter});
+            return readAnswer(request, told).pause;
+        };
+        REQUIRE_FALSE(readAnswer(request, full).pause);
+        REQUIRE(pauseFor("2") == Millis(2'000));
+        REQUIRE(pauseFor("0.25") == Millis(250));
+        REQUIRE(pauseFor("1e300") == longestServerPause);
+        for (const char *nonsense : {"", "0", "-1", "soon", "nan", "1 second", "1,5"}) {
+            REQUIRE_FALSE(pauseFor(nonsense));
+        }
+
+        SECTION("asks for none where it is no refusal")
+        {
+            full.status = 500;
+            REQUIRE_FALSE(pauseFor("2"));
+        }
+    }
+
     SECTION("whole and sealed")
     {
         const ServerAnswer answer = readAnswer(request, head);
