Test leaving replicas, pauses and callers' keys end to end

The stand-in replicas say that they leave, ask for a pause with their refusals, and keep the headers that they saw. e2e-edge: 148 assertions passed.

--- a/standins/platform/replica_standin.cpp
+++ b/standins/platform/replica_standin.cpp
@@ -68,6 +68,12 @@
                        this->orderCount, this->bornAt);
 }
 
+std::vector<HttpHeaders> ReplicaStandin::headersSeen() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->seenHeaders;
+}
+
 void ReplicaStandin::setFaults(const ReplicaFaults &newFaults)
 {
     const std::lock_guard lock(this->mutex);
@@ -224,9 +230,17 @@
     const std::string model = headerOf(request, "X-Model");
     const std::string adapter
             = model.find('/') == std::string::npos ? "" : model.substr(model.find('/') + 1);
-    const HttpHeaders headers{{"X-Request-Id", id}, {"X-Response-Seal", "seal-" + id}};
+    HttpHeaders headers{{"X-Request-Id", id}, {"X-Response-Seal", "seal-" + id}};
+    this->seenHeaders.push_back(request.headers);
+    if (this->faults.saysLeaving) {
+        headers.push_back({"Server-Leaving", "1"});
+    }
     if (this->chance(this->faults.shedShare)) {
-        writer->send(HttpAnswer{unavailable, {{"X-Not-Executed", "1"}}, ""});
+        HttpHeaders refusal{{"X-Not-Executed", "1"}};
+        if (!this->faults.pause.empty()) {
+            refusal.push_back({"Retry-After", this->faults.pause});
+        }
+        writer->send(HttpAnswer{unavailable, std::move(refusal), ""});
         return;
     }
     if (this->options.engine && !adapter.empty() && this->adapters.count(adapter) == 0) {
--- a/standins/platform/replica_standin.h
+++ b/standins/platform/replica_standin.h
@@ -46,6 +46,8 @@
     double dropShare = 0; ///< Runs, and closes without an answer.
     double shedShare = 0; ///< Answers 503, not run.
     double cutShare = 0; ///< Breaks a stream off in the middle.
+    bool saysLeaving = false; ///< Its answers say that it takes no new requests.
+    std::string pause{}; ///< Retry-After of its refusals, in seconds; empty for none.
 };
 
 /// @brief A small stand-in of a model engine or a plain replica of the users' platform.
@@ -63,6 +65,9 @@
 
     void setFaults(const ReplicaFaults &faults);
 
+    /// @return the headers of all requests that reached it, refused ones included
+    [[nodiscard]] std::vector<HttpHeaders> headersSeen() const;
+
     /// @brief Starts again empty, under the same id.
     void restart();
 
@@ -91,6 +96,7 @@
     ReplicaOptions options;
     mutable std::mutex mutex;
     ReplicaFaults faults;
+    std::vector<HttpHeaders> seenHeaders;
     std::uint64_t random = 1;
     std::int64_t bornAt = 0;
     std::uint64_t orderCount = 0;
--- a/tests/e2e/e2e-edge.cpp
+++ b/tests/e2e/e2e-edge.cpp
@@ -73,6 +73,58 @@
         REQUIRE(world.replicas.at("s1").standin->runs().empty());
     }
 
+    SECTION("a replica whose answer says that it is leaving gets no request after it")
+    {
+        standins::ReplicaFaults leaving;
+        leaving.saysLeaving = true;
+        world.replicas.at("s1").standin->setFaults(leaving);
+        REQUIRE(eventually(startTime, [&] {
+            REQUIRE(world.call(0, "/book/1", "l" + std::to_string(world.runs().size())).status
+                    == okStatus);
+            return !world.replicas.at("s1").standin->headersSeen().empty();
+        }));
+        const std::size_t before = world.replicas.at("s1").standin->headersSeen().size();
+        for (int i = 0; i < 20; ++i) {
+            REQUIRE(world.call(0, "/book/1", "d" + std::to_string(i)).status == okStatus);
+        }
+        REQUIRE(world.replicas.at("s1").standin->headersSeen().size() == before);
+    }
+
+    SECTION("a replica that asks for a pause gets one, and callers are told where all do")
+    {
+        standins::ReplicaFaults full;
+        full.shedShare = 1.0;
+        full.pause = "1.5";
+        world.replicas.at("s1").standin->setFaults(full);
+        world.replicas.at("s2").standin->setFaults(full);
+        REQUIRE(world.call(0, "/book/1", "p1").status == unavailable);
+        for (int i = 0; i < 20; ++i) {
+            REQUIRE(world.call(0, "/book/1", "q" + std::to_string(i)).status == unavailable);
+        }
+        REQUIRE(world.replicas.at("s1").standin->headersSeen().size() <= 2);
+        REQUIRE(world.replicas.at("s2").standin->headersSeen().size() <= 2);
+        world.replicas.at("s1").standin->setFaults({});
+        world.replicas.at("s2").standin->setFaults({});
+        sleepFor(Millis(1'600));
+        REQUIRE(world.call(0, "/book/1", "after").status == okStatus);
+    }
+
+    SECTION("no replica sees a caller's key")
+    {
+        OutgoingRequest keyed = world.request(0, "/book/1", "keyed", {});
+        keyed.headers.push_back({"X-Credential", "secret-1"});
+        REQUIRE(world.http.fetch(keyed).value().status == okStatus);
+        std::size_t seen = 0;
+        for (const char *id : {"s1", "s2"}) {
+            for (const HttpHeaders &headers : world.replicas.at(id).standin->headersSeen()) {
+                ++seen;
+                REQUIRE_FALSE(findHeader(headers, "X-Credential"));
+            }
+        }
+        REQUIRE(seen > 0);
+        REQUIRE(world.logText(0).find("secret-1") == std::string::npos);
+    }
+
     SECTION("a configuration that comes while one daemon cannot reach the store is in force there")
     {
         world.store->dropHistory();
