--- a/src/edge/engine_places.cpp
+++ b/src/edge/engine_places.cpp
@@ -174,9 +174,12 @@
     return found == versions.end() ? AdapterVersion() : found->second;
 }
 
-/// By priority, then who has to give up first.
+/// Who can still be in time, then by priority, then who has to give up first.
 bool goesBefore(const PlaceRequest &a, const PlaceRequest &b)
 {
+    if (a.late != b.late) {
+        return b.late;
+    }
     if (a.priority != b.priority) {
         return a.priority < b.priority;
     }
--- a/tests/src/unit-edge-places.cpp
+++ b/tests/src/unit-edge-places.cpp
@@ -444,6 +444,19 @@
         REQUIRE(only<GrantPlace>(engine.decide()).front().key == late);
     }
 
+    SECTION("even where those who are late are more urgent")
+    {
+        engine.places.prefillUntil = engine.now + Millis(1'500);
+        const PlaceKey late = engine.ask("hot", promptTokens, true, 0);
+        (void)engine.decide();
+        engine.now += Millis(1'400);
+        const PlaceKey inTime = engine.ask("hot", promptTokens, true, 1);
+        engine.now += Millis(90);
+        REQUIRE(only<GrantPlace>(engine.decide()).front().key == inTime);
+        engine.now += Millis(300);
+        REQUIRE(only<GrantPlace>(engine.decide()).front().key == late);
+    }
+
     SECTION("load pattern: all daemons lost. A request waits for the first order where the lease "
             "is over soon enough, and is told when it comes where not")
     {
