Tell of pauses that a server makes longer, and refuse at once where all replicas want one

Found on reading: a later refusal with a longer pause was neither told to the data centre nor to the engine's owner, and where all replicas paused a caller was told 1 s, or waited 1.2 s for an owner. unit-server-notices (the longer pause) and e2e-edge (Retry-After within the pause) show both.

--- a/include/balsamport/edge/server_notices.h
+++ b/include/balsamport/edge/server_notices.h
@@ -41,7 +41,7 @@
 
 /// @brief Notes that a server wants no requests for a time. A shorter wish does not end a longer
 /// one.
-/// @return true where it was not paused before
+/// @return true where it is paused for longer than was known
 bool notePause(ServerNotices &state, const ServerEntry &server, Millis pause, Millis now);
 
 /// @brief Forgets old notices of servers that are not in the catalog any more.
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -241,7 +241,7 @@
         this->sendWaitingAway(*term);
     }
     if (pause > Millis(0)) {
-        term->places.pausedUntil = monotonicNow() + pause;
+        term->places.pausedUntil = std::max(term->places.pausedUntil, monotonicNow() + pause);
     }
     this->decide(*term);
 }
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -91,7 +91,9 @@
     if (this->engine) {
         this->askNext();
     } else if (this->plan.empty()) {
-        this->refuse(ErrorCode::NoBackendServer, startRetryAfter);
+        if (!this->refusePaused()) {
+            this->refuse(ErrorCode::NoBackendServer, startRetryAfter);
+        }
     } else {
         this->sendToNextReplica();
     }
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -70,8 +70,8 @@
     [[nodiscard]] bool identifyCaller(const EdgeConfig &config);
     [[nodiscard]] bool admit();
     void planServers();
-    /// Refuses where no server of the service takes requests for now.
-    void refusePaused();
+    /// Refuses at once where no server of the service is left but such that want a pause.
+    [[nodiscard]] bool refusePaused();
     [[nodiscard]] std::string adapterName() const;
     /// Takes an owner's word on the demand for the request's adapter at one of its homes.
     void noteTold(const BackendServerId &server, double perSecond, Millis now);
--- a/src/edge/request_place.cpp
+++ b/src/edge/request_place.cpp
@@ -146,6 +146,9 @@
         return;
     }
     const Millis now = monotonicNow();
+    if (this->plan.empty() && this->refusePaused()) {
+        return;
+    }
     const bool inTime = timeUntil(this->deadlineAt, now) >= leastUsefulTime;
     if (this->plan.empty() && inTime && !this->ownerAnswered
         && now - this->arrivedAt < ownerPatience) {
@@ -251,18 +254,25 @@
     }
 }
 
-void RequestFlow::refusePaused()
+bool RequestFlow::refusePaused()
 {
     const EdgeState &state = this->context.state;
-    const auto pause = shortestPause(state.notices, usableServers(state.catalog, this->service),
-                                     monotonicNow());
-    this->refuse(ErrorCode::NoBackendServer, pause.value_or(defaultRetryAfter));
+    const auto servers = usableServers(state.catalog, this->service);
+    const Millis now = monotonicNow();
+    const std::optional<Millis> pause = shortestPause(state.notices, servers, now);
+    if (!pause || !takingRequests(state.notices, servers, now).empty()) {
+        return false;
+    }
+    this->refuse(ErrorCode::NoBackendServer, *pause);
+    return true;
 }
 
 void RequestFlow::sendToNextReplica()
 {
     if (this->plan.empty()) {
-        this->refusePaused();
+        if (!this->refusePaused()) {
+            this->refuse(ErrorCode::NoBackendServer, defaultRetryAfter);
+        }
         return;
     }
     const BackendServerId server = this->plan.front();
--- a/src/edge/server_notices.cpp
+++ b/src/edge/server_notices.cpp
@@ -45,10 +45,11 @@
 bool notePause(ServerNotices &state, const ServerEntry &server, Millis pause, Millis now)
 {
     Notice &notice = noticeOf(state, server);
-    const bool isNew = notice.pausedUntil <= now;
+    const Millis until = now + std::min(pause, longestServerPause);
+    const bool longer = until > notice.pausedUntil;
     notice.notedAt = now;
-    notice.pausedUntil = std::max(notice.pausedUntil, now + std::min(pause, longestServerPause));
-    return isNew;
+    notice.pausedUntil = std::max(notice.pausedUntil, until);
+    return longer;
 }
 
 void forgetNotices(ServerNotices &state, const ServerCatalog &catalog, Millis now)
--- a/tests/e2e/e2e-edge.cpp
+++ b/tests/e2e/e2e-edge.cpp
@@ -99,7 +99,12 @@
         world.replicas.at("s2").standin->setFaults(full);
         REQUIRE(world.call(0, "/book/1", "p1").status == unavailable);
         for (int i = 0; i < 20; ++i) {
-            REQUIRE(world.call(0, "/book/1", "q" + std::to_string(i)).status == unavailable);
+            const auto refused
+                    = world.http.fetch(world.request(0, "/book/1", "q" + std::to_string(i), {}));
+            REQUIRE(refused.value().status == unavailable);
+            const auto retryAfter = findHeader(refused.value().headers, "Retry-After");
+            REQUIRE(retryAfter);
+            REQUIRE(std::stod(*retryAfter) <= 1.5);
         }
         REQUIRE(world.replicas.at("s1").standin->headersSeen().size() <= 2);
         REQUIRE(world.replicas.at("s2").standin->headersSeen().size() <= 2);
--- a/tests/src/unit-server-notices.cpp
+++ b/tests/src/unit-server-notices.cpp
@@ -68,6 +68,12 @@
             REQUIRE(pauseLeft(notices, s1, now + Millis(10)) == Millis(1'990));
         }
 
+        SECTION("a longer one goes on, and is news for the other daemons")
+        {
+            REQUIRE(notePause(notices, s1, Millis(3'000), now + Millis(500)));
+            REQUIRE(pauseLeft(notices, s1, now + Millis(500)) == Millis(3'000));
+        }
+
         SECTION("where all ask for one, callers are told the shortest")
         {
             REQUIRE(notePause(notices, s2, Millis(700), now));
