Record and show the request rates that backend servers state

A replica in need states in its responses how many requests a second it takes from all daemons together. Nothing read that statement, so no log or metric could tell whether a limit was unknown, known to one daemon only, or applied by each daemon alone.

The platform adapter decodes it into a typed report (limited, unlimited, malformed, or nothing said); each daemon keeps the newest report of a server's current run, sends a change to all daemons at once and repeats it in gossip. Log line server_limit: what was asked for, its age, who reported it; gauges for the servers with a limit and the age of the oldest one; a counter of requests for such servers. No request is sent or withheld differently.

--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -78,18 +78,58 @@
                                        "Version of the configuration in force"};
 constexpr MetricInfo edgeStoreCalls{"balsamport_edge_store_calls_total", MetricKind::Counter, "",
                                     "Calls of this daemon to the platform's store"};
+constexpr MetricInfo edgeLimitedServers{
+        "balsamport_edge_limited_servers", MetricKind::Gauge, "",
+        "Backend servers that state a limit of requests per second"};
+constexpr MetricInfo edgeOldestLimit{
+        "balsamport_edge_oldest_limit_seconds", MetricKind::Gauge, "",
+        "Since a response last stated the limit, for the limit stated longest ago"};
+constexpr MetricInfo edgeLimitedRequests{
+        "balsamport_edge_limited_requests_total", MetricKind::Counter, "outcome",
+        "Requests for backend servers with a limit: sent, or why they were withheld"};
 constexpr MetricInfo logDrops{"balsamport_log_dropped_lines", MetricKind::Gauge, "",
                               "Log lines that were dropped since the start"};
 
 /// All metrics. Must match the list of docs/METRICS.md.
 inline constexpr std::array all{
-        requests,      outcomes,         refusals,          firstToken,     loadStall,
-        queueWait,     claimLatency,     retries,           batchFill,      queueDepth,
-        loads,         linkBytes,        revision,          revisionAge,    platformReachable,
-        platformCalls, viewConfirmed,    quarantined,       wireBytes,      connections,
-        edgeAnswers,   edgeFailures,     edgeFirstPiece,    edgeWait,       edgeRetries,
-        edgeNotices,   edgeOrders,       edgeLoadTime,      edgePeers,      edgeOwned,
-        edgeWaiting,   edgePublishedAge, edgeConfigVersion, edgeStoreCalls, logDrops,
+        requests,
+        outcomes,
+        refusals,
+        firstToken,
+        loadStall,
+        queueWait,
+        claimLatency,
+        retries,
+        batchFill,
+        queueDepth,
+        loads,
+        linkBytes,
+        revision,
+        revisionAge,
+        platformReachable,
+        platformCalls,
+        viewConfirmed,
+        quarantined,
+        wireBytes,
+        connections,
+        edgeAnswers,
+        edgeFailures,
+        edgeFirstPiece,
+        edgeWait,
+        edgeRetries,
+        edgeNotices,
+        edgeOrders,
+        edgeLoadTime,
+        edgePeers,
+        edgeOwned,
+        edgeWaiting,
+        edgePublishedAge,
+        edgeConfigVersion,
+        edgeStoreCalls,
+        edgeLimitedServers,
+        edgeOldestLimit,
+        edgeLimitedRequests,
+        logDrops,
 };
 
 } // namespace balsamport::metric
--- a/include/balsamport/edge/dialect.h
+++ b/include/balsamport/edge/dialect.h
@@ -9,6 +9,7 @@
 #include <balsamport/http/http_client.h>
 #include <balsamport/http/http_message.h>
 #include <balsamport/http/http_server.h>
+#include <balsamport/policy/fleet_rate_limit.h>
 
 #include <functional>
 #include <optional>
@@ -64,6 +65,7 @@
     bool valid = true; ///< A success response has all required headers.
     bool serverDraining = false; ///< The server accepts no new requests from now on.
     std::optional<Millis> backoff; ///< The server requests no further requests for this time.
+    RateLimitReport rateLimit; ///< What the response states about the server's request rate.
 
     bool operator==(const ServerResponse &) const = default;
 };
--- a/include/balsamport/edge/server_availability.h
+++ b/include/balsamport/edge/server_availability.h
@@ -4,6 +4,7 @@
 #include <balsamport/core/clock.h>
 #include <balsamport/core/ids.h>
 #include <balsamport/edge/server_catalog.h>
+#include <balsamport/policy/fleet_rate_limit.h>
 
 #include <cstdint>
 #include <map>
@@ -24,6 +25,7 @@
         std::int64_t startedAtWallMs = 0;
         bool draining = false; ///< The server accepts no new requests.
         Millis backoffUntil{-1}; ///< The server accepts no requests before.
+        KnownRateLimit rateLimit; ///< Of all daemons together.
         Millis reportedAt; ///< Time of the last report.
 
         bool operator==(const Entry &) const = default;
@@ -45,6 +47,16 @@
 bool recordBackoff(ServerAvailability &state, const ServerEntry &server, Millis backoff,
                    Millis now);
 
+/// @brief Records what a response of a server states about the request rate that it accepts.
+/// @return true where the limit has changed
+bool recordRateLimit(ServerAvailability &state, const ServerEntry &server,
+                     const RateLimitReport &report, Millis now);
+
+/// @brief Records a rate limit that another daemon knows, if that is newer.
+/// @return true where the limit has changed
+bool recordRateLimit(ServerAvailability &state, const ServerEntry &server,
+                     const KnownRateLimit &received, Millis now);
+
 /// @brief Removes old entries of servers that aren't in the catalog any more.
 void forgetUnlistedServers(ServerAvailability &state, const ServerCatalog &catalog, Millis now);
 
@@ -54,6 +66,10 @@
 [[nodiscard]] Millis remainingBackoff(const ServerAvailability &state, const ServerEntry &server,
                                       Millis now);
 
+/// @return the newest known rate limit of the server's current run
+[[nodiscard]] KnownRateLimit rateLimitOf(const ServerAvailability &state,
+                                         const ServerEntry &server);
+
 /// @return the servers that are neither draining nor in a backoff
 [[nodiscard]] std::vector<const ServerEntry *>
 acceptingServers(const ServerAvailability &state, const std::vector<const ServerEntry *> &servers,
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -3,6 +3,7 @@
 #include "edge_state.h"
 #include "engine_grant_client.h"
 #include "published_controller.h"
+#include "rate_limit_controller.h"
 #include "request_flow.h"
 
 #include <balsamport/core/http_status.h>
@@ -91,7 +92,11 @@
     EdgeContext context{this->settings, this->dialect,    this->loop,       this->log,
                         this->http,     processMetrics(), this->incarnation};
     PeerController peers{this->context, this->messages, [this] { return this->localStatus(); },
-                         [this](wire::EdgeGossip &gossip) { this->engines.addProfiles(gossip); }};
+                         [this](wire::EdgeGossip &gossip) {
+                             this->engines.addProfiles(gossip);
+                             this->rateLimits.addToGossip(gossip);
+                         }};
+    RateLimitController rateLimits{this->context, this->state, this->peers};
     EngineController engines{this->context,
                              [this] { return this->published.state().contentRevision; },
                              [this](const BackendServerId &server, Millis lease) {
@@ -115,7 +120,8 @@
             },
             [this](const std::vector<PublishedEntry> &changed, std::uint64_t since,
                    bool fromStore) { this->applyChanges(changed, since, fromStore); }};
-    FlowContext flows{this->context, this->state, this->grants, this->peers, this->engines, {}};
+    FlowContext flows{this->context,    this->state, this->grants, this->peers, this->engines,
+                      this->rateLimits, {}};
     std::unique_ptr<LoopTimer> tickTimer = this->loop.makeTimer();
     std::unique_ptr<LoopTimer> stopTimer = this->loop.makeTimer();
     Millis lastTickAt;
@@ -232,6 +238,7 @@
             .set(static_cast<double>(this->published.age(now).count()) / millisPerSecond);
     metrics.gauge(metric::edgeConfigVersion)
             .set(this->state.config ? static_cast<double>(this->state.config->version) : 0);
+    this->rateLimits.updateGauges(now);
     metrics.gauge(metric::logDrops).set(static_cast<double>(this->log.droppedLines()));
 }
 
@@ -411,6 +418,9 @@
     case wire::Envelope::kServerNotice:
         this->handleServerNotice(peer, message.server_notice());
         break;
+    case wire::Envelope::kRateLimitNotice:
+        this->rateLimits.handleNotice(peer, message.rate_limit_notice());
+        break;
     default:
         this->log.write(EventPriority::Notable, "message_ignored", {{"peer", peer.str()}});
     }
@@ -444,6 +454,7 @@
     const VmId peer(message.sender().vm());
     this->peers.handleGossip(gossip, message.sender().incarnation());
     this->engines.applyPeerProfiles(peer, gossip);
+    this->rateLimits.applyGossip(peer, gossip);
     const Millis now = monotonicNow();
     const Millis age(gossip.published_age_ms());
     if (gossip.content_revision() <= this->published.state().contentRevision) {
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -46,11 +46,11 @@
 
 PeerController::PeerController(EdgeContext &owner, MessageClient &client,
                                std::function<LocalStatus()> status,
-                               std::function<void(wire::EdgeGossip &)> profiles)
+                               std::function<void(wire::EdgeGossip &)> knowledge)
     : context(owner)
     , messages(client)
     , localStatus(std::move(status))
-    , addProfiles(std::move(profiles))
+    , addKnowledge(std::move(knowledge))
     , timer(owner.loop.makeTimer())
 {
     this->peers.self = owner.settings.vm;
@@ -162,7 +162,7 @@
     gossip.set_published_age_ms(static_cast<std::uint32_t>(status.publishedAge.count()));
     gossip.set_store_reachable(status.storeReachable);
     gossip.set_known_peers(static_cast<std::uint32_t>(this->alivePeers.size()));
-    this->addProfiles(gossip);
+    this->addKnowledge(gossip);
     return message;
 }
 
@@ -296,6 +296,29 @@
     this->sendToDataCentre(message);
 }
 
+void PeerController::broadcastRateLimit(const wire::ServerRateLimit &rateLimit)
+{
+    wire::Envelope message;
+    *message.mutable_rate_limit_notice()->mutable_rate_limit() = rateLimit;
+    this->sendToDataCentre(message);
+    const GossipTargets targets = remoteTargets(this->peers, monotonicNow());
+    message.mutable_rate_limit_notice()->set_relay(targets.relayed);
+    for (const Peer *peer : targets.remote) {
+        this->messages.notify(peer->endpoint, message);
+    }
+}
+
+void PeerController::relayRateLimit(const wire::RateLimitNotice &notice)
+{
+    if (!notice.relay() || !isDelegate(this->peers, this->localStatus().draining, monotonicNow())) {
+        return;
+    }
+    wire::Envelope message;
+    *message.mutable_rate_limit_notice() = notice;
+    message.mutable_rate_limit_notice()->set_relay(false);
+    this->sendToDataCentre(message);
+}
+
 void PeerController::send(const VmId &peer, wire::Envelope message)
 {
     const auto found = this->peers.peers.find(peer);
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -32,10 +32,10 @@
 {
 public:
     /// @param localStatus returns the current status of this daemon
-    /// @param addProfiles adds the engine profiles that this daemon measured to its gossip
+    /// @param addKnowledge adds what this daemon knows of backend servers to its gossip
     PeerController(EdgeContext &context, MessageClient &messages,
                    std::function<LocalStatus()> localStatus,
-                   std::function<void(wire::EdgeGossip &)> addProfiles);
+                   std::function<void(wire::EdgeGossip &)> addKnowledge);
 
     void start();
 
@@ -53,6 +53,13 @@
     /// daemon is the delegate.
     void relayCrashes(const wire::CrashNote &note);
 
+    /// @brief Sends a change of a server's rate limit to all peers.
+    void broadcastRateLimit(const wire::ServerRateLimit &rateLimit);
+
+    /// @brief Relays a change of a rate limit to the own data centre if its sender requested that
+    /// and this daemon is the delegate.
+    void relayRateLimit(const wire::RateLimitNotice &notice);
+
     /// @brief Sends a message to a known peer. Messages to unknown peers are dropped.
     void send(const VmId &peer, wire::Envelope message);
 
@@ -88,7 +95,7 @@
     EdgeContext &context;
     MessageClient &messages;
     std::function<LocalStatus()> localStatus;
-    std::function<void(wire::EdgeGossip &)> addProfiles;
+    std::function<void(wire::EdgeGossip &)> addKnowledge;
     PeerTable peers;
     std::unique_ptr<LoopTimer> timer;
     std::set<VmId> alivePeers; ///< Of the last round.
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -65,6 +65,7 @@
     ++this->sendCount;
     ++this->possibleRuns;
     ++this->context.state.serverStats[server].inFlight;
+    this->context.rateLimits.recordSend(server);
     Dispatch dispatch;
     dispatch.server = server;
     dispatch.address = found->second.entry.address;
@@ -135,6 +136,8 @@
     }
     sent->response = this->context.edge.dialect.readResponse(this->request, head);
     this->applyAvailability(*sent);
+    this->context.rateLimits.applyResponse(sent->server, this->request.id,
+                                           sent->response.rateLimit);
     if (!sent->response.belongsToRequest && !sent->response.didNotRun) {
         sent->invalidResponse = true;
         this->context.edge.http.cancel(sent->exchange);
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -3,6 +3,7 @@
 
 #include "edge_state.h"
 #include "engine_grant_client.h"
+#include "rate_limit_controller.h"
 
 #include <balsamport/edge/event_splitter.h>
 
@@ -25,6 +26,7 @@
     EngineGrantClient &grants;
     PeerController &peers;
     EngineController &engines;
+    RateLimitController &rateLimits;
     std::set<std::shared_ptr<RequestFlow>> running; ///< Requests in progress.
 };
 
--- a/src/edge/server_availability.cpp
+++ b/src/edge/server_availability.cpp
@@ -52,6 +52,29 @@
     return longer;
 }
 
+bool recordRateLimit(ServerAvailability &state, const ServerEntry &server,
+                     const RateLimitReport &report, Millis now)
+{
+    using Kind = RateLimitReport::Kind;
+    // Most responses state no limit and need no entry.
+    const bool isNews = report.kind == Kind::Limited
+            || (report.kind == Kind::Unlimited && rateLimitOf(state, server).perSecond);
+    if (!isNews) {
+        return false;
+    }
+    Entry &entry = entryOf(state, server);
+    entry.reportedAt = now;
+    return applyReport(entry.rateLimit, report, now);
+}
+
+bool recordRateLimit(ServerAvailability &state, const ServerEntry &server,
+                     const KnownRateLimit &received, Millis now)
+{
+    Entry &entry = entryOf(state, server);
+    entry.reportedAt = now;
+    return mergeRateLimit(entry.rateLimit, received);
+}
+
 void forgetUnlistedServers(ServerAvailability &state, const ServerCatalog &catalog, Millis now)
 {
     std::erase_if(state.entries, [&](const auto &entry) {
@@ -73,6 +96,12 @@
     return entry == nullptr ? Millis(0) : std::max(entry->backoffUntil - now, Millis(0));
 }
 
+KnownRateLimit rateLimitOf(const ServerAvailability &state, const ServerEntry &server)
+{
+    const Entry *entry = findEntry(state, server);
+    return entry == nullptr ? KnownRateLimit() : entry->rateLimit;
+}
+
 std::vector<const ServerEntry *> acceptingServers(const ServerAvailability &state,
                                                   const std::vector<const ServerEntry *> &servers,
                                                   Millis now)
--- a/standins/platform/replica_standin.cpp
+++ b/standins/platform/replica_standin.cpp
@@ -75,6 +75,12 @@
     return this->receivedHeaders;
 }
 
+std::vector<Millis> ReplicaStandin::receivedRequestTimes() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->receivedTimes;
+}
+
 void ReplicaStandin::setFaults(const ReplicaFaults &newFaults)
 {
     const std::lock_guard lock(this->mutex);
@@ -237,6 +243,10 @@
             = model.find('/') == std::string::npos ? "" : model.substr(model.find('/') + 1);
     HttpHeaders headers{{"X-Request-Id", id}, {"X-Response-Seal", "seal-" + id}};
     this->receivedHeaders.push_back(request.headers);
+    this->receivedTimes.push_back(monotonicNow());
+    if (!this->faults.rateLimit.empty()) {
+        headers.push_back({"Server-Limit", this->faults.rateLimit});
+    }
     if (this->faults.announcesDraining) {
         headers.push_back({"Server-Leaving", "1"});
     }
--- a/standins/platform/replica_standin.h
+++ b/standins/platform/replica_standin.h
@@ -48,6 +48,7 @@
     double abortShare = 0; ///< Aborts a stream after half of its events.
     bool announcesDraining = false; ///< Its responses announce that it is draining.
     std::string retryAfter{}; ///< Retry-After of shed requests, in seconds; empty for none.
+    std::string rateLimit{}; ///< Stated in all responses, in requests a second; empty for none.
 };
 
 /// @brief Minimal stand-in for a model engine or a plain replica of the users' platform.
@@ -68,6 +69,9 @@
     /// @return the headers of all received requests, including refused ones
     [[nodiscard]] std::vector<HttpHeaders> receivedRequestHeaders() const;
 
+    /// @return the times at which requests were received, including refused ones
+    [[nodiscard]] std::vector<Millis> receivedRequestTimes() const;
+
     /// @brief Restarts under the same id without adapters and with a command count of 0.
     void restart();
 
@@ -98,6 +102,7 @@
     mutable std::mutex mutex;
     ReplicaFaults faults;
     std::vector<HttpHeaders> receivedHeaders;
+    std::vector<Millis> receivedTimes;
     std::uint64_t random = 1;
     std::int64_t startedAt = 0;
     std::uint64_t commandCount = 0;
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -328,6 +328,41 @@
         }
     }
 
+    SECTION("with Server-Limit states the request rate that the server accepts")
+    {
+        using Kind = RateLimitReport::Kind;
+        const auto reportFor = [&](const char *limit) {
+            ResponseHead withLimit = head;
+            withLimit.headers.push_back({"Server-Limit", limit});
+            return readResponse(request, withLimit).rateLimit;
+        };
+        REQUIRE(reportFor("1.8") == RateLimitReport{Kind::Limited, 1.8});
+        REQUIRE(reportFor("0") == RateLimitReport{Kind::Limited, 0});
+        REQUIRE(reportFor("250") == RateLimitReport{Kind::Limited, 250});
+        for (const char *malformed :
+             {"", "-1", "some", "nan", "inf", "1.8 a second", "1,8", "1e3"}) {
+            REQUIRE(reportFor(malformed).kind == Kind::Malformed);
+        }
+
+        SECTION("and no limit without the header")
+        {
+            REQUIRE(readResponse(request, head).rateLimit.kind == Kind::Unlimited);
+        }
+
+        SECTION("but nothing if another server responded, or the response has neither header nor "
+                "seal")
+        {
+            head.headers.push_back({"Server-Limit", "3"});
+            head.status = 421;
+            REQUIRE(readResponse(request, head).rateLimit.kind == Kind::None);
+            head.status = 200;
+            head.headers[0].value = "other";
+            REQUIRE(readResponse(request, head).rateLimit.kind == Kind::None);
+            REQUIRE(readResponse(request, {503, {{"X-Not-Executed", "1"}}}).rateLimit.kind
+                    == Kind::None);
+        }
+    }
+
     SECTION("with a seal is valid and loses its hop-by-hop headers")
     {
         const ServerResponse response = readResponse(request, head);
--- a/tests/src/unit-server-availability.cpp
+++ b/tests/src/unit-server-availability.cpp
@@ -130,3 +130,52 @@
         REQUIRE(std::holds_alternative<EngineCommand>(later.front()));
     }
 }
+
+// Guards against a limit that a restart of the server, a late report or an older one of another
+// daemon brings back or drops.
+TEST_CASE("the rate limit of a server is the newest that any daemon received")
+{
+    using Kind = RateLimitReport::Kind;
+    const ServerEntry s1 = server("s1");
+    ServerAvailability availability;
+    const Millis now(10'000);
+
+    REQUIRE_FALSE(recordRateLimit(availability, s1, {Kind::Unlimited, 0}, now));
+    REQUIRE(availability.entries.empty());
+    REQUIRE(recordRateLimit(availability, s1, {Kind::Limited, 1.8}, now));
+    REQUIRE_FALSE(recordRateLimit(availability, s1, {Kind::Limited, 1.8}, now + Millis(100)));
+    REQUIRE(rateLimitOf(availability, s1) == KnownRateLimit{1.8, now + Millis(100)});
+
+    SECTION("it rises, falls to 0 and ends as responses state it")
+    {
+        REQUIRE(recordRateLimit(availability, s1, {Kind::Limited, 7}, now + Millis(200)));
+        REQUIRE(recordRateLimit(availability, s1, {Kind::Limited, 0}, now + Millis(300)));
+        REQUIRE(rateLimitOf(availability, s1).perSecond == 0.0);
+        REQUIRE(recordRateLimit(availability, s1, {Kind::Unlimited, 0}, now + Millis(400)));
+        REQUIRE_FALSE(rateLimitOf(availability, s1).perSecond);
+    }
+
+    SECTION("malformed limits and responses that state nothing change nothing")
+    {
+        REQUIRE_FALSE(recordRateLimit(availability, s1, {Kind::Malformed, 0}, now + Millis(200)));
+        REQUIRE_FALSE(recordRateLimit(availability, s1, {Kind::None, 0}, now + Millis(200)));
+        REQUIRE(rateLimitOf(availability, s1).perSecond == 1.8);
+    }
+
+    SECTION("an older report of a peer is ignored, a newer one applies, also one that lifts it")
+    {
+        REQUIRE_FALSE(
+                recordRateLimit(availability, s1, KnownRateLimit{5.0, now}, now + Millis(200)));
+        REQUIRE(rateLimitOf(availability, s1).perSecond == 1.8);
+        REQUIRE(recordRateLimit(availability, s1, KnownRateLimit{std::nullopt, now + Millis(150)},
+                                now + Millis(200)));
+        REQUIRE_FALSE(recordRateLimit(availability, s1, KnownRateLimit{1.8, now + Millis(100)},
+                                      now + Millis(300)));
+        REQUIRE_FALSE(rateLimitOf(availability, s1).perSecond);
+    }
+
+    SECTION("a new run of the server has none")
+    {
+        REQUIRE(rateLimitOf(availability, server("s1", 2)) == KnownRateLimit());
+    }
+}
