Reproduce the broken limit: daemons together send a server more than it takes

Two and eight real daemons, plain replicas and engines, servers that state 1.8, 2.5 and 1.3 requests a second.

--- /dev/null
+++ b/tests/e2e/e2e-server-limit.cpp
@@ -0,0 +1,266 @@
+#include "edge_world.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+using namespace balsamport;
+using namespace balsamport::testing;
+
+namespace {
+
+constexpr int okStatus = 200;
+constexpr int unavailable = 503;
+constexpr Millis startTimeout{10'000};
+/// Span over which the users count the requests that a server with a limit receives.
+constexpr Millis window{4'000};
+/// All daemons apply a limit this long after a response first stated it.
+constexpr Millis noticeTime{600};
+/// Part of what a server accepts that it must receive while there is more to do.
+constexpr double minUse = 0.7;
+
+/// The most requests that a server with a limit may receive within the window.
+double maxRequests(double perSecond)
+{
+    constexpr double tolerance = 1.5;
+    constexpr double slack = 5;
+    constexpr double windowSeconds = 4.0;
+    return tolerance * perSecond * windowSeconds + slack;
+}
+
+/// @return the most of the times that lie within one window and not before a moment
+std::size_t busiestWindow(const std::vector<Millis> &times, Millis from)
+{
+    std::size_t most = 0;
+    for (auto first = std::lower_bound(times.begin(), times.end(), from); first != times.end();
+         ++first) {
+        const auto last = std::upper_bound(first, times.end(), *first + window);
+        most = std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+}
+
+std::size_t countAfter(const std::vector<Millis> &times, Millis from)
+{
+    return static_cast<std::size_t>(times.end()
+                                    - std::lower_bound(times.begin(), times.end(), from));
+}
+
+/// Callers of all daemons, each of which sends a request at a fixed interval.
+class Callers
+{
+public:
+    Callers(EdgeWorld &edgeWorld, std::string requestPath, Millis requestInterval)
+        : world(edgeWorld)
+        , path(std::move(requestPath))
+        , interval(requestInterval)
+    {
+        for (std::size_t edge = 0; edge < edgeWorld.edges.size(); ++edge) {
+            this->threads.emplace_back([this, edge] { this->run(edge); });
+        }
+    }
+
+    ~Callers() { this->stop(); }
+    Callers(const Callers &) = delete;
+    Callers &operator=(const Callers &) = delete;
+
+    void stop()
+    {
+        this->stopping = true;
+        for (std::thread &thread : this->threads) {
+            thread.join();
+        }
+        this->threads.clear();
+    }
+
+    struct Counts
+    {
+        std::size_t served = 0;
+        std::size_t refused = 0;
+        std::size_t refusedWithoutTime = 0; ///< Without Retry-After.
+        std::size_t other = 0;
+        Millis slowestRefusal;
+    };
+
+    [[nodiscard]] Counts counts()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->total;
+    }
+
+private:
+    void run(std::size_t edge)
+    {
+        for (int number = 0; !this->stopping; ++number) {
+            const Millis sentAt = monotonicNow();
+            const std::string id = "r" + std::to_string(edge) + "-" + std::to_string(number);
+            const auto response
+                    = this->world.http.fetch(this->world.request(edge, this->path, id, {}));
+            this->record(response, monotonicNow() - sentAt);
+            sleepFor(std::max(this->interval - (monotonicNow() - sentAt), Millis(1)));
+        }
+    }
+
+    void record(const Result<HttpResponse> &response, Millis took)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (response.has_value() && response.value().status == okStatus) {
+            ++this->total.served;
+        } else if (response.has_value() && response.value().status == unavailable) {
+            ++this->total.refused;
+            const bool hasTime = findHeader(response.value().headers, "Retry-After").has_value();
+            this->total.refusedWithoutTime += hasTime ? 0 : 1;
+            this->total.slowestRefusal = std::max(this->total.slowestRefusal, took);
+        } else {
+            ++this->total.other;
+        }
+    }
+
+    EdgeWorld &world;
+    std::string path;
+    Millis interval;
+    std::atomic<bool> stopping{false};
+    std::mutex mutex;
+    Counts total;
+    std::vector<std::thread> threads;
+};
+
+void setLimit(EdgeWorld &world, const std::string &server, const std::string &perSecond)
+{
+    standins::ReplicaFaults limited;
+    limited.rateLimit = perSecond;
+    world.replicas.at(server).standin->setFaults(limited);
+}
+
+std::vector<Millis> arrivalsAt(const EdgeWorld &world, const std::string &server)
+{
+    return world.replicas.at(server).standin->receivedRequestTimes();
+}
+
+/// @return the time of the first request at a server after a moment: its response states the limit
+Millis firstArrival(const EdgeWorld &world, const std::string &server, Millis from)
+{
+    Millis first;
+    REQUIRE(eventually(startTimeout, [&] {
+        const std::vector<Millis> times = arrivalsAt(world, server);
+        const auto found = std::lower_bound(times.begin(), times.end(), from);
+        first = found == times.end() ? first : *found;
+        return found != times.end();
+    }));
+    return first;
+}
+
+/// Starts the daemons and waits until each of them has served a request on a route.
+void startServing(EdgeWorld &world, const std::string &path)
+{
+    world.startAll();
+    world.publishConfig();
+    REQUIRE(eventually(startTimeout, [&] { return world.allReady(); }));
+    int attempts = 0;
+    for (std::size_t edge = 0; edge < world.edges.size(); ++edge) {
+        REQUIRE(eventually(startTimeout, [&] {
+            const std::string id = "start" + std::to_string(++attempts);
+            return world.call(edge, path, id).status == okStatus;
+        }));
+    }
+}
+
+} // namespace
+
+// Guards against a server that gets more requests than it states to take, because each daemon
+// decides by itself how much it sends.
+TEST_CASE("all daemons together keep the request rate that a server states")
+{
+    // Requests of each daemon; all daemons together ask far more than a limited server takes.
+    constexpr Millis callInterval{150};
+    constexpr Millis observedTime{9'000};
+    const std::size_t daemons = GENERATE(std::size_t{2}, std::size_t{8});
+    CAPTURE(daemons);
+
+    SECTION("a plain replica gets no more, and the others serve the rest")
+    {
+        EdgeWorld world(daemons);
+        startServing(world, "/book/1");
+        constexpr double perSecond = 1.8;
+        setLimit(world, "s1", "1.8");
+        const Millis setAt = monotonicNow();
+        Callers callers(world, "/book/1", callInterval);
+        const Millis statedAt = firstArrival(world, "s1", setAt);
+        sleepFor(observedTime);
+
+        const std::vector<Millis> limited = arrivalsAt(world, "s1");
+        REQUIRE(static_cast<double>(busiestWindow(limited, statedAt + noticeTime))
+                <= maxRequests(perSecond));
+        constexpr double observedSeconds = 9.0;
+        REQUIRE(static_cast<double>(countAfter(limited, statedAt))
+                >= minUse * perSecond * observedSeconds);
+
+        SECTION("and all it can take again soon after its responses state no limit")
+        {
+            setLimit(world, "s1", "");
+            sleepFor(Millis(3'000));
+            const Millis liftedAt = monotonicNow();
+            sleepFor(Millis(2'000));
+            REQUIRE(countAfter(arrivalsAt(world, "s1"), liftedAt) > 8);
+        }
+        callers.stop();
+        REQUIRE(callers.counts().refused == 0);
+        REQUIRE(callers.counts().other == 0);
+    }
+
+    SECTION("if all replicas have a limit, callers are refused at once with a Retry-After")
+    {
+        EdgeWorld world(daemons);
+        startServing(world, "/look/1");
+        constexpr double perSecond = 2.5;
+        setLimit(world, "s1", "2.5");
+        setLimit(world, "s2", "2.5");
+        const Millis setAt = monotonicNow();
+        Callers callers(world, "/look/1", callInterval);
+        for (const char *id : {"s1", "s2"}) {
+            firstArrival(world, id, setAt);
+        }
+        const Millis statedAt = monotonicNow();
+        sleepFor(observedTime);
+        callers.stop();
+
+        for (const char *id : {"s1", "s2"}) {
+            const std::vector<Millis> limited = arrivalsAt(world, id);
+            REQUIRE(static_cast<double>(busiestWindow(limited, statedAt + noticeTime))
+                    <= maxRequests(perSecond));
+            constexpr double observedSeconds = 9.0;
+            REQUIRE(static_cast<double>(countAfter(limited, statedAt))
+                    >= minUse * perSecond * observedSeconds);
+        }
+        const Callers::Counts counts = callers.counts();
+        REQUIRE(counts.refused > 0);
+        REQUIRE(counts.refusedWithoutTime == 0);
+        REQUIRE(counts.slowestRefusal < Millis(500));
+        REQUIRE(counts.other == 0);
+    }
+
+    SECTION("an engine gets no more, and the others serve the rest")
+    {
+        EdgeWorld world(daemons);
+        startServing(world, "/once/1");
+        constexpr double perSecond = 1.3;
+        setLimit(world, "e1", "1.3");
+        const Millis setAt = monotonicNow();
+        Callers callers(world, "/once/1", callInterval * 2);
+        const Millis statedAt = firstArrival(world, "e1", setAt);
+        sleepFor(observedTime);
+        callers.stop();
+
+        const std::vector<Millis> limited = arrivalsAt(world, "e1");
+        REQUIRE(static_cast<double>(busiestWindow(limited, statedAt + noticeTime))
+                <= maxRequests(perSecond));
+        constexpr double observedSeconds = 9.0;
+        REQUIRE(static_cast<double>(countAfter(limited, statedAt))
+                >= minUse * perSecond * observedSeconds);
+        REQUIRE(callers.counts().refused == 0);
+        REQUIRE(callers.counts().other == 0);
+    }
+}
