Keep the request rates that backend servers state, over all daemons

Cause: the limit is one of the whole fleet, and each daemon decided by itself how much it sends. Here it decided nothing, as nobody read the statement; but a limit kept by each daemon fails as well.

Change: the owner of an engine grants its requests at the rate of the limit. For other servers, a daemon requests a permit from the issuer that policy/fleet_rate_limit chooses. Without one, another server is tried at once; if there is none, the caller is refused with the time of the next permit, spread over one interval. A lifted limit applies as soon as any daemon receives the response. Under a limit an engine's waiting requests are judged again at each decision: one that newer requests overtook was refused after 2.5 s although another engine was free.

--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -87,6 +87,9 @@
 constexpr MetricInfo edgeLimitedRequests{
         "balsamport_edge_limited_requests_total", MetricKind::Counter, "outcome",
         "Requests for backend servers with a limit: sent, or why they were withheld"};
+constexpr MetricInfo edgePermits{
+        "balsamport_edge_permits_total", MetricKind::Counter, "outcome",
+        "Decisions on permits for backend servers with a limit, as their issuer"};
 constexpr MetricInfo logDrops{"balsamport_log_dropped_lines", MetricKind::Gauge, "",
                               "Log lines that were dropped since the start"};
 
@@ -129,6 +132,7 @@
         edgeLimitedServers,
         edgeOldestLimit,
         edgeLimitedRequests,
+        edgePermits,
         logDrops,
 };
 
--- a/include/balsamport/edge/engine_scheduler.h
+++ b/include/balsamport/edge/engine_scheduler.h
@@ -6,6 +6,7 @@
 #include <balsamport/edge/engine_profile.h>
 #include <balsamport/edge/request_rate.h>
 #include <balsamport/edge/service_config.h>
+#include <balsamport/policy/fleet_rate_limit.h>
 
 #include <cstdint>
 #include <deque>
@@ -43,6 +44,7 @@
     Adapter, ///< The adapter or the engine's base model isn't ready.
     Capacity, ///< The engine's batch or key-value memory is full.
     Prefill, ///< Other prefills go first, so that token gaps of running streams stay short.
+    RateLimit, ///< The engine states a limit of requests a second.
 };
 
 /// @brief Time that a request has waited, by blocker. For logs and tests only; no decision uses it.
@@ -51,6 +53,7 @@
     Millis adapter;
     Millis capacity;
     Millis prefill;
+    Millis rateLimit;
     GrantBlocker blocker = GrantBlocker::Prefill; ///< Since the last scheduling decision.
     Millis since{-1}; ///< Time of that decision; -1 before the first.
 
@@ -200,6 +203,9 @@
     bool suspected = false; ///< A request didn't reach the engine; a report is being requested.
     bool unreachable = false; ///< A report failed. No request waits before one succeeds again.
     Millis backoffUntil{-1}; ///< End of a backoff that the engine requested.
+    /// Grants per second that the engine's rate limit allows this owner; nothing without a limit.
+    std::optional<double> permitRate;
+    PermitBucket permits; ///< Each grant takes one while there is a rate limit.
     bool modelLoaded = false;
     bool modelRequested = false; ///< The engine has accepted the command to load it.
     Millis modelPollAt;
@@ -305,6 +311,17 @@
 /// @brief Records whether a report of the engine was received.
 void setReachable(EngineScheduler &state, bool reachable) noexcept;
 
+/// @brief Sets how many grants per second the engine's rate limit allows; a new limit starts
+/// without permits.
+/// @param perSecond as permitRate() returns it; nothing without a limit
+/// @return true where the rate has changed
+bool setPermitRate(EngineScheduler &state, std::optional<double> perSecond, Millis now);
+
+/// @brief Discards the permits of an engine with a rate limit, because this daemon may not have
+/// been the only owner.
+/// @param from time at which it is again
+void restartPermits(EngineScheduler &state, Millis from) noexcept;
+
 /// @brief Records that the engine didn't run a request because its adapter isn't loaded.
 void recordAdapterNotReady(EngineScheduler &state, const GrantKey &key, Millis now);
 
--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -3,6 +3,7 @@
 
 #include <balsamport/core/clock.h>
 #include <balsamport/core/ids.h>
+#include <balsamport/policy/fleet_rate_limit.h>
 
 #include <cstdint>
 #include <map>
@@ -106,6 +107,12 @@
 /// @return true if the peer sent a message within the time-out for its data centre
 [[nodiscard]] bool isAlive(const PeerTable &table, const Peer &peer, Millis now) noexcept;
 
+/// @brief Returns the daemons that may issue the permits of servers in a data centre: its own, also
+/// silent ones, or those of all data centres if it has none. Draining daemons leave others to
+/// issue.
+[[nodiscard]] std::vector<PermitMember>
+permitMembers(const PeerTable &table, const DataCentreId &dataCentre, bool draining, Millis now);
+
 /// @brief Recipients of gossip in one round. Of many local peers, every second one.
 struct GossipTargets
 {
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -96,7 +96,11 @@
                              this->engines.addProfiles(gossip);
                              this->rateLimits.addToGossip(gossip);
                          }};
-    RateLimitController rateLimits{this->context, this->state, this->peers};
+    RateLimitController rateLimits{
+            this->context, this->state, this->peers,
+            [this](const BackendServerId &engine, std::optional<double> perSecond) {
+                this->engines.setPermitRate(engine, perSecond);
+            }};
     EngineController engines{this->context,
                              [this] { return this->published.state().contentRevision; },
                              [this](const BackendServerId &server, Millis lease) {
@@ -250,6 +254,8 @@
     }
     this->log.write(EventPriority::Vital, "paused", {{"gap_ms", gap}});
     this->engines.suspendCommands("process paused");
+    this->engines.restartPermits();
+    this->rateLimits.restartPermits(now);
 }
 
 const EngineLimits *EdgeDaemon::Impl::limitsOf(const ServiceId &service) const
@@ -286,6 +292,7 @@
     if (!change.released.empty() || !change.acquired.empty()) {
         this->peers.broadcastStatus();
     }
+    this->rateLimits.update(now);
 }
 
 void EdgeDaemon::Impl::applyChanges(const std::vector<PublishedEntry> &changed, std::uint64_t since,
@@ -418,6 +425,9 @@
     case wire::Envelope::kServerNotice:
         this->handleServerNotice(peer, message.server_notice());
         break;
+    case wire::Envelope::kPermitRequest:
+        this->rateLimits.handlePermitRequest(peer, message.permit_request(), reply);
+        break;
     case wire::Envelope::kRateLimitNotice:
         this->rateLimits.handleNotice(peer, message.rate_limit_notice());
         break;
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -252,6 +252,21 @@
     this->decide(*term);
 }
 
+void EngineController::setPermitRate(const BackendServerId &server, std::optional<double> perSecond)
+{
+    Term *term = this->find(server);
+    if (term != nullptr && balsamport::setPermitRate(term->scheduler, perSecond, monotonicNow())) {
+        this->decide(*term);
+    }
+}
+
+void EngineController::restartPermits()
+{
+    for (const auto &[id, term] : this->terms) {
+        balsamport::restartPermits(term->scheduler, monotonicNow() + permitHandover);
+    }
+}
+
 void EngineController::submit(const BackendServerId &server, EngineGrantRequest request)
 {
     Term *term = this->find(server);
@@ -519,6 +534,7 @@
              {"adapter_wait_ms", grant.waits.adapter},
              {"room_wait_ms", grant.waits.capacity},
              {"turn_wait_ms", grant.waits.prefill},
+             {"limit_wait_ms", grant.waits.rateLimit},
              {"prompt_tokens", grant.prefillTokens},
              {"prompts_read_in_ms", std::max(scheduler.prefillUntil - now, Millis(0))},
              {"slowness_percent", static_cast<std::int64_t>(scheduler.speed.slowdown * percent)},
@@ -534,6 +550,9 @@
     if (const auto *grant = std::get_if<GrantAction>(&action)) {
         const Millis wait = expectedWait(term.scheduler, term.limits, unheld, now);
         this->logGrant(term, *grant, now);
+        if (term.scheduler.permitRate) {
+            this->context.metrics.counter(metric::edgePermits, "issued").add();
+        }
         this->onVerdict(
                 grant->key, server,
                 GrantVerdict{GrantVerdict::Kind::Granted, grant->version, {}, wait, grant->demand});
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -86,6 +86,14 @@
     /// @param backoff time in which the engine accepts no requests; 0 for none
     void applyAvailability(const BackendServerId &server, bool draining, Millis backoff);
 
+    /// @brief Sets how many grants per second an engine's rate limit allows this owner.
+    /// @param perSecond nothing without a limit
+    void setPermitRate(const BackendServerId &server, std::optional<double> perSecond);
+
+    /// @brief Discards the permits of all engines after a pause of the process, in which another
+    /// daemon may have issued them.
+    void restartPermits();
+
     /// @brief Submits a grant request. The verdict handler may be called before this returns.
     void submit(const BackendServerId &server, EngineGrantRequest request);
     void updateGrant(const BackendServerId &server, const GrantKey &key, const GrantUpdate &update);
--- a/src/edge/engine_scheduler.cpp
+++ b/src/edge/engine_scheduler.cpp
@@ -22,6 +22,8 @@
 /// Longest sample of the interval between freed slots: longer ones show that no slot was needed,
 /// not that none became free.
 constexpr Millis maxSlotFreeInterval{1'000};
+/// Expected wait where the rate limit leaves this owner no grants at all.
+constexpr Millis maxPermitWait{10'000};
 /// A grant that hasn't ended this long after its request's deadline was lost with its daemon.
 constexpr Millis lostGrantGrace{3'000};
 /// Number of adapters with a request rate beyond which rates older than requestRateLifetime are
@@ -104,6 +106,26 @@
             || kvTokensInUse(state) + totalTokens(request) + request.outputTokens <= limit;
 }
 
+/// @return true where the engine has no rate limit, or its limit allows a grant now
+bool hasPermit(EngineScheduler &state, Millis now)
+{
+    if (!state.permitRate) {
+        return true;
+    }
+    fillPermits(state.permits, *state.permitRate, now);
+    return state.permits.permits >= 1;
+}
+
+/// @return the time until the rate limit allows a grant after those of other requests
+Millis permitWait(const EngineScheduler &state, std::size_t others, Millis now)
+{
+    if (!state.permitRate) {
+        return Millis(0);
+    }
+    const std::optional<Millis> at = permitAvailableAt(state.permits, *state.permitRate, others);
+    return at ? std::max(*at - now, Millis(0)) : maxPermitWait;
+}
+
 bool isAdapterReady(const EngineScheduler &state, const AdapterId &adapter,
                     const AdapterVersions &versions)
 {
@@ -148,6 +170,9 @@
     running.isolated = isolated;
     running.grantedAt = now;
     state.running.emplace(request.key, running);
+    if (state.permitRate) {
+        tryTakePermit(state.permits, *state.permitRate, now);
+    }
     if (!request.adapter.empty()) {
         AdapterSlot &slot = state.slots[request.adapter];
         ++slot.activeGrants;
@@ -233,7 +258,10 @@
     std::vector<EngineGrantRequest> admitted;
     std::vector<EngineGrantRequest> arrivals;
     for (EngineGrantRequest &request : state.waiting) {
-        (request.admitted ? admitted : arrivals).push_back(std::move(request));
+        // Under a rate limit the wait grows by a whole interval with each request that goes first,
+        // so that a request admitted earlier may be better off elsewhere.
+        const bool decided = request.admitted && !state.permitRate;
+        (decided ? admitted : arrivals).push_back(std::move(request));
     }
     state.waiting = std::move(admitted);
     for (EngineGrantRequest &request : arrivals) {
@@ -252,7 +280,7 @@
                         std::vector<SchedulerAction> &actions)
 {
     for (auto request = state.waiting.begin(); request != state.waiting.end();) {
-        if (!canSchedulePrefill(state, limits, now)) {
+        if (!canSchedulePrefill(state, limits, now) || !hasPermit(state, now)) {
             return;
         }
         if (!isAdapterReady(state, request->adapter, versions)
@@ -284,6 +312,7 @@
         }
         Millis &total = waits.blocker == GrantBlocker::Adapter ? waits.adapter
                 : waits.blocker == GrantBlocker::Capacity      ? waits.capacity
+                : waits.blocker == GrantBlocker::RateLimit     ? waits.rateLimit
                                                                : waits.prefill;
         total += now - waits.since;
         waits.since = now;
@@ -298,6 +327,7 @@
                 && isAdapterReady(state, request.adapter, versions);
         request.waits.blocker = !ready                 ? GrantBlocker::Adapter
                 : !hasCapacity(state, limits, request) ? GrantBlocker::Capacity
+                : !hasPermit(state, now)               ? GrantBlocker::RateLimit
                                                        : GrantBlocker::Prefill;
         request.waits.since = now;
     }
@@ -392,7 +422,13 @@
         consider(request.timeoutAt);
     }
     if (!state.waiting.empty()) {
-        consider(std::max(state.prefillUntil - limits.prefillLead, state.nextPrefillAt));
+        Millis grantAt = std::max(state.prefillUntil - limits.prefillLead, state.nextPrefillAt);
+        if (state.permitRate) {
+            grantAt = std::max(grantAt,
+                               permitAvailableAt(state.permits, *state.permitRate, 0)
+                                       .value_or(grantAt + maxPermitWait));
+        }
+        consider(grantAt);
     }
     return next;
 }
@@ -401,11 +437,14 @@
                     const EngineGrantRequest &request, Millis now)
 {
     Millis wait = std::max(state.prefillUntil - now, Millis(0));
+    std::size_t requestsBefore = 0;
     for (const EngineGrantRequest &other : state.waiting) {
         if (other.key != request.key && isScheduledBefore(other, request)) {
             wait += enginePrefillTime(state, uncachedTokens(state, other), limits);
+            ++requestsBefore;
         }
     }
+    wait = std::max(wait, permitWait(state, requestsBefore, now));
     if (!state.modelLoaded || !state.synced) {
         return std::max(wait, defaultSlotWait * 2);
     }
@@ -489,6 +528,25 @@
     state.running.erase(found);
 }
 
+bool setPermitRate(EngineScheduler &state, std::optional<double> perSecond, Millis now)
+{
+    if (state.permitRate == perSecond) {
+        return false;
+    }
+    if (!state.permitRate) {
+        startIssuing(state.permits, now);
+    } else {
+        fillPermits(state.permits, *state.permitRate, now);
+    }
+    state.permitRate = perSecond;
+    return true;
+}
+
+void restartPermits(EngineScheduler &state, Millis from) noexcept
+{
+    startIssuing(state.permits, from);
+}
+
 void markSuspected(EngineScheduler &state) noexcept
 {
     state.suspected = true;
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -347,6 +347,27 @@
             });
 }
 
+void PeerController::queryIssuer(
+        const VmId &issuer, wire::Envelope request, Millis timeout,
+        std::function<void(const std::optional<wire::PermitReply> &reply)> handler)
+{
+    const auto found = this->peers.peers.find(issuer);
+    if (found == this->peers.peers.end()) {
+        handler(std::nullopt);
+        return;
+    }
+    this->messages.request(found->second.endpoint, std::move(request), timeout,
+                           [&loop = this->context.loop,
+                            task = std::move(handler)](const Result<wire::Envelope> &reply) {
+                               std::optional<wire::PermitReply> permit;
+                               if (reply.has_value() && reply.value().has_permit_reply()) {
+                                   permit = reply.value().permit_reply();
+                               }
+                               loop.post([task, permit] { task(permit); });
+                               return false;
+                           });
+}
+
 void PeerController::sendToDataCentre(const wire::Envelope &message)
 {
     for (const auto &[vm, peer] : this->peers.peers) {
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace balsamport {
@@ -70,6 +71,10 @@
     /// @param handler called on the loop's thread for each reply; a queued request gets two
     void queryOwner(const VmId &owner, wire::Envelope request, Millis timeout,
                     std::function<void(const wire::PlaceReply &reply)> handler);
+    /// @brief Requests a permit from the issuer of a server's permits.
+    /// @param handler called once on the loop's thread, with nothing after the timeout
+    void queryIssuer(const VmId &issuer, wire::Envelope request, Millis timeout,
+                     std::function<void(const std::optional<wire::PermitReply> &reply)> handler);
     /// @brief Sends a message to all known peers of the own data centre.
     void sendToDataCentre(const wire::Envelope &message);
 
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -103,6 +103,32 @@
     return !draining && (!seenRecently || isDelegate(table, draining, now));
 }
 
+std::vector<PermitMember> permitMembers(const PeerTable &table, const DataCentreId &dataCentre,
+                                        bool draining, Millis now)
+{
+    const auto membersOf = [&](const std::optional<DataCentreId> &wanted) {
+        std::vector<PermitMember> members;
+        if (!draining && (!wanted || table.dataCentre == *wanted)) {
+            members.push_back(PermitMember{table.self, true});
+        }
+        for (const auto &[vm, peer] : table.peers) {
+            if (!peer.draining && peer.lastSeenAt >= Millis(0)
+                && (!wanted || peer.dataCentre == *wanted)) {
+                members.push_back(PermitMember{vm, isAlive(table, peer, now)});
+            }
+        }
+        return members;
+    };
+    std::vector<PermitMember> members = membersOf(dataCentre);
+    if (members.empty()) {
+        members = membersOf(std::nullopt);
+    }
+    if (members.empty()) {
+        members.push_back(PermitMember{table.self, true}); // The last daemon, although it drains.
+    }
+    return members;
+}
+
 GossipTargets remoteTargets(const PeerTable &table, Millis now)
 {
     GossipTargets targets;
--- a/src/edge/rate_limit_controller.cpp
+++ b/src/edge/rate_limit_controller.cpp
@@ -1,10 +1,12 @@
 #include "rate_limit_controller.h"
 
+#include <balsamport/core/hash.h>
 #include <balsamport/core/metric_names.h>
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace balsamport {
 
@@ -12,6 +14,13 @@
 
 /// Limits in one gossip message. Changes are sent at once; gossip only repairs what was lost.
 constexpr int maxLimitsPerGossip = 4;
+/// An issuer without a response for longer is skipped: a round trip between regions, with a margin
+/// for a busy machine.
+constexpr Millis issuerTimeout{250};
+/// Time until another permit is requested where the issuer is unknown or doesn't respond.
+constexpr Millis issuerRetryInterval{500};
+/// Longest time over which refused callers of one server are spread.
+constexpr Millis maxRetrySpread{5'000};
 /// A lifted limit is gossiped for this long, until no peer can still hold the old one.
 constexpr Millis liftedLimitLifetime{60'000};
 
@@ -41,6 +50,46 @@
     return limit;
 }
 
+constexpr std::string_view issuedOutcome = "issued";
+
+std::string_view nameOf(PermitDecision::Kind kind) noexcept
+{
+    switch (kind) {
+    case PermitDecision::Kind::Issued:
+        return issuedOutcome;
+    case PermitDecision::Kind::Exhausted:
+        return "exhausted";
+    case PermitDecision::Kind::NotIssuer:
+        return "not_issuer";
+    }
+    return "unknown";
+}
+
+wire::PermitReply::Verdict toWire(PermitDecision::Kind kind) noexcept
+{
+    switch (kind) {
+    case PermitDecision::Kind::Issued:
+        return wire::PermitReply::ISSUED;
+    case PermitDecision::Kind::Exhausted:
+        return wire::PermitReply::EXHAUSTED;
+    case PermitDecision::Kind::NotIssuer:
+        return wire::PermitReply::NOT_ISSUER;
+    }
+    return wire::PermitReply::NOT_ISSUER;
+}
+
+std::string_view nameOf(wire::PermitReply::Verdict verdict) noexcept
+{
+    switch (verdict) {
+    case wire::PermitReply::ISSUED:
+        return issuedOutcome;
+    case wire::PermitReply::EXHAUSTED:
+        return nameOf(PermitDecision::Kind::Exhausted);
+    default:
+        return nameOf(PermitDecision::Kind::NotIssuer);
+    }
+}
+
 bool isWorthGossip(const KnownRateLimit &limit, Millis now)
 {
     return limit.perSecond
@@ -50,10 +99,11 @@
 } // namespace
 
 RateLimitController::RateLimitController(EdgeContext &owner, EdgeState &edgeState,
-                                         PeerController &peerController)
+                                         PeerController &peerController, EngineRateSetter setter)
     : context(owner)
     , state(edgeState)
     , peers(peerController)
+    , setEngineRate(std::move(setter))
 { }
 
 const ServerEntry *RateLimitController::findServer(const BackendServerId &server) const
@@ -62,6 +112,186 @@
     return found == this->state.catalog.servers.end() ? nullptr : &found->second.entry;
 }
 
+bool RateLimitController::needsPermit(const BackendServerId &server) const
+{
+    const ServerEntry *entry = this->findServer(server);
+    return entry != nullptr && rateLimitOf(this->state.availability, *entry).perSecond;
+}
+
+bool RateLimitController::isWithheld(const BackendServerId &server, Millis now) const
+{
+    const auto found = this->permits.find(server);
+    return found != this->permits.end() && now < found->second.withheldUntil
+            && this->needsPermit(server);
+}
+
+wire::ServerRateLimit RateLimitController::currentLimit(const ServerEntry &server, Millis now) const
+{
+    return toWire(server, rateLimitOf(this->state.availability, server), now);
+}
+
+PermitGroup &RateLimitController::groupOf(const DataCentreId &dataCentre, Millis now)
+{
+    PermitGroup &group = this->groups[dataCentre];
+    updateMembers(group, permitMembers(this->peers.table(), dataCentre, this->state.draining, now),
+                  now);
+    return group;
+}
+
+void RateLimitController::update(Millis now)
+{
+    std::map<DataCentreId, double> shares;
+    for (const auto &[id, server] : this->state.catalog.servers) {
+        const DataCentreId &dataCentre = server.entry.dataCentre;
+        auto share = shares.find(dataCentre);
+        if (share == shares.end()) {
+            share = shares.emplace(dataCentre, visibleShare(this->groupOf(dataCentre, now))).first;
+        }
+        const KnownRateLimit limit = rateLimitOf(this->state.availability, server.entry);
+        this->setEngineRate(id,
+                            limit.perSecond
+                                    ? std::optional(permitRate(*limit.perSecond, share->second))
+                                    : std::nullopt);
+    }
+    std::erase_if(this->permits,
+                  [this](const auto &entry) { return !this->needsPermit(entry.first); });
+}
+
+void RateLimitController::restartPermits(Millis now)
+{
+    this->permits.clear();
+    for (auto &[dataCentre, group] : this->groups) {
+        group.changedAt = now;
+    }
+}
+
+PermitDecision RateLimitController::decide(const ServerEntry &server, const RequestId &request,
+                                           const VmId &requester, Millis now)
+{
+    const PermitGroup &group = this->groupOf(server.dataCentre, now);
+    const double perSecond = rateLimitOf(this->state.availability, server).perSecond.value_or(0);
+    const PermitDecision decision
+            = decidePermit(this->permits[server.id].bucket, group, this->context.settings.vm,
+                           server.id.str(), perSecond, now);
+    this->context.metrics.counter(metric::edgePermits, nameOf(decision.kind)).add();
+    constexpr double percent = 100.0;
+    this->context.log.write(
+            EventPriority::Routine, "permit",
+            {{"request", request.str()},
+             {"server", server.id.str()},
+             {"from", requester.str()},
+             {"verdict", nameOf(decision.kind)},
+             {"retry_after_ms", decision.retryAfter},
+             {"per_second", fmt::format("{:.3f}", perSecond)},
+             {"share_percent", static_cast<std::int64_t>(visibleShare(group) * percent)}});
+    return decision;
+}
+
+void RateLimitController::requestPermit(const BackendServerId &server, const RequestId &request,
+                                        PermitHandler handler)
+{
+    const Millis now = monotonicNow();
+    const ServerEntry *entry = this->findServer(server);
+    if (entry == nullptr || !this->needsPermit(server)) {
+        handler(PermitVerdict{true, Millis(0)});
+        return;
+    }
+    const Millis withheldUntil = this->permits[server].withheldUntil;
+    if (now < withheldUntil) {
+        this->finish(server, request, "withheld", withheldUntil - now, handler);
+        return;
+    }
+    const std::optional<VmId> issuer
+            = permitIssuer(this->groupOf(entry->dataCentre, now), server.str());
+    if (!issuer) {
+        this->finish(server, request, "no_issuer", issuerRetryInterval, handler);
+        return;
+    }
+    if (*issuer == this->context.settings.vm) {
+        const PermitDecision decision
+                = this->decide(*entry, request, this->context.settings.vm, now);
+        this->finish(server, request, nameOf(decision.kind), decision.retryAfter, handler);
+        return;
+    }
+    wire::Envelope message;
+    message.mutable_permit_request()->set_request_id(request.str());
+    *message.mutable_permit_request()->mutable_rate_limit() = this->currentLimit(*entry, now);
+    this->peers.queryIssuer(
+            *issuer, std::move(message), issuerTimeout,
+            [this, server, request, handler = std::move(handler),
+             issuer = *issuer](const std::optional<wire::PermitReply> &reply) {
+                if (!reply) {
+                    this->finish(server, request, "issuer_silent", issuerRetryInterval, handler);
+                    return;
+                }
+                this->applyFromPeer(issuer, reply->rate_limit());
+                const bool exhausted = reply->verdict() == wire::PermitReply::EXHAUSTED;
+                this->finish(server, request, nameOf(reply->verdict()),
+                             exhausted ? Millis(reply->retry_after_ms()) : issuerRetryInterval,
+                             handler);
+            });
+}
+
+void RateLimitController::finish(const BackendServerId &server, const RequestId &request,
+                                 std::string_view outcome, Millis retryAfter,
+                                 const PermitHandler &handler)
+{
+    if (outcome == issuedOutcome) {
+        handler(PermitVerdict{true, Millis(0)});
+        return;
+    }
+    const Millis now = monotonicNow();
+    ServerPermits &held = this->permits[server];
+    held.withheldUntil = std::max(held.withheldUntil, now + retryAfter);
+    this->context.metrics.counter(metric::edgeLimitedRequests, outcome).add();
+    this->context.log.write(EventPriority::Routine, "withheld",
+                            {{"request", request.str()},
+                             {"server", server.str()},
+                             {"reason", outcome},
+                             {"retry_after_ms", retryAfter}});
+    handler(PermitVerdict{false, retryAfter + this->retrySpread(server, request)});
+}
+
+Millis RateLimitController::retrySpread(const BackendServerId &server,
+                                        const RequestId &request) const
+{
+    const ServerEntry *entry = this->findServer(server);
+    const std::optional<double> perSecond = entry == nullptr
+            ? std::nullopt
+            : rateLimitOf(this->state.availability, *entry).perSecond;
+    if (!perSecond) {
+        return Millis(0);
+    }
+    constexpr double millisPerSecond = 1000.0;
+    const auto interval
+            = static_cast<std::uint64_t>(std::min(millisPerSecond / permitRate(*perSecond, 1.0),
+                                                  static_cast<double>(maxRetrySpread.count())));
+    return Millis(static_cast<std::int64_t>(hash64(request.str()) % (interval + 1)));
+}
+
+void RateLimitController::handlePermitRequest(const VmId &peer, const wire::PermitRequest &request,
+                                              const ReplySender &reply)
+{
+    this->applyFromPeer(peer, request.rate_limit());
+    const Millis now = monotonicNow();
+    const ServerEntry *entry
+            = this->findServer(BackendServerId(request.rate_limit().backend_server()));
+    wire::Envelope message;
+    wire::PermitReply &content = *message.mutable_permit_reply();
+    content.set_verdict(wire::PermitReply::NOT_ISSUER);
+    if (entry != nullptr && entry->startedAtWallMs == request.rate_limit().started_at_wall_ms()) {
+        // The limit may have been lifted since the peer received it.
+        const bool limited = this->needsPermit(entry->id);
+        const PermitDecision decision = limited
+                ? this->decide(*entry, RequestId(request.request_id()), peer, now)
+                : PermitDecision{PermitDecision::Kind::Issued, Millis(0)};
+        content.set_verdict(toWire(decision.kind));
+        content.set_retry_after_ms(static_cast<std::uint32_t>(decision.retryAfter.count()));
+        *content.mutable_rate_limit() = this->currentLimit(*entry, now);
+    }
+    reply(std::move(message));
+}
+
 void RateLimitController::applyResponse(const BackendServerId &server, const RequestId &request,
                                         const RateLimitReport &report)
 {
@@ -81,8 +311,8 @@
     }
     this->context.metrics.counter(metric::edgeNotices, "limit").add();
     this->logChange(server, "request", request.str());
-    this->peers.broadcastRateLimit(
-            toWire(*entry, rateLimitOf(this->state.availability, *entry), now));
+    this->peers.broadcastRateLimit(this->currentLimit(*entry, now));
+    this->update(now);
 }
 
 void RateLimitController::handleNotice(const VmId &peer, const wire::RateLimitNotice &notice)
@@ -114,6 +344,7 @@
     }
     if (recordRateLimit(this->state.availability, *entry, *limit, now)) {
         this->logChange(server, "told_by", peer.str());
+        this->update(now);
     }
 }
 
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -86,6 +86,10 @@
     void handleVerdict(std::uint64_t grantNumber, const BackendServerId &server,
                        const GrantVerdict &verdict);
     void sendToNextReplica();
+    /// Sends the request to a replica that states a rate limit, or to the next one without a
+    /// permit.
+    void sendWithPermit(const BackendServerId &server);
+    void handlePermit(const BackendServerId &server, const PermitVerdict &verdict);
     void send(const BackendServerId &server, std::uint64_t grantNumber, AdapterVersion version);
     /// Applies the availability that a server reported in a response: draining, or a backoff.
     void applyAvailability(const Attempt &attempt);
@@ -140,6 +144,7 @@
     std::shared_ptr<Attempt> attempt; ///< In progress.
     std::uint32_t possibleRuns = 0; ///< Servers that may have run the request.
     std::uint32_t sendCount = 0;
+    std::optional<Millis> permitExpectedIn; ///< Shortest wait for a permit that wasn't issued.
     Millis retryAfterHint{0}; ///< Longest wait reported by owners that redirected this request.
     bool streamStarted = false;
     Millis firstChunkAt{0};
--- a/src/edge/request_grant.cpp
+++ b/src/edge/request_grant.cpp
@@ -56,6 +56,10 @@
         this->candidates = rankReplicas(servers, location, state.serverStats,
                                         hash64(this->request.id.str()), now);
         this->excludeFailed();
+        std::stable_partition(this->candidates.begin(), this->candidates.end(),
+                              [&](const BackendServerId &server) {
+                                  return !this->context.rateLimits.isWithheld(server, now);
+                              });
         this->candidates.resize(std::min(this->candidates.size(), maxReplicas));
         return;
     }
@@ -276,14 +280,45 @@
 void RequestFlow::sendToNextReplica()
 {
     if (this->candidates.empty()) {
-        if (!this->refuseIfAllBackingOff()) {
+        if (this->permitExpectedIn) {
+            this->refuse(ErrorCode::Overloaded, *this->permitExpectedIn);
+        } else if (!this->refuseIfAllBackingOff()) {
             this->refuse(ErrorCode::NoBackendServer, defaultRetryAfter);
         }
         return;
     }
     const BackendServerId server = this->candidates.front();
     this->candidates.erase(this->candidates.begin());
-    this->send(server, 0, AdapterVersion());
+    if (this->context.rateLimits.needsPermit(server)) {
+        this->sendWithPermit(server);
+    } else {
+        this->send(server, 0, AdapterVersion());
+    }
+}
+
+void RequestFlow::sendWithPermit(const BackendServerId &server)
+{
+    this->context.rateLimits.requestPermit(
+            server, this->request.id,
+            [weak = this->weak_from_this(), server](const PermitVerdict &verdict) {
+                if (const auto self = weak.lock()) {
+                    self->handlePermit(server, verdict);
+                }
+            });
+}
+
+void RequestFlow::handlePermit(const BackendServerId &server, const PermitVerdict &verdict)
+{
+    if (this->ended) {
+        return;
+    }
+    if (verdict.issued) {
+        this->send(server, 0, AdapterVersion());
+        return;
+    }
+    this->permitExpectedIn
+            = std::min(this->permitExpectedIn.value_or(verdict.retryAfter), verdict.retryAfter);
+    this->sendToNextReplica();
 }
 
 } // namespace balsamport
--- a/tests/src/unit-engine-scheduler.cpp
+++ b/tests/src/unit-engine-scheduler.cpp
@@ -831,3 +831,102 @@
                               .has_value());
     }
 }
+
+// Guards against an owner that grants more requests than its engine states to take, and against
+// requests that wait or starve there although another engine could serve them.
+TEST_CASE("an engine's scheduler keeps the engine's rate limit")
+{
+    Engine engine;
+    engine.addReadyAdapter("a1");
+    REQUIRE(setPermitRate(engine.scheduler, 2.0, engine.now));
+    REQUIRE_FALSE(setPermitRate(engine.scheduler, 2.0, engine.now));
+
+    SECTION("grants follow each other at the rate, and the next decision is due with the next one")
+    {
+        std::size_t granted = 0;
+        for (const Millis end = engine.now + Millis(10'000); engine.now < end;) {
+            engine.submit("a1", 100);
+            for (const GrantAction &grant : actionsOf<GrantAction>(engine.decide())) {
+                ++granted;
+                recordGrantEnded(engine.scheduler, grant.key, engine.now);
+            }
+            const auto check = nextSchedulerCheck(engine.scheduler, engine.limits);
+            REQUIRE((!check || *check > engine.now));
+            engine.now += Millis(20);
+        }
+        REQUIRE(granted <= 20);
+        REQUIRE(granted >= 19);
+    }
+
+    SECTION("a request that may go elsewhere is redirected at once, with the wait for a grant")
+    {
+        REQUIRE(actionsOf<GrantAction>(engine.decide()).empty());
+        engine.submit("a1", 100, true);
+        engine.decide();
+        engine.submit("a1", 100, false);
+        const auto redirects = actionsOf<RedirectAction>(engine.decide());
+        REQUIRE(redirects.size() == 1);
+        REQUIRE(redirects.front().expectedWait == Millis(1'000));
+    }
+
+    SECTION("a request without another engine is refused at once if it would wait too long")
+    {
+        std::size_t refused = 0;
+        for (int i = 0; i < 30; ++i) {
+            engine.submit("a1", 100);
+            const auto refusals = actionsOf<RefuseAction>(engine.decide());
+            for (const RefuseAction &refusal : refusals) {
+                REQUIRE(refusal.retryAfter > Millis(1'000));
+            }
+            refused += refusals.size();
+        }
+        REQUIRE(refused >= 20);
+    }
+
+    SECTION("a request that others overtake isn't kept until its caller leaves")
+    {
+        const GrantKey overtaken = engine.submit("a1", 100, false, 2);
+        REQUIRE(actionsOf<RedirectAction>(engine.decide()).empty());
+        bool redirected = false;
+        for (int i = 0; i < 10 && !redirected; ++i) {
+            engine.submit("a1", 100, true, 0);
+            for (const RedirectAction &redirect : actionsOf<RedirectAction>(engine.decide())) {
+                redirected = redirected || redirect.key == overtaken;
+            }
+        }
+        REQUIRE(redirected);
+    }
+
+    SECTION("without the limit all that wait are granted at once")
+    {
+        engine.submit("a1", 10);
+        engine.submit("a1", 10);
+        REQUIRE(actionsOf<GrantAction>(engine.decide()).empty());
+        REQUIRE(setPermitRate(engine.scheduler, std::nullopt, engine.now));
+        REQUIRE_FALSE(actionsOf<GrantAction>(engine.decide()).empty());
+        REQUIRE(expectedWait(engine.scheduler, engine.limits, EngineGrantRequest(), engine.now)
+                < Millis(100));
+    }
+
+    SECTION("after a pause of the process nothing is granted before other owners must be known")
+    {
+        engine.now += Millis(5'000);
+        restartPermits(engine.scheduler, engine.now + permitHandover);
+        engine.submit("a1", 100);
+        REQUIRE(actionsOf<GrantAction>(engine.decide()).empty());
+        engine.now += permitHandover;
+        engine.submit("a1", 100);
+        REQUIRE(actionsOf<GrantAction>(engine.decide()).empty());
+        engine.now += Millis(500);
+        REQUIRE(actionsOf<GrantAction>(engine.decide()).size() == 1);
+    }
+
+    SECTION("a limit that leaves this owner nothing refuses instead of waiting")
+    {
+        REQUIRE(setPermitRate(engine.scheduler, 0.0, engine.now));
+        engine.submit("a1", 100);
+        REQUIRE(actionsOf<RefuseAction>(engine.decide()).size() == 1);
+        engine.submit("a1", 100, false);
+        REQUIRE(actionsOf<RedirectAction>(engine.decide()).size() == 1);
+    }
+}
