Refuse at once what an engine's rate limit leaves no grant for

Callers of engines that all state a limit waited for 0.86 s in the median, up to 1.5 s, and were then refused (e2e-server-limit, 8 daemons, two engines at 2 requests/s, 43 refusals).

Cause: a request that could not meet its objective waited on past it, behind all that could; under a limit newer requests take every grant, and it was refused when its time was over.

Change: such a request is refused at its arrival with the time of its grant; one past its objective waits only if it is the next. A verdict says if only the rate limit makes a request wait, and the caller's daemon then asks one more engine.

The limit is used as before.

--- a/include/balsamport/edge/engine_scheduler.h
+++ b/include/balsamport/edge/engine_scheduler.h
@@ -246,6 +246,7 @@
     GrantKey key;
     Millis expectedWait; ///< On this engine.
     double demand = 0; ///< Requests a second for the adapter on this engine.
+    bool rateLimited = false; ///< Only the engine's rate limit makes it wait.
 
     bool operator==(const RedirectAction &) const = default;
 };
@@ -265,6 +266,7 @@
     GrantKey key;
     Millis retryAfter; ///< Time until a grant is expected.
     double demand = 0; ///< Requests a second for the adapter on this engine.
+    bool rateLimited = false; ///< Only the engine's rate limit makes it wait too long.
 
     bool operator==(const RefuseAction &) const = default;
 };
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -557,16 +557,23 @@
                 grant->key, server,
                 GrantVerdict{GrantVerdict::Kind::Granted, grant->version, {}, wait, grant->demand});
     } else if (const auto *redirect = std::get_if<RedirectAction>(&action)) {
+        if (redirect->rateLimited) {
+            this->context.metrics.counter(metric::edgePermits, "exhausted").add();
+        }
         this->onVerdict(redirect->key, server,
                         GrantVerdict{GrantVerdict::Kind::Redirected,
                                      {},
                                      {},
                                      redirect->expectedWait,
-                                     redirect->demand});
+                                     redirect->demand,
+                                     redirect->rateLimited});
     } else if (const auto *down = std::get_if<EngineDownAction>(&action)) {
         this->onVerdict(down->key, server,
                         GrantVerdict{GrantVerdict::Kind::EngineDown, {}, {}, {}, {}});
     } else if (const auto *refusal = std::get_if<RefuseAction>(&action)) {
+        if (refusal->rateLimited) {
+            this->context.metrics.counter(metric::edgePermits, "exhausted").add();
+        }
         this->onVerdict(
                 refusal->key, server,
                 GrantVerdict{
--- a/src/edge/engine_grant_client.cpp
+++ b/src/edge/engine_grant_client.cpp
@@ -137,6 +137,7 @@
     verdict.retryAfter = Millis(reply.retry_after_ms());
     verdict.wait = Millis(reply.wait_ms());
     verdict.demand = reply.adapter_per_second();
+    verdict.rateLimited = reply.rate_limited();
     return verdict;
 }
 
@@ -292,6 +293,7 @@
     reply.set_retry_after_ms(static_cast<std::uint32_t>(verdict.retryAfter.count()));
     reply.set_wait_ms(static_cast<std::uint32_t>(verdict.wait.count()));
     reply.set_adapter_per_second(static_cast<float>(verdict.demand));
+    reply.set_rate_limited(verdict.rateLimited);
     request->second(std::move(message));
     if (verdict.kind != GrantVerdict::Kind::Queued) {
         this->peerRequests.erase(request);
--- a/src/edge/engine_scheduler.cpp
+++ b/src/edge/engine_scheduler.cpp
@@ -126,6 +126,28 @@
     return at ? std::max(*at - now, Millis(0)) : maxPermitWait;
 }
 
+/// @return the number of waiting requests that go before a request
+std::size_t requestsBefore(const EngineScheduler &state, const EngineGrantRequest &request)
+{
+    return static_cast<std::size_t>(std::count_if(state.waiting.begin(), state.waiting.end(),
+                                                  [&request](const EngineGrantRequest &other) {
+                                                      return other.key != request.key
+                                                              && isScheduledBefore(other, request);
+                                                  }));
+}
+
+/// @return true where the engine's rate limit leaves the request no grant in time. One that is past
+/// its objective must be the next: all others go before it, also those that are still to come.
+bool exceedsRateLimit(const EngineScheduler &state, const EngineGrantRequest &request, Millis now)
+{
+    if (!state.permitRate) {
+        return false;
+    }
+    const std::size_t before = requestsBefore(state, request);
+    return request.pastObjective ? before > 0
+                                 : now + permitWait(state, before, now) > request.timeoutAt;
+}
+
 bool isAdapterReady(const EngineScheduler &state, const AdapterId &adapter,
                     const AdapterVersions &versions)
 {
@@ -228,7 +250,13 @@
     const Millis maxWait = request.nextIsPreferred ? maxWaitWithOtherPreferred(limits)
                                                    : maxWaitBeforeRedirect(limits, held);
     if (!request.lastChoice && wait > maxWait) {
-        return RedirectAction{request.key, wait, demandFor(state, request.adapter, now)};
+        const bool rateLimited = permitWait(state, requestsBefore(state, request), now) > maxWait;
+        return RedirectAction{request.key, wait, demandFor(state, request.adapter, now),
+                              rateLimited};
+    }
+    if (exceedsRateLimit(state, request, now)) {
+        return RefuseAction{request.key, std::max(wait, minRetryAfter),
+                            demandFor(state, request.adapter, now), true};
     }
     if (now + wait > request.timeoutAt && !request.pastObjective) {
         keepWaitingPastObjective(request, limits, now);
@@ -437,14 +465,12 @@
                     const EngineGrantRequest &request, Millis now)
 {
     Millis wait = std::max(state.prefillUntil - now, Millis(0));
-    std::size_t requestsBefore = 0;
     for (const EngineGrantRequest &other : state.waiting) {
         if (other.key != request.key && isScheduledBefore(other, request)) {
             wait += enginePrefillTime(state, uncachedTokens(state, other), limits);
-            ++requestsBefore;
         }
     }
-    wait = std::max(wait, permitWait(state, requestsBefore, now));
+    wait = std::max(wait, permitWait(state, requestsBefore(state, request), now));
     if (!state.modelLoaded || !state.synced) {
         return std::max(wait, defaultSlotWait * 2);
     }
--- a/src/edge/request_grant.cpp
+++ b/src/edge/request_grant.cpp
@@ -247,6 +247,9 @@
         }
         this->retryAfterHint = std::max(this->retryAfterHint, verdict.wait);
         this->pendingGrant = 0;
+        if (verdict.rateLimited) {
+            this->addFallbackCandidate();
+        }
         this->requestNextGrant();
         return;
     case GrantVerdict::Kind::EngineDown:
