--- a/tests/include/rate_limit_world.h
+++ b/tests/include/rate_limit_world.h
@@ -259,7 +259,7 @@
     }
 
     /// Delivers a message of one daemon to another.
-    void send(std::size_t from, std::size_t to, std::function<void()> handler)
+    void send(std::size_t from, std::size_t to, const std::function<void()> &handler)
     {
         if (!this->connected(from, to) || this->daemons[from].muted) {
             return;
