Do not ask engines whose rate limit is known to be used up

Cause: only plain servers remembered until when no permit is expected; each request learned it anew from the owners of engines.

Change: the wait that an owner reports because of the limit withholds the engine until a grant within half a second is possible. Other engines are ranked without it; if all of a service are withheld, the caller is refused without a query.

--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -574,10 +574,13 @@
         if (refusal->rateLimited) {
             this->context.metrics.counter(metric::edgePermits, "exhausted").add();
         }
-        this->onVerdict(
-                refusal->key, server,
-                GrantVerdict{
-                        GrantVerdict::Kind::Refused, {}, refusal->retryAfter, {}, refusal->demand});
+        this->onVerdict(refusal->key, server,
+                        GrantVerdict{GrantVerdict::Kind::Refused,
+                                     {},
+                                     refusal->retryAfter,
+                                     {},
+                                     refusal->demand,
+                                     refusal->rateLimited});
     } else if (const auto *command = std::get_if<EngineCommand>(&action)) {
         this->sendCommand(term, *command);
     }
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -30,7 +30,8 @@
     Millis retryAfter{0}; ///< Of a refusal.
     Millis wait{0}; ///< Expected for a request that arrives now.
     double demand = 0; ///< Requests a second for the adapter on this engine.
-    bool rateLimited = false; ///< Of Redirected: only the engine's rate limit makes it wait.
+    /// Of Redirected and Refused: only the engine's rate limit makes the request wait.
+    bool rateLimited = false;
 
     bool operator==(const GrantVerdict &) const = default;
 };
--- a/src/edge/rate_limit_controller.cpp
+++ b/src/edge/rate_limit_controller.cpp
@@ -19,6 +19,11 @@
 constexpr Millis issuerTimeout{250};
 /// Time until another permit is requested where the issuer is unknown or doesn't respond.
 constexpr Millis issuerRetryInterval{500};
+/// A request waits for this long at an engine before another engine is better. Source: the times of
+/// adapter loads.
+constexpr Millis grantPatience{500};
+/// Shortest time until an engine whose rate limit is used up is asked again.
+constexpr Millis minEngineRetry{50};
 /// Longest time over which refused callers of one server are spread.
 constexpr Millis maxRetrySpread{5'000};
 /// A lifted limit is gossiped for this long, until no peer can still hold the old one.
@@ -125,6 +130,30 @@
             && this->needsPermit(server);
 }
 
+void RateLimitController::recordEngineWait(const BackendServerId &engine, Millis wait)
+{
+    if (this->needsPermit(engine)) {
+        Millis &until = this->permits[engine].withheldUntil;
+        until = std::max(until, monotonicNow() + std::max(wait - grantPatience, minEngineRetry));
+    }
+}
+
+std::optional<Millis>
+RateLimitController::allWithheldFor(const std::vector<const ServerEntry *> &servers,
+                                    const RequestId &request, Millis now) const
+{
+    std::optional<Millis> shortest;
+    for (const ServerEntry *server : servers) {
+        if (!this->isWithheld(server->id, now)) {
+            return std::nullopt;
+        }
+        const Millis wait = this->permits.at(server->id).withheldUntil - now
+                + this->retrySpread(server->id, request);
+        shortest = std::min(shortest.value_or(wait), wait);
+    }
+    return shortest;
+}
+
 wire::ServerRateLimit RateLimitController::currentLimit(const ServerEntry &server, Millis now) const
 {
     return toWire(server, rateLimitOf(this->state.availability, server), now);
--- a/src/edge/rate_limit_controller.h
+++ b/src/edge/rate_limit_controller.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace balsamport {
 
@@ -43,6 +44,16 @@
     /// @return true where no permit for the server is expected now
     [[nodiscard]] bool isWithheld(const BackendServerId &server, Millis now) const;
 
+    /// @brief Records the wait that an engine's owner reported because of the rate limit. Until a
+    /// grant is possible within a request's usual patience, the engine is withheld.
+    void recordEngineWait(const BackendServerId &engine, Millis wait);
+
+    /// @return the shortest time until one of the servers isn't withheld any more, for a caller
+    /// that is refused; nothing unless all of them are withheld
+    [[nodiscard]] std::optional<Millis>
+    allWithheldFor(const std::vector<const ServerEntry *> &servers, const RequestId &request,
+                   Millis now) const;
+
     /// @brief Requests a permit for one request to a server. The handler is called once, possibly
     /// before this returns.
     void requestPermit(const BackendServerId &server, const RequestId &request,
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -76,6 +76,8 @@
     void selectCandidates();
     /// Refuses the request if all remaining servers of the service have requested a backoff.
     [[nodiscard]] bool refuseIfAllBackingOff();
+    /// Refuses the request if the rate limits of all remaining servers are used up.
+    [[nodiscard]] bool refuseIfAllWithheld();
     [[nodiscard]] std::string adapterName() const;
     /// Records the demand for the adapter that an owner reported, if the engine is a preferred one.
     void recordReportedDemand(const BackendServerId &server, double perSecond, Millis now);
--- a/src/edge/request_grant.cpp
+++ b/src/edge/request_grant.cpp
@@ -63,10 +63,14 @@
         this->candidates.resize(std::min(this->candidates.size(), maxReplicas));
         return;
     }
+    std::vector<const ServerEntry *> open = servers;
+    std::erase_if(open, [&](const ServerEntry *server) {
+        return this->context.rateLimits.isWithheld(server->id, now);
+    });
     const EngineQuery query{AdapterName{this->request.base, this->request.adapter},
                             demandFor(state.demand, this->adapterName(), now),
                             lastEngine(state.affinity, this->request.adapter.str(), now)};
-    this->ranking = rankEngines(servers, location, state.serverStats, query,
+    this->ranking = rankEngines(open, location, state.serverStats, query,
                                 hash64(this->request.id.str()), now);
     this->candidates = this->ranking.servers;
     this->excludeFailed();
@@ -154,7 +158,8 @@
         return;
     }
     const Millis now = monotonicNow();
-    if (this->candidates.empty() && this->refuseIfAllBackingOff()) {
+    if (this->candidates.empty()
+        && (this->refuseIfAllBackingOff() || this->refuseIfAllWithheld())) {
         return;
     }
     const bool hasTimeLeft = timeUntil(this->deadlineAt, now) >= minUsefulTime;
@@ -248,6 +253,7 @@
         this->retryAfterHint = std::max(this->retryAfterHint, verdict.wait);
         this->pendingGrant = 0;
         if (verdict.rateLimited) {
+            this->context.rateLimits.recordEngineWait(server, verdict.wait);
             this->addFallbackCandidate();
         }
         this->requestNextGrant();
@@ -262,6 +268,9 @@
         return;
     case GrantVerdict::Kind::Refused:
         this->pendingGrant = 0;
+        if (verdict.rateLimited) {
+            this->context.rateLimits.recordEngineWait(server, verdict.retryAfter);
+        }
         this->refuse(ErrorCode::Overloaded, verdict.retryAfter);
         return;
     }
@@ -280,6 +289,21 @@
     return true;
 }
 
+bool RequestFlow::refuseIfAllWithheld()
+{
+    const EdgeState &state = this->context.state;
+    const Millis now = monotonicNow();
+    const auto servers = acceptingServers(state.availability,
+                                          usableServers(state.catalog, this->service), now);
+    const std::optional<Millis> wait
+            = this->context.rateLimits.allWithheldFor(servers, this->request.id, now);
+    if (!wait) {
+        return false;
+    }
+    this->refuse(ErrorCode::Overloaded, std::max(*wait, this->retryAfterHint));
+    return true;
+}
+
 void RequestFlow::sendToNextReplica()
 {
     if (this->candidates.empty()) {
