--- a/src/edge/request_grant.cpp
+++ b/src/edge/request_grant.cpp
@@ -21,6 +21,9 @@
 constexpr Millis maxOwnerWait{1'200};
 /// Interval between queries for the owner of an engine.
 constexpr Millis ownerQueryInterval{150};
+/// Time for which a request looks for an engine with an unused rate limit beyond its candidates, so
+/// that a caller who must be refused is told at once.
+constexpr Millis maxSearchTime{50};
 /// Replicas of a plain service that are tried.
 constexpr std::size_t maxReplicas = 4;
 
@@ -254,7 +257,9 @@
         this->pendingGrant = 0;
         if (verdict.rateLimited) {
             this->context.rateLimits.recordEngineWait(server, verdict.wait);
-            this->addFallbackCandidate();
+            if (now - this->arrivedAt < maxSearchTime) {
+                this->addFallbackCandidate();
+            }
         }
         this->requestNextGrant();
         return;
