Refuse without a last query what the least busy engine's limit leaves no grant for

Trial on a scratch copy, all nine engines at 1.8 requests/s for 30 s: 1,268 of 2,066 refusals came later than 125 ms, most after a third query to the owner of the least busy engine, which had already reported a wait beyond the objective.

--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -139,6 +139,7 @@
     std::vector<BackendServerId> fallbackEngines; ///< Replace engines that are down.
     BackendServerId leastBusy; ///< Among the engines whose owners redirected the request.
     Millis leastBusyWait{0}; ///< Expected wait there.
+    bool leastBusyRateLimited = false; ///< Only its rate limit makes the request wait there.
     std::vector<BackendServerId> candidates; ///< Servers still to try, best first.
     std::set<BackendServerId> failedServers; ///< Servers that failed or did not run the request.
     std::uint32_t grantRequests = 0;
--- a/src/edge/request_grant.cpp
+++ b/src/edge/request_grant.cpp
@@ -178,6 +178,11 @@
     BackendServerId server = this->candidates.front();
     this->candidates.erase(this->candidates.begin());
     if (this->candidates.empty() && !this->leastBusy.empty()) {
+        if (this->leastBusyRateLimited && now + this->leastBusyWait > this->objectiveAt) {
+            // Its owner would refuse the request as well, only later.
+            this->refuse(ErrorCode::Overloaded, this->leastBusyWait);
+            return;
+        }
         server = this->leastBusy;
     }
     ++this->grantRequests;
@@ -252,6 +257,7 @@
         if (this->leastBusy.empty() || verdict.wait < this->leastBusyWait) {
             this->leastBusy = server;
             this->leastBusyWait = verdict.wait;
+            this->leastBusyRateLimited = verdict.rateLimited;
         }
         this->retryAfterHint = std::max(this->retryAfterHint, verdict.wait);
         this->pendingGrant = 0;
