Forget how long a server was withheld when its limit changes

The age of a limit is also capped in messages, so that a limit that was never stated cannot seem new.

--- a/include/balsamport/policy/fleet_rate_limit.h
+++ b/include/balsamport/policy/fleet_rate_limit.h
@@ -104,8 +104,8 @@
 /// A new issuer issues nothing for this long after a change in its group: longer than a daemon
 /// takes to detect that another one has appeared or fallen silent. Source: PeerTimings.
 constexpr Millis permitHandover{2'500};
-/// Permits that were not used within this time expire, so that they add little to any window.
-constexpr Millis permitLifetime{500};
+/// Unused permits add up for this long at most, so that they add little to any window.
+constexpr Millis permitAccrualTime{500};
 /// A lower limit counts as this many requests per second: only a response tells that it has ended.
 constexpr double minRequestsPerSecond = 0.2;
 
--- a/src/edge/rate_limit_controller.cpp
+++ b/src/edge/rate_limit_controller.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace balsamport {
@@ -37,7 +38,9 @@
     message.set_started_at_wall_ms(server.startedAtWallMs);
     message.set_limited(limit.perSecond.has_value());
     message.set_per_second(limit.perSecond.value_or(0));
-    message.set_age_ms(static_cast<std::uint32_t>((now - limit.observedAt).count()));
+    constexpr std::int64_t maxAge = std::numeric_limits<std::uint32_t>::max();
+    message.set_age_ms(
+            static_cast<std::uint32_t>(std::min((now - limit.observedAt).count(), maxAge)));
     return message;
 }
 
@@ -341,6 +344,15 @@
     this->context.metrics.counter(metric::edgeNotices, "limit").add();
     this->logChange(server, "request", request.str());
     this->peers.broadcastRateLimit(this->currentLimit(*entry, now));
+    this->applyChange(server, now);
+}
+
+void RateLimitController::applyChange(const BackendServerId &server, Millis now)
+{
+    const auto found = this->permits.find(server);
+    if (found != this->permits.end()) {
+        found->second.withheldUntil = Millis(-1); // Expected with the limit of before.
+    }
     this->update(now);
 }
 
@@ -373,7 +385,7 @@
     }
     if (recordRateLimit(this->state.availability, *entry, *limit, now)) {
         this->logChange(server, "told_by", peer.str());
-        this->update(now);
+        this->applyChange(server, now);
     }
 }
 
--- a/src/edge/rate_limit_controller.h
+++ b/src/edge/rate_limit_controller.h
@@ -92,6 +92,8 @@
 private:
     [[nodiscard]] const ServerEntry *findServer(const BackendServerId &server) const;
     void applyFromPeer(const VmId &peer, const wire::ServerRateLimit &message);
+    /// Applies a changed limit to waiting requests and to those that were withheld.
+    void applyChange(const BackendServerId &server, Millis now);
     void logChange(const BackendServerId &server, std::string_view source, std::string_view name);
     /// @return the daemons that may issue the permits of servers in a data centre
     PermitGroup &groupOf(const DataCentreId &dataCentre, Millis now);
--- a/src/policy/fleet_rate_limit.cpp
+++ b/src/policy/fleet_rate_limit.cpp
@@ -27,7 +27,7 @@
 {
     constexpr double minSize = 2;
     return std::max(minSize,
-                    perSecond * static_cast<double>(permitLifetime.count()) / millisPerSecond);
+                    perSecond * static_cast<double>(permitAccrualTime.count()) / millisPerSecond);
 }
 
 } // namespace
--- a/tests/e2e/e2e-server-limit.cpp
+++ b/tests/e2e/e2e-server-limit.cpp
@@ -185,6 +185,22 @@
         REQUIRE(callers.counts().other == 0);
     }
 
+    SECTION("a limit that rises is used as soon as a response states it")
+    {
+        EdgeWorld world(daemons);
+        startServing(world, "/look/1");
+        setLimit(world, "s1", "0");
+        setLimit(world, "s2", "0");
+        Callers callers(world, "/look/1", callInterval);
+        sleepFor(Millis(4'000));
+        setLimit(world, "s1", "20");
+        const Millis risenAt = firstArrival(world, "s1", monotonicNow());
+        sleepFor(Millis(2'000));
+        callers.stop();
+        // Two daemons have 13 callers a second, eight have 53.
+        REQUIRE(countAfter(arrivalsAt(world, "s1"), risenAt) >= (daemons == 2 ? 8U : 20U));
+    }
+
     SECTION("if all replicas have a limit, callers are refused at once with a Retry-After")
     {
         EdgeWorld world(daemons);
--- a/tests/include/rate_limit_world.h
+++ b/tests/include/rate_limit_world.h
@@ -373,7 +373,7 @@
             mergeRateLimit(this->daemons[target].known, known);
             const PermitDecision decision = this->decide(target);
             this->send(target, index, [this, index, attempt, decision, askedAt] {
-                if (this->now - askedAt <= permitLifetime) {
+                if (this->now - askedAt <= permitAccrualTime) {
                     this->receiveDecision(index, attempt, decision);
                 }
             });
