Send to remote peers and check for the delegate in one place

Crash counts, rate limits and the status each had the same loop and the same condition. No behaviour changes: unit-edge-state passes; the list of engines that a request may be granted on has a name that says so.

--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -267,9 +267,7 @@
     this->sendToDataCentre(message);
     const GossipTargets targets = remoteTargets(this->peers, monotonicNow());
     message.mutable_edge_gossip()->set_relay(targets.relayed);
-    for (const Peer *peer : targets.remote) {
-        this->messages.notify(peer->endpoint, message);
-    }
+    this->sendTo(targets.remote, message);
 }
 
 void PeerController::broadcastCrashes(Fingerprint fingerprint, std::uint32_t crashes)
@@ -280,14 +278,12 @@
     this->sendToDataCentre(message);
     const GossipTargets targets = remoteTargets(this->peers, monotonicNow());
     message.mutable_crash_note()->set_relay(targets.relayed);
-    for (const Peer *peer : targets.remote) {
-        this->messages.notify(peer->endpoint, message);
-    }
+    this->sendTo(targets.remote, message);
 }
 
 void PeerController::relayCrashes(const wire::CrashNote &note)
 {
-    if (!note.relay() || !isDelegate(this->peers, this->localStatus().draining, monotonicNow())) {
+    if (!note.relay() || !this->isDelegate()) {
         return;
     }
     wire::Envelope message;
@@ -303,14 +299,12 @@
     this->sendToDataCentre(message);
     const GossipTargets targets = remoteTargets(this->peers, monotonicNow());
     message.mutable_rate_limit_notice()->set_relay(targets.relayed);
-    for (const Peer *peer : targets.remote) {
-        this->messages.notify(peer->endpoint, message);
-    }
+    this->sendTo(targets.remote, message);
 }
 
 void PeerController::relayRateLimit(const wire::RateLimitNotice &notice)
 {
-    if (!notice.relay() || !isDelegate(this->peers, this->localStatus().draining, monotonicNow())) {
+    if (!notice.relay() || !this->isDelegate()) {
         return;
     }
     wire::Envelope message;
@@ -368,6 +362,19 @@
                            });
 }
 
+void PeerController::sendTo(const std::vector<const Peer *> &recipients,
+                            const wire::Envelope &message)
+{
+    for (const Peer *peer : recipients) {
+        this->messages.notify(peer->endpoint, message);
+    }
+}
+
+bool PeerController::isDelegate() const
+{
+    return balsamport::isDelegate(this->peers, this->localStatus().draining, monotonicNow());
+}
+
 void PeerController::sendToDataCentre(const wire::Envelope &message)
 {
     for (const auto &[vm, peer] : this->peers.peers) {
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace balsamport {
 
@@ -85,6 +86,9 @@
 private:
     void runRound();
     void sendGossip(const std::string &endpoint);
+    void sendTo(const std::vector<const Peer *> &recipients, const wire::Envelope &message);
+    /// @return true where this daemon relays messages to its data centre
+    [[nodiscard]] bool isDelegate() const;
     void contactSeeds();
     void updateLiveness(Millis now);
     [[nodiscard]] wire::Envelope gossipMessage() const;
--- a/src/edge/request_grant.cpp
+++ b/src/edge/request_grant.cpp
@@ -66,14 +66,14 @@
         this->candidates.resize(std::min(this->candidates.size(), maxReplicas));
         return;
     }
-    std::vector<const ServerEntry *> open = servers;
-    std::erase_if(open, [&](const ServerEntry *server) {
+    std::vector<const ServerEntry *> grantable = servers;
+    std::erase_if(grantable, [&](const ServerEntry *server) {
         return this->context.rateLimits.isWithheld(server->id, now);
     });
     const EngineQuery query{AdapterName{this->request.base, this->request.adapter},
                             demandFor(state.demand, this->adapterName(), now),
                             lastEngine(state.affinity, this->request.adapter.str(), now)};
-    this->ranking = rankEngines(open, location, state.serverStats, query,
+    this->ranking = rankEngines(grantable, location, state.serverStats, query,
                                 hash64(this->request.id.str()), now);
     this->candidates = this->ranking.servers;
     this->excludeFailed();
