Check limits and refusals of the end-to-end test in one place

Two sections of e2e-server-limit were the same but for the service, and four repeated the two bounds. Checks, bounds and times are as before.

--- a/tests/e2e/e2e-server-limit.cpp
+++ b/tests/e2e/e2e-server-limit.cpp
@@ -18,6 +18,10 @@
 constexpr Millis startTimeout{10'000};
 /// Part of what a server accepts that it must receive while there is more to do.
 constexpr double minUse = 0.7;
+/// Interval between the requests of each daemon; all daemons together ask far more than a limited
+/// server takes.
+constexpr Millis callInterval{150};
+constexpr Millis observedTime{9'000};
 
 std::size_t countAfter(const std::vector<Millis> &times, Millis from)
 {
@@ -142,15 +146,54 @@
     }
 }
 
+/// Requires that a server got no more than the users' bound allows since it first stated its limit,
+/// and most of what the limit allows.
+void requireLimitKeptAndUsed(const EdgeWorld &world, const std::string &server, double perSecond,
+                             Millis statedAt)
+{
+    const std::vector<Millis> arrivals = arrivalsAt(world, server);
+    REQUIRE(static_cast<double>(busiestWindow(arrivals, statedAt + limitNoticeTime))
+            <= maxLimitedRequests(perSecond));
+    constexpr double millisPerSecond = 1000.0;
+    const double observedSeconds = static_cast<double>(observedTime.count()) / millisPerSecond;
+    REQUIRE(static_cast<double>(countAfter(arrivals, statedAt))
+            >= minUse * perSecond * observedSeconds);
+}
+
+/// Lets both servers of a service state the same limit, and requires that they keep to it and that
+/// refused callers are told at once when to come back.
+void requireRefusalsAtOnce(EdgeWorld &world, const std::string &path,
+                           const std::vector<std::string> &servers, double perSecond)
+{
+    for (const std::string &server : servers) {
+        setLimit(world, server, fmt::format("{}", perSecond));
+    }
+    const Millis setAt = monotonicNow();
+    Callers callers(world, path, callInterval);
+    for (const std::string &server : servers) {
+        firstArrival(world, server, setAt);
+    }
+    const Millis statedAt = monotonicNow();
+    sleepFor(observedTime);
+    callers.stop();
+
+    for (const std::string &server : servers) {
+        requireLimitKeptAndUsed(world, server, perSecond, statedAt);
+    }
+    const Callers::Counts counts = callers.counts();
+    // Two callers, each with one request at a time, may all find a server in time.
+    REQUIRE((counts.refused > 0 || world.edges.size() == 2));
+    REQUIRE(counts.refusedWithoutTime == 0);
+    REQUIRE(counts.slowestRefusal < Millis(500));
+    REQUIRE(counts.other == 0);
+}
+
 } // namespace
 
 // Guards against a server that gets more requests than it states to take, because each daemon
 // decides by itself how much it sends.
 TEST_CASE("all daemons together keep the request rate that a server states")
 {
-    // Requests of each daemon; all daemons together ask far more than a limited server takes.
-    constexpr Millis callInterval{150};
-    constexpr Millis observedTime{9'000};
     const std::size_t daemons = GENERATE(std::size_t{2}, std::size_t{8});
     CAPTURE(daemons);
 
@@ -165,12 +208,7 @@
         const Millis statedAt = firstArrival(world, "s1", setAt);
         sleepFor(observedTime);
 
-        const std::vector<Millis> limited = arrivalsAt(world, "s1");
-        REQUIRE(static_cast<double>(busiestWindow(limited, statedAt + limitNoticeTime))
-                <= maxLimitedRequests(perSecond));
-        constexpr double observedSeconds = 9.0;
-        REQUIRE(static_cast<double>(countAfter(limited, statedAt))
-                >= minUse * perSecond * observedSeconds);
+        requireLimitKeptAndUsed(world, "s1", perSecond, statedAt);
 
         SECTION("and all it can take again soon after its responses state no limit")
         {
@@ -205,64 +243,14 @@
     {
         EdgeWorld world(daemons);
         startServing(world, "/look/1");
-        constexpr double perSecond = 2.5;
-        setLimit(world, "s1", "2.5");
-        setLimit(world, "s2", "2.5");
-        const Millis setAt = monotonicNow();
-        Callers callers(world, "/look/1", callInterval);
-        for (const char *id : {"s1", "s2"}) {
-            firstArrival(world, id, setAt);
-        }
-        const Millis statedAt = monotonicNow();
-        sleepFor(observedTime);
-        callers.stop();
-
-        for (const char *id : {"s1", "s2"}) {
-            const std::vector<Millis> limited = arrivalsAt(world, id);
-            REQUIRE(static_cast<double>(busiestWindow(limited, statedAt + limitNoticeTime))
-                    <= maxLimitedRequests(perSecond));
-            constexpr double observedSeconds = 9.0;
-            REQUIRE(static_cast<double>(countAfter(limited, statedAt))
-                    >= minUse * perSecond * observedSeconds);
-        }
-        const Callers::Counts counts = callers.counts();
-        // Two callers, each with one request at a time, may all find a server in time.
-        REQUIRE((counts.refused > 0 || daemons == 2));
-        REQUIRE(counts.refusedWithoutTime == 0);
-        REQUIRE(counts.slowestRefusal < Millis(500));
-        REQUIRE(counts.other == 0);
+        requireRefusalsAtOnce(world, "/look/1", {"s1", "s2"}, 2.5);
     }
 
     SECTION("if all engines have a limit, callers are refused at once with a Retry-After")
     {
         EdgeWorld world(daemons);
         startServing(world, "/once/1");
-        constexpr double perSecond = 2;
-        setLimit(world, "e1", "2");
-        setLimit(world, "e2", "2");
-        const Millis setAt = monotonicNow();
-        Callers callers(world, "/once/1", callInterval);
-        for (const char *id : {"e1", "e2"}) {
-            firstArrival(world, id, setAt);
-        }
-        const Millis statedAt = monotonicNow();
-        sleepFor(observedTime);
-        callers.stop();
-
-        for (const char *id : {"e1", "e2"}) {
-            const std::vector<Millis> limited = arrivalsAt(world, id);
-            REQUIRE(static_cast<double>(busiestWindow(limited, statedAt + limitNoticeTime))
-                    <= maxLimitedRequests(perSecond));
-            constexpr double observedSeconds = 9.0;
-            REQUIRE(static_cast<double>(countAfter(limited, statedAt))
-                    >= minUse * perSecond * observedSeconds);
-        }
-        const Callers::Counts counts = callers.counts();
-        // Two callers, each with one request at a time, may all find a server in time.
-        REQUIRE((counts.refused > 0 || daemons == 2));
-        REQUIRE(counts.refusedWithoutTime == 0);
-        REQUIRE(counts.slowestRefusal < Millis(500));
-        REQUIRE(counts.other == 0);
+        requireRefusalsAtOnce(world, "/once/1", {"e1", "e2"}, 2);
     }
 
     SECTION("an engine gets no more, and the others serve the rest")
@@ -277,12 +265,7 @@
         sleepFor(observedTime);
         callers.stop();
 
-        const std::vector<Millis> limited = arrivalsAt(world, "e1");
-        REQUIRE(static_cast<double>(busiestWindow(limited, statedAt + limitNoticeTime))
-                <= maxLimitedRequests(perSecond));
-        constexpr double observedSeconds = 9.0;
-        REQUIRE(static_cast<double>(countAfter(limited, statedAt))
-                >= minUse * perSecond * observedSeconds);
+        requireLimitKeptAndUsed(world, "e1", perSecond, statedAt);
         REQUIRE(callers.counts().refused == 0);
         REQUIRE(callers.counts().other == 0);
     }
