Log and count what a request that ended with its server shared with others

Callers' requests kept crashing engines, and the logs could not say which part of their prompts the requests had in common, whether other daemons reported the same, or what was refused for it and on evidence of what age.

crash_suspected names the shared parts, the status and the time since the send; crash_reported names the daemon that sent a report; quarantined names the evidence behind a refusal and its age. A counter shows reports by origin. No decision changes.

--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -62,6 +62,9 @@
 constexpr MetricInfo edgeNotices{"balsamport_edge_server_notices_total", MetricKind::Counter,
                                  "kind",
                                  "Answers by which backend servers said that they leave or pause"};
+constexpr MetricInfo edgeCrashReports{
+        "balsamport_edge_crash_reports_total", MetricKind::Counter, "origin",
+        "Reports of a request that was in progress when its backend server ended, by origin"};
 constexpr MetricInfo edgeOrders{"balsamport_edge_orders_total", MetricKind::Counter, "outcome",
                                 "Orders given to engines, by the engine's answer"};
 constexpr MetricInfo edgeLoadTime{"balsamport_edge_load_seconds", MetricKind::Summary, "",
@@ -121,6 +124,7 @@
         edgeWait,
         edgeRetries,
         edgeNotices,
+        edgeCrashReports,
         edgeOrders,
         edgeLoadTime,
         edgePeers,
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -418,6 +418,11 @@
         this->grants.handlePeerMessage(peer, incarnation, message.place_update());
         break;
     case wire::Envelope::kCrashNote:
+        this->log.write(EventPriority::Notable, "crash_reported",
+                        {{"told_by", peer.str()},
+                         {"fingerprint", message.crash_note().fingerprint()},
+                         {"crashes", message.crash_note().crashes()}});
+        this->context.metrics.counter(metric::edgeCrashReports, "received").add();
         mergeCrashCount(this->state.crashHistory, Fingerprint(message.crash_note().fingerprint()),
                         message.crash_note().crashes(), monotonicNow());
         this->peers.relayCrashes(message.crash_note());
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -4,6 +4,8 @@
 #include <balsamport/core/http_status.h>
 #include <balsamport/core/metric_names.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -37,6 +39,16 @@
     return tokens;
 }
 
+/// @return the ids of the parts that other requests may share: all but the last, in hexadecimal
+std::string sharedPartsText(const CallerRequest &request)
+{
+    std::string text;
+    for (std::size_t i = 0; i + 1 < request.promptParts.size(); ++i) {
+        text += fmt::format("{}{:x}", i == 0 ? "" : ",", request.promptParts[i].id);
+    }
+    return text;
+}
+
 } // namespace
 
 void RequestFlow::send(const BackendServerId &server, std::uint64_t grantNumber,
@@ -435,7 +447,11 @@
                                  {{"request", this->request.id.str()},
                                   {"server", sent->server.str()},
                                   {"fingerprint", this->fingerprint.number()},
+                                  {"parts", sharedPartsText(this->request)},
+                                  {"status", sent->response.status},
+                                  {"after_ms", monotonicNow() - sent->sentAt},
                                   {"crashes", crashes}});
+    this->context.edge.metrics.counter(metric::edgeCrashReports, "observed").add();
 }
 
 void RequestFlow::handleFailure(const std::shared_ptr<Attempt> &sent, ErrorCode code)
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -175,6 +175,13 @@
     this->context.state.retryBudgets[this->service].recordRequest(
             this->context.edge.settings.retryBudget, this->arrivedAt);
     if (isQuarantined(this->context.state.crashHistory, this->fingerprint, this->arrivedAt)) {
+        const CrashHistory::Entry &evidence
+                = this->context.state.crashHistory.entries.at(this->fingerprint);
+        this->context.edge.log.write(EventPriority::Notable, "quarantined",
+                                     {{"request", this->request.id.str()},
+                                      {"fingerprint", this->fingerprint.number()},
+                                      {"crashes", evidence.crashes},
+                                      {"last_crash_ms", this->arrivedAt - evidence.lastCrashAt}});
         this->refuse(ErrorCode::Quarantined, Millis(0));
         return false;
     }
