Reproduce the crashing parts: requests of which no two are alike end engine after engine

Eight engines of the stand-in end when they begin to respond to a request with a certain part and are back 3 s later.

--- a/standins/platform/replica_standin.cpp
+++ b/standins/platform/replica_standin.cpp
@@ -286,6 +286,10 @@
     }
     ++this->runningRequests[adapter];
     writer->startStream(okStatus, headers);
+    if (this->hasCrashingPart(headerOf(request, "X-Prompt-Prefix"))) {
+        this->tasks->after(this->options.serviceTime, this->options.onCrash);
+        return;
+    }
     const std::string resumed = headerOf(request, "Last-Event-Id");
     const auto first = static_cast<std::uint32_t>(std::strtoul(resumed.c_str(), nullptr, 10)) + 1;
     const std::uint32_t last = this->chance(this->faults.abortShare) ? this->options.events / 2
@@ -293,6 +297,15 @@
     this->sendEvent(id, first, last, adapter, writer);
 }
 
+bool ReplicaStandin::hasCrashingPart(const std::string &prompt) const
+{
+    const std::string shared = prompt.substr(0, prompt.rfind(',') + 1);
+    return std::any_of(this->faults.crashingParts.begin(), this->faults.crashingParts.end(),
+                       [&shared](const std::string &part) {
+                           return ("," + shared).find("," + part + ":") != std::string::npos;
+                       });
+}
+
 void ReplicaStandin::sendEvent(const std::string &id, std::uint32_t number, std::uint32_t last,
                                const std::string &adapter,
                                const std::shared_ptr<ResponseWriter> &writer)
--- a/standins/platform/replica_standin.h
+++ b/standins/platform/replica_standin.h
@@ -6,6 +6,7 @@
 #include <balsamport/http/http_server.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -28,6 +29,8 @@
     Millis loadTime{100};
     Millis serviceTime{15}; ///< Of a plain request, or of each event of a stream.
     std::uint32_t events = 8; ///< Of each stream.
+    /// Called when a request with a crashing part has begun, to end the replica. Must not block.
+    std::function<void()> onCrash{};
 };
 
 /// @brief A command as the engine received it.
@@ -48,6 +51,9 @@
     double abortShare = 0; ///< Aborts a stream after half of its events.
     bool announcesDraining = false; ///< Its responses announce that it is draining.
     std::string retryAfter{}; ///< Retry-After of shed requests, in seconds; empty for none.
+    /// Ids of prompt parts, in hexadecimal, that end the replica once it responds to a request with
+    /// one of them, unless it is the last part.
+    std::set<std::string> crashingParts{};
 };
 
 /// @brief Minimal stand-in for a model engine or a plain replica of the users' platform.
@@ -97,6 +103,8 @@
                                    std::uint64_t version);
     void serveRequest(const IncomingRequest &request,
                       const std::shared_ptr<ResponseWriter> &writer);
+    /// @return true if a part of the prompt, other than the last, ends the replica
+    [[nodiscard]] bool hasCrashingPart(const std::string &prompt) const;
     void sendEvent(const std::string &id, std::uint32_t number, std::uint32_t last,
                    const std::string &adapter, const std::shared_ptr<ResponseWriter> &writer);
     [[nodiscard]] bool chance(double share);
--- a/tests/e2e/edge_world.h
+++ b/tests/e2e/edge_world.h
@@ -11,6 +11,8 @@
 
 #include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,6 +86,14 @@
         this->addReplica("s2", "app", "b", false);
     }
 
+    ~EdgeWorld()
+    {
+        const std::lock_guard lock(this->crashMutex);
+        this->ending = true;
+    }
+    EdgeWorld(const EdgeWorld &) = delete;
+    EdgeWorld &operator=(const EdgeWorld &) = delete;
+
     void addReplica(const std::string &id, const std::string &service,
                     const std::string &dataCentre, bool engine)
     {
@@ -94,7 +104,8 @@
         options.address = freeAddress();
         options.engine = engine;
         Replica replica;
-        replica.link = std::make_unique<LinkProxy>(options.address);
+        replica.link = std::make_unique<LinkProxy>(options.address, freePort());
+        options.onCrash = [this, id] { this->crash(id); };
         options.advertisedAddress = replica.link->address();
         replica.standin = standins::ReplicaStandin::start(options).value();
         this->replicas.emplace(id, std::move(replica));
@@ -108,6 +119,36 @@
         this->store->put(standin.key(), standin.description(draining));
     }
 
+    /// @brief Ends a replica without notice; it is back after crashTime, as a new incarnation. A
+    /// replica that is down already stays so.
+    void crash(const std::string &id)
+    {
+        const std::lock_guard lock(this->crashMutex);
+        if (this->ending || this->stoppedReplicas.count(id) != 0) {
+            return;
+        }
+        this->stoppedReplicas.insert(id);
+        this->crashTimes.push_back(monotonicNow());
+        this->replicas.at(id).link->stopListening();
+        this->tasks.after(crashTime, [this, id] {
+            Replica &replica = this->replicas.at(id);
+            replica.standin->restart();
+            replica.link->startListening();
+            this->publishServer(id, false);
+            const std::lock_guard backLock(this->crashMutex);
+            this->stoppedReplicas.erase(id);
+        });
+    }
+
+    /// @return the times at which replicas crashed, in order
+    [[nodiscard]] std::vector<Millis> crashes() const
+    {
+        const std::lock_guard lock(this->crashMutex);
+        return this->crashTimes;
+    }
+
+    static constexpr Millis crashTime{3'000};
+
     /// @brief Publishes the next version of the configuration.
     void publishConfig(int timeoutMs = 4'000)
     {
@@ -264,6 +305,13 @@
     std::map<std::string, Replica> replicas;
     HttpClient http;
     int configVersion = 0;
+
+private:
+    mutable std::mutex crashMutex;
+    bool ending = false; ///< Replicas may outlive the tasks that bring them back.
+    std::set<std::string> stoppedReplicas; ///< Crashed and not back yet.
+    std::vector<Millis> crashTimes;
+    standins::DelayedTasks tasks; ///< Ends before all that its tasks use.
 };
 
 } // namespace balsamport::testing
--- a/tests/e2e/link_proxy.h
+++ b/tests/e2e/link_proxy.h
@@ -26,8 +26,12 @@
 class LinkProxy
 {
 public:
-    explicit LinkProxy(const std::string &target)
-        : acceptor(this->context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    /// @param listenPort 0 for any free port; a proxy that stops listening needs one below the
+    /// ephemeral range, which no other socket takes meanwhile
+    explicit LinkProxy(const std::string &target, std::uint16_t listenPort = 0)
+        : acceptor(this->context,
+                   asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), listenPort))
+        , port(this->acceptor.local_endpoint().port())
         , targetPort(static_cast<std::uint16_t>(std::stoi(target.substr(target.rfind(':') + 1))))
     {
         this->accept();
@@ -41,10 +45,7 @@
     LinkProxy(const LinkProxy &) = delete;
     LinkProxy &operator=(const LinkProxy &) = delete;
 
-    [[nodiscard]] std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
-    }
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(this->port); }
 
     void setMode(LinkMode newMode) { this->mode = newMode; }
 
@@ -62,6 +63,27 @@
         });
     }
 
+    /// @brief Resets all open connections and the listening socket, as when the server's process
+    /// ends.
+    void stopListening()
+    {
+        this->resetAll();
+        asio::post(this->context, [this] {
+            asio::error_code ignored;
+            this->acceptor.close(ignored);
+        });
+    }
+
+    void startListening()
+    {
+        asio::post(this->context, [this] {
+            this->acceptor = asio::ip::tcp::acceptor(
+                    this->context,
+                    asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), this->port));
+            this->accept();
+        });
+    }
+
 private:
     using Socket = asio::ip::tcp::socket;
     static constexpr int delayMs = 120;
@@ -175,6 +197,7 @@
 
     asio::io_context context{1};
     asio::ip::tcp::acceptor acceptor;
+    std::uint16_t port;
     std::uint16_t targetPort;
     std::atomic<LinkMode> mode{LinkMode::Normal};
     std::set<std::weak_ptr<Connection>, std::owner_less<std::weak_ptr<Connection>>> connections;
