Apply the report of an engine that has restarted with the same command count

Callers got no response from an engine that had restarted under its id: each request waited for it and was refused after 2 s. The owner forgets at a restart what the engine holds and requests a report, but applied a report only if the command count had fallen or no commands were allowed. An engine that had had no command, so that both counts were 0, was never used again.

A restart now asks for the next report to be applied.

--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -230,6 +230,8 @@
         term->scheduler.hostCached.clear();
         term->scheduler.synced = false;
         term->scheduler.modelLoaded = false;
+        // Also if the command count is the same as before: the next report must be applied.
+        term->scheduler.resyncNeeded = true;
         this->requestReport(*term);
     }
 }
