Refuse requests with a prompt part that crashes servers, on all daemons

The daemon counted crashes by the fingerprint of target and body, and no two of these requests are alike.

edge/crash_controller replaces edge/crash_history. It queries an engine whose connection broke whether it has ended, since resets and cuts break connections too; sends the requests that broke off with it to all daemons, and with gossip what a daemon that starts must know; and lets policy/crash_evidence judge. Arrivals, waiting requests, retries, sends and owners' grants obey the verdict.

The test of quarantined requests moves to unit-crash-evidence with the same checks.

--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -65,6 +65,15 @@
 constexpr MetricInfo edgeCrashReports{
         "balsamport_edge_crash_reports_total", MetricKind::Counter, "origin",
         "Reports of a request that was in progress when its backend server ended, by origin"};
+constexpr MetricInfo edgeSuspects{
+        "balsamport_edge_crash_suspects", MetricKind::Gauge, "",
+        "Requests and prompt parts that were in progress when a backend server ended"};
+constexpr MetricInfo edgeConvicted{
+        "balsamport_edge_convicted_suspects", MetricKind::Gauge, "",
+        "Requests and prompt parts that are refused because they end backend servers"};
+constexpr MetricInfo edgeQuarantined{
+        "balsamport_edge_quarantined_requests_total", MetricKind::Counter, "suspect",
+        "Requests refused because they, or a part of their prompts, end backend servers"};
 constexpr MetricInfo edgeOrders{"balsamport_edge_orders_total", MetricKind::Counter, "outcome",
                                 "Orders given to engines, by the engine's answer"};
 constexpr MetricInfo edgeLoadTime{"balsamport_edge_load_seconds", MetricKind::Summary, "",
@@ -125,6 +134,9 @@
         edgeRetries,
         edgeNotices,
         edgeCrashReports,
+        edgeSuspects,
+        edgeConvicted,
+        edgeQuarantined,
         edgeOrders,
         edgeLoadTime,
         edgePeers,
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/edge/edge_daemon.h>
 
+#include "crash_controller.h"
 #include "edge_state.h"
 #include "engine_grant_client.h"
 #include "published_controller.h"
@@ -64,6 +65,8 @@
     void resumeEarlyRequests();
     void handleMessage(const wire::Envelope &message, const ReplySender &reply);
     void handleGossipMessage(const wire::Envelope &message);
+    /// Ends the requests with a convicted suspect that wait for a grant or a response.
+    void applyConvictions();
     void handleServerNotice(const VmId &peer, const wire::ServerNotice &notice);
     void handleRequest(std::shared_ptr<const IncomingRequest> request,
                        std::shared_ptr<ResponseWriter> writer);
@@ -95,26 +98,32 @@
                          [this](wire::EdgeGossip &gossip) {
                              this->engines.addProfiles(gossip);
                              this->rateLimits.addToGossip(gossip);
+                             this->crashes.addToGossip(gossip);
                          }};
+    CrashController crashes{this->context, this->state, this->peers,
+                            [this] { this->applyConvictions(); }};
     RateLimitController rateLimits{
             this->context, this->state, this->peers,
             [this](const BackendServerId &engine, std::optional<double> perSecond) {
                 this->engines.setPermitRate(engine, perSecond);
             }};
-    EngineController engines{this->context,
-                             [this] { return this->published.state().contentRevision; },
-                             [this](const BackendServerId &server, Millis lease) {
-                                 return isUncontested(this->ownership, this->ownershipTimings,
-                                                      server, lease, monotonicNow());
-                             },
-                             [this](const GrantKey &key, const BackendServerId & /*server*/,
-                                    const GrantVerdict &verdict) {
-                                 if (key.vm == this->settings.vm) {
-                                     this->grants.handleVerdict(key.number, verdict);
-                                 } else {
-                                     this->grants.sendVerdict(key, verdict);
-                                 }
-                             }};
+    EngineController engines{
+            this->context, [this] { return this->published.state().contentRevision; },
+            [this](const BackendServerId &server, Millis lease) {
+                return isUncontested(this->ownership, this->ownershipTimings, server, lease,
+                                     monotonicNow());
+            },
+            [this](const GrantKey &key, const BackendServerId & /*server*/,
+                   const GrantVerdict &verdict) {
+                if (key.vm == this->settings.vm) {
+                    this->grants.handleVerdict(key.number, verdict);
+                } else {
+                    this->grants.sendVerdict(key, verdict);
+                }
+            },
+            [this](const EngineGrantRequest &request) {
+                return this->crashes.isRefused(traitsOf(request.parts), request.request, "owner");
+            }};
     EngineGrantClient grants{this->context, this->peers, this->engines, this->ownership};
     PublishedController published{
             this->context,
@@ -124,8 +133,8 @@
             },
             [this](const std::vector<PublishedEntry> &changed, std::uint64_t since,
                    bool fromStore) { this->applyChanges(changed, since, fromStore); }};
-    FlowContext flows{this->context,    this->state, this->grants, this->peers, this->engines,
-                      this->rateLimits, {}};
+    FlowContext flows{this->context, this->state,      this->grants,  this->peers,
+                      this->engines, this->rateLimits, this->crashes, {}};
     std::unique_ptr<LoopTimer> tickTimer = this->loop.makeTimer();
     std::unique_ptr<LoopTimer> stopTimer = this->loop.makeTimer();
     Millis lastTickAt;
@@ -293,6 +302,7 @@
         this->peers.broadcastStatus();
     }
     this->rateLimits.update(now);
+    this->crashes.update(now);
 }
 
 void EdgeDaemon::Impl::applyChanges(const std::vector<PublishedEntry> &changed, std::uint64_t since,
@@ -418,14 +428,7 @@
         this->grants.handlePeerMessage(peer, incarnation, message.place_update());
         break;
     case wire::Envelope::kCrashNote:
-        this->log.write(EventPriority::Notable, "crash_reported",
-                        {{"told_by", peer.str()},
-                         {"fingerprint", message.crash_note().fingerprint()},
-                         {"crashes", message.crash_note().crashes()}});
-        this->context.metrics.counter(metric::edgeCrashReports, "received").add();
-        mergeCrashCount(this->state.crashHistory, Fingerprint(message.crash_note().fingerprint()),
-                        message.crash_note().crashes(), monotonicNow());
-        this->peers.relayCrashes(message.crash_note());
+        this->crashes.handleNote(peer, message.crash_note());
         break;
     case wire::Envelope::kServerNotice:
         this->handleServerNotice(peer, message.server_notice());
@@ -441,6 +444,16 @@
     }
 }
 
+void EdgeDaemon::Impl::applyConvictions()
+{
+    this->engines.rejectQuarantined();
+    // A copy, because refused requests are removed from the set.
+    const auto running = this->flows.running;
+    for (const std::shared_ptr<RequestFlow> &flow : running) {
+        flow->handleConviction();
+    }
+}
+
 void EdgeDaemon::Impl::handleServerNotice(const VmId &peer, const wire::ServerNotice &notice)
 {
     const BackendServerId server(notice.backend_server());
@@ -470,6 +483,7 @@
     this->peers.handleGossip(gossip, message.sender().incarnation());
     this->engines.applyPeerProfiles(peer, gossip);
     this->rateLimits.applyGossip(peer, gossip);
+    this->crashes.applyGossip(peer, gossip);
     const Millis now = monotonicNow();
     const Millis age(gossip.published_age_ms());
     if (gossip.content_revision() <= this->published.state().contentRevision) {
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -1,12 +1,12 @@
 #ifndef BALSAMPORT_EDGE_EDGE_STATE_H
 #define BALSAMPORT_EDGE_EDGE_STATE_H
 
-#include <balsamport/edge/crash_history.h>
 #include <balsamport/edge/server_availability.h>
 #include <balsamport/edge/server_catalog.h>
 #include <balsamport/edge/server_choice.h>
 #include <balsamport/edge/service_config.h>
 #include <balsamport/edge/shared_retry_budget.h>
+#include <balsamport/policy/crash_evidence.h>
 
 #include <map>
 #include <memory>
@@ -27,7 +27,7 @@
     /// that retries after a refusal is shorter by the time it has already spent.
     std::map<std::string, Millis> longestTimeouts;
     std::map<ServiceId, SharedRetryBudget> retryBudgets;
-    CrashHistory crashHistory;
+    CrashEvidence crashEvidence;
     bool draining = false; ///< This daemon is stopping.
 };
 
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -106,11 +106,12 @@
 
 EngineController::EngineController(EdgeContext &owner, std::function<std::uint64_t()> revision,
                                    std::function<bool(const BackendServerId &, Millis)> uncontested,
-                                   VerdictHandler handler)
+                                   VerdictHandler handler, QuarantineCheck quarantineCheck)
     : context(owner)
     , contentRevision(std::move(revision))
     , isUncontested(std::move(uncontested))
     , onVerdict(std::move(handler))
+    , isQuarantined(std::move(quarantineCheck))
 { }
 
 EngineController::Term *EngineController::find(const BackendServerId &server)
@@ -278,6 +279,10 @@
         return;
     }
     const GrantKey key = request.key;
+    if (this->isQuarantined(request)) {
+        this->onVerdict(key, server, GrantVerdict{GrantVerdict::Kind::Quarantined, {}, {}, {}, {}});
+        return;
+    }
     const Millis now = monotonicNow();
     this->context.log.write(
             EventPriority::Routine, "place_asked",
@@ -299,6 +304,23 @@
     }
 }
 
+void EngineController::rejectQuarantined()
+{
+    for (const auto &[id, term] : this->terms) {
+        std::vector<EngineGrantRequest> &waiting = term->scheduler.waiting;
+        const auto firstRejected = std::stable_partition(waiting.begin(), waiting.end(),
+                                                         [this](const EngineGrantRequest &request) {
+                                                             return !this->isQuarantined(request);
+                                                         });
+        const std::vector<EngineGrantRequest> rejected(firstRejected, waiting.end());
+        waiting.erase(firstRejected, waiting.end());
+        for (const EngineGrantRequest &request : rejected) {
+            this->onVerdict(request.key, id,
+                            GrantVerdict{GrantVerdict::Kind::Quarantined, {}, {}, {}, {}});
+        }
+    }
+}
+
 void EngineController::updateGrant(const BackendServerId &server, const GrantKey &key,
                                    const GrantUpdate &update)
 {
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -24,6 +24,7 @@
         Refused,
         NotOwner,
         EngineDown, ///< The engine is unreachable or in a backoff.
+        Quarantined, ///< A part of the prompt crashes backend servers.
     };
     Kind kind = Kind::Queued;
     AdapterVersion version; ///< Of a grant; 0 for any.
@@ -63,12 +64,14 @@
 public:
     using VerdictHandler = std::function<void(const GrantKey &key, const BackendServerId &server,
                                               const GrantVerdict &verdict)>;
+    using QuarantineCheck = std::function<bool(const EngineGrantRequest &request)>;
 
     /// @param contentRevision returns the revision of the published state, for fencing numbers
+    /// @param isQuarantined returns true for a request that must not be granted
     /// @param uncontested returns true where no other daemon can have sent commands within a lease
     EngineController(EdgeContext &context, std::function<std::uint64_t()> contentRevision,
                      std::function<bool(const BackendServerId &, Millis lease)> uncontested,
-                     VerdictHandler onVerdict);
+                     VerdictHandler onVerdict, QuarantineCheck isQuarantined);
 
     /// @brief Requests the command count of an engine that this daemon may soon own, so that the
     /// time for which it hasn't changed is known when the ownership term begins.
@@ -98,6 +101,8 @@
 
     /// @brief Submits a grant request. The verdict handler may be called before this returns.
     void submit(const BackendServerId &server, EngineGrantRequest request);
+    /// @brief Rejects the waiting requests that must not be granted any more.
+    void rejectQuarantined();
     void updateGrant(const BackendServerId &server, const GrantKey &key, const GrantUpdate &update);
     void dropGrantsOf(const VmId &vm, std::uint64_t incarnation);
     void declareVersion(const AdapterDeclaration &declaration);
@@ -184,6 +189,7 @@
     std::function<std::uint64_t()> contentRevision;
     std::function<bool(const BackendServerId &, Millis)> isUncontested;
     VerdictHandler onVerdict;
+    QuarantineCheck isQuarantined;
     AdapterVersions versions;
     std::map<ServiceId, ServiceMeasurements> services;
     std::map<BackendServerId, std::unique_ptr<Term>> terms;
--- a/src/edge/engine_grant_client.cpp
+++ b/src/edge/engine_grant_client.cpp
@@ -26,6 +26,8 @@
         return wire::PlaceReply::NOT_OWNER;
     case GrantVerdict::Kind::EngineDown:
         return wire::PlaceReply::ENGINE_DOWN;
+    case GrantVerdict::Kind::Quarantined:
+        return wire::PlaceReply::QUARANTINED;
     }
     return wire::PlaceReply::NOT_OWNER;
 }
@@ -45,6 +47,8 @@
         return GrantVerdict::Kind::NotOwner;
     case wire::PlaceReply::ENGINE_DOWN:
         return GrantVerdict::Kind::EngineDown;
+    case wire::PlaceReply::QUARANTINED:
+        return GrantVerdict::Kind::Quarantined;
     }
 }
 
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -270,11 +270,10 @@
     this->sendTo(targets.remote, message);
 }
 
-void PeerController::broadcastCrashes(Fingerprint fingerprint, std::uint32_t crashes)
+void PeerController::broadcastCrashes(const wire::CrashNote &note)
 {
     wire::Envelope message;
-    message.mutable_crash_note()->set_fingerprint(fingerprint.number());
-    message.mutable_crash_note()->set_crashes(crashes);
+    *message.mutable_crash_note() = note;
     this->sendToDataCentre(message);
     const GossipTargets targets = remoteTargets(this->peers, monotonicNow());
     message.mutable_crash_note()->set_relay(targets.relayed);
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -49,7 +49,7 @@
     void broadcastStatus();
 
     /// @brief Sends the crash count of a request to all peers.
-    void broadcastCrashes(Fingerprint fingerprint, std::uint32_t crashes);
+    void broadcastCrashes(const wire::CrashNote &note);
 
     /// @brief Relays a crash count to the own data centre if its sender requested that and this
     /// daemon is the delegate.
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -4,8 +4,6 @@
 #include <balsamport/core/http_status.h>
 #include <balsamport/core/metric_names.h>
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -23,6 +21,11 @@
 constexpr std::size_t maxResponseBytes = 8 * 1024 * 1024;
 /// Gaps of a stream that are recorded to measure the speed of its engine.
 constexpr std::size_t maxTokenGaps = 64;
+/// Time after the first chunk of a stream in which a crash counts as early: a server that a request
+/// crashes ends as it begins to respond.
+constexpr Millis earlyCrashTime{150};
+/// Connections that break during one request before it is not sent again.
+constexpr std::uint32_t maxBrokenRuns = 2;
 
 double secondsOf(Millis time)
 {
@@ -39,21 +42,20 @@
     return tokens;
 }
 
-/// @return the ids of the parts that other requests may share: all but the last, in hexadecimal
-std::string sharedPartsText(const CallerRequest &request)
-{
-    std::string text;
-    for (std::size_t i = 0; i + 1 < request.promptParts.size(); ++i) {
-        text += fmt::format("{}{:x}", i == 0 ? "" : ",", request.promptParts[i].id);
-    }
-    return text;
-}
-
 } // namespace
 
 void RequestFlow::send(const BackendServerId &server, std::uint64_t grantNumber,
                        AdapterVersion version)
 {
+    if (this->context.crashes.isUnderJudgement(this->traits)
+        || convictedSuspect(this->context.state.crashEvidence, this->traits)) {
+        this->context.grants.sendUpdate(grantNumber,
+                                        GrantUpdate{GrantEvent::Cancelled, {}, std::nullopt});
+        if (!this->refuseIfQuarantined("send")) {
+            (void)this->waitIfUnderJudgement();
+        }
+        return;
+    }
     const Millis now = monotonicNow();
     const auto found = this->context.state.catalog.servers.find(server);
     auto sent = std::make_shared<Attempt>();
@@ -70,6 +72,8 @@
         this->handleNotRun(sent);
         return;
     }
+    sent->address = found->second.entry.address;
+    sent->serverStartedAtWallMs = found->second.entry.startedAtWallMs;
     if (this->sendCount == 0) {
         this->context.edge.metrics.summary(metric::edgeWait)
                 .observe(secondsOf(now - this->arrivedAt), now);
@@ -312,8 +316,12 @@
         this->retry();
         return;
     }
-    forgetCrashes(this->context.state.crashHistory, this->fingerprint);
     sent->complete = httpstatus::isSuccess(sent->response.status);
+    RequestTraits sound{this->traits.fingerprint, {}};
+    if (sent->complete && this->splitter.pending.empty()) {
+        sound = this->traits;
+    }
+    this->context.crashes.recordCompletion(sound, sent->sentAt);
     this->endAttempt(sent, GrantEvent::Ended);
     if (!this->streamStarted) {
         HttpResponse response{sent->response.status, sent->response.headers, std::move(sent->body)};
@@ -428,6 +436,9 @@
 void RequestFlow::retry()
 {
     this->splitter.pending.clear();
+    if (this->waitIfUnderJudgement()) {
+        return;
+    }
     this->selectCandidates();
     if (this->usesEngine) {
         this->requestNextGrant();
@@ -440,18 +451,18 @@
 
 void RequestFlow::reportCrash(const std::shared_ptr<Attempt> &sent)
 {
-    const std::uint32_t crashes
-            = recordCrash(this->context.state.crashHistory, this->fingerprint, monotonicNow());
-    this->context.peers.broadcastCrashes(this->fingerprint, crashes);
-    this->context.edge.log.write(EventPriority::Notable, "crash_suspected",
-                                 {{"request", this->request.id.str()},
-                                  {"server", sent->server.str()},
-                                  {"fingerprint", this->fingerprint.number()},
-                                  {"parts", sharedPartsText(this->request)},
-                                  {"status", sent->response.status},
-                                  {"after_ms", monotonicNow() - sent->sentAt},
-                                  {"crashes", crashes}});
-    this->context.edge.metrics.counter(metric::edgeCrashReports, "observed").add();
+    const auto known = this->context.state.catalog.servers.find(sent->server);
+    if (known == this->context.state.catalog.servers.end() || known->second.entry.draining
+        || isDraining(this->context.state.availability, known->second.entry)) {
+        return; // A planned end breaks off requests as well.
+    }
+    ServerEntry server;
+    server.id = sent->server;
+    server.address = sent->address;
+    server.startedAtWallMs = sent->serverStartedAtWallMs;
+    const bool early = !sent->started || monotonicNow() - this->firstChunkAt < earlyCrashTime;
+    this->context.crashes.handleBrokenRequest(server, this->usesEngine, this->request.id,
+                                              BrokenRequest{this->traits, sent->sentAt, early});
 }
 
 void RequestFlow::handleFailure(const std::shared_ptr<Attempt> &sent, ErrorCode code)
@@ -473,12 +484,13 @@
                                   {"after_ms", now - sent->sentAt},
                                   {"stream_started", this->streamStarted}});
     if (code == ErrorCode::ConnectionBroken) {
+        ++this->brokenRuns;
         this->reportCrash(sent);
     }
     this->endAttempt(
             sent, code == ErrorCode::ConnectFailed ? GrantEvent::Unreachable : GrantEvent::Ended);
-    const bool quarantined
-            = isQuarantined(this->context.state.crashHistory, this->fingerprint, now);
+    const bool quarantined = this->brokenRuns >= maxBrokenRuns
+            || convictedSuspect(this->context.state.crashEvidence, this->traits);
     const bool mayRetry = !quarantined && (notSent || this->mayRepeat())
             && this->sendCount < maxSendCount && (!this->streamStarted || this->mayRepeat());
     if (mayRetry && this->tryTakeRetry(errorName(code))) {
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -88,6 +88,13 @@
             self->handleDeadline();
         }
     });
+    if (!this->waitIfUnderJudgement()) {
+        this->selectServer();
+    }
+}
+
+void RequestFlow::selectServer()
+{
     this->selectCandidates();
     if (this->usesEngine) {
         this->requestNextGrant();
@@ -100,6 +107,35 @@
     }
 }
 
+bool RequestFlow::refuseIfQuarantined(std::string_view where)
+{
+    if (!this->context.crashes.isRefused(this->traits, this->request.id, where)) {
+        return false;
+    }
+    this->refuse(ErrorCode::Quarantined, Millis(0));
+    return true;
+}
+
+void RequestFlow::handleConviction()
+{
+    const bool hasBegun = this->attempt && this->attempt->started;
+    if (this->ended || hasBegun
+        || !convictedSuspect(this->context.state.crashEvidence, this->traits)) {
+        return;
+    }
+    this->cancelUnfinished();
+    (void)this->refuseIfQuarantined("conviction");
+}
+
+RequestTraits traitsOf(const std::vector<PromptPart> &parts)
+{
+    RequestTraits traits;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        traits.sharedParts.push_back(parts[i].id);
+    }
+    return traits;
+}
+
 bool RequestFlow::readRequest()
 {
     Result<CallerRequest> read = this->context.edge.dialect.readRequest(*this->incoming);
@@ -170,19 +206,12 @@
     longestTimeout = std::max(longestTimeout, requested);
     // The objective counts from the caller's first attempt, before any refusals.
     this->objectiveAt = this->arrivedAt + objective - (longestTimeout - requested);
-    this->fingerprint
+    this->traits = traitsOf(this->request.promptParts);
+    this->traits.fingerprint
             = Fingerprint(mixHash(hash64(this->request.target), hash64(this->request.body)));
     this->context.state.retryBudgets[this->service].recordRequest(
             this->context.edge.settings.retryBudget, this->arrivedAt);
-    if (isQuarantined(this->context.state.crashHistory, this->fingerprint, this->arrivedAt)) {
-        const CrashHistory::Entry &evidence
-                = this->context.state.crashHistory.entries.at(this->fingerprint);
-        this->context.edge.log.write(EventPriority::Notable, "quarantined",
-                                     {{"request", this->request.id.str()},
-                                      {"fingerprint", this->fingerprint.number()},
-                                      {"crashes", evidence.crashes},
-                                      {"last_crash_ms", this->arrivedAt - evidence.lastCrashAt}});
-        this->refuse(ErrorCode::Quarantined, Millis(0));
+    if (this->refuseIfQuarantined("arrival")) {
         return false;
     }
     return true;
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMPORT_EDGE_REQUEST_FLOW_H
 #define BALSAMPORT_EDGE_REQUEST_FLOW_H
 
+#include "crash_controller.h"
 #include "edge_state.h"
 #include "engine_grant_client.h"
 #include "rate_limit_controller.h"
@@ -27,6 +28,7 @@
     PeerController &peers;
     EngineController &engines;
     RateLimitController &rateLimits;
+    CrashController &crashes;
     std::set<std::shared_ptr<RequestFlow>> running; ///< Requests in progress.
 };
 
@@ -45,6 +47,9 @@
     /// @brief Resumes a request that arrived before the first configuration.
     void resumeWithConfig();
 
+    /// @brief Ends the request if a suspect of it was convicted, unless its response has begun.
+    void handleConviction();
+
 private:
     /// One attempt to run the request on a backend server, shared with the callbacks of its
     /// exchange.
@@ -52,6 +57,8 @@
     {
         std::uint64_t exchange = 0;
         BackendServerId server;
+        std::string address;
+        std::int64_t serverStartedAtWallMs = 0;
         std::uint64_t grant = 0; ///< Its number; 0 for plain services.
         Millis sentAt;
         std::atomic<bool> abandoned{false};
@@ -73,6 +80,13 @@
     [[nodiscard]] bool resolveRoute();
     [[nodiscard]] bool authenticateCaller(const EdgeConfig &config);
     [[nodiscard]] bool admit();
+    /// Refuses a request that must not be sent because of a suspect.
+    /// @param where part of the daemon that checks, for the log
+    [[nodiscard]] bool refuseIfQuarantined(std::string_view where);
+    /// Selects a server again after a delay while a suspect of the request is being judged.
+    [[nodiscard]] bool waitIfUnderJudgement();
+    /// Selects the candidates and sends the request to one of them.
+    void selectServer();
     void selectCandidates();
     /// Refuses the request if all remaining servers of the service have requested a backoff.
     [[nodiscard]] bool refuseIfAllBackingOff();
@@ -131,7 +145,7 @@
     OrganisationId organisation; ///< Of the caller; empty if it needs no key.
     ServiceId service;
     bool usesEngine = false;
-    Fingerprint fingerprint;
+    RequestTraits traits;
     Millis arrivedAt;
     Millis objectiveAt;
     Millis deadlineAt;
@@ -147,6 +161,7 @@
     std::shared_ptr<Attempt> attempt; ///< In progress.
     std::uint32_t possibleRuns = 0; ///< Servers that may have run the request.
     std::uint32_t sendCount = 0;
+    std::uint32_t brokenRuns = 0; ///< Connections to servers that broke during this request.
     std::optional<Millis> permitExpectedIn; ///< Shortest wait for a permit that wasn't issued.
     Millis retryAfterHint{0}; ///< Longest wait reported by owners that redirected this request.
     bool streamStarted = false;
@@ -162,6 +177,9 @@
     bool ended = false;
 };
 
+/// @return the traits of a prompt, without a request's fingerprint
+[[nodiscard]] RequestTraits traitsOf(const std::vector<PromptPart> &parts);
+
 } // namespace balsamport
 
 #endif
--- a/src/edge/request_grant.cpp
+++ b/src/edge/request_grant.cpp
@@ -19,6 +19,8 @@
 /// When all daemons have just started, each engine has an owner again after this time. Source:
 /// OwnershipTimings::startupGrace, a tick of the daemon and the delay between regions.
 constexpr Millis maxOwnerWait{1'200};
+/// Interval between checks whether a suspect has been judged.
+constexpr Millis judgementInterval{100};
 /// Interval between queries for the owner of an engine.
 constexpr Millis ownerQueryInterval{150};
 /// Time for which a request looks for an engine with an unused rate limit beyond its candidates, so
@@ -42,6 +44,8 @@
         return "not_owner";
     case GrantVerdict::Kind::EngineDown:
         return "engine_down";
+    case GrantVerdict::Kind::Quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
@@ -155,6 +159,23 @@
     });
 }
 
+bool RequestFlow::waitIfUnderJudgement()
+{
+    if (!this->context.crashes.isUnderJudgement(this->traits)) {
+        return false;
+    }
+    if (!this->ownerTimer) {
+        this->ownerTimer = this->context.edge.loop.makeTimer();
+    }
+    this->ownerTimer->set(judgementInterval, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->ended && !self->refuseIfQuarantined("judged")) {
+            self->selectServer();
+        }
+    });
+    return true;
+}
+
 void RequestFlow::requestNextGrant()
 {
     if (this->ended) {
@@ -277,6 +298,10 @@
         this->addFallbackCandidate();
         this->requestNextGrant();
         return;
+    case GrantVerdict::Kind::Quarantined:
+        this->pendingGrant = 0;
+        this->refuse(ErrorCode::Quarantined, Millis(0));
+        return;
     case GrantVerdict::Kind::Refused:
         this->pendingGrant = 0;
         if (verdict.rateLimited) {
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -1,5 +1,4 @@
 #include <balsamport/core/hash.h>
-#include <balsamport/edge/crash_history.h>
 #include <balsamport/edge/engine_ownership.h>
 #include <balsamport/edge/event_splitter.h>
 #include <balsamport/edge/peers.h>
@@ -861,27 +860,6 @@
     REQUIRE(budget.tryTake(limits, 8, Millis(30'000)));
 }
 
-TEST_CASE("a request that crashes its servers is quarantined")
-{
-    CrashHistory history;
-    const Fingerprint crasher(7);
-    REQUIRE(recordCrash(history, crasher, Millis(0)) == 1);
-    REQUIRE_FALSE(isQuarantined(history, crasher, Millis(10)));
-
-    SECTION("after two crashes, also if a peer observed them, until the retention ends")
-    {
-        mergeCrashCount(history, crasher, crashLimit, Millis(20));
-        REQUIRE(isQuarantined(history, crasher, Millis(30)));
-        REQUIRE_FALSE(isQuarantined(history, crasher, Millis(30) + crashRetention));
-    }
-
-    SECTION("not once a request has run to completion")
-    {
-        forgetCrashes(history, crasher);
-        REQUIRE(history.entries.empty());
-    }
-}
-
 TEST_CASE("a stream is split into complete events")
 {
     EventSplitter splitter;
