--- a/tests/src/unit-crash-evidence.cpp
+++ b/tests/src/unit-crash-evidence.cpp
@@ -94,7 +94,7 @@
     SECTION("servers crash for other reasons in the same seconds")
     {
         for (int i = 0; i < 10; ++i) {
-            world.crashEngine(static_cast<std::size_t>(i * 2));
+            world.crashEngine(static_cast<std::size_t>(i) * 2);
             world.resetConnections(static_cast<std::size_t>(i) % options.daemons);
             play(world, load, Millis(3'000), options.seed + static_cast<std::uint64_t>(i));
         }
