Judge a part that was sound until now by all crashes that nothing refutes

Cause: crashes shortly after the last complete response do not count against a part. A companion whose last complete response was earlier therefore reached the number of crashes first, while the bad part, present in all of them and in more, was not settled yet; or both settled in the same judgement with as many crashes that count, and tied. The overshadowing check looked only at parts whose last completion was earlier.

Change: candidates are ranked by all crashes that are neither refuted nor explained, and a candidate that was sound waits for any other part that has more of them and was present in those of the candidate, whose report may lack one.

--- a/src/policy/crash_evidence.cpp
+++ b/src/policy/crash_evidence.cpp
@@ -155,12 +155,11 @@
     return runs;
 }
 
-/// @return the crashes that count against a suspect
-std::vector<SuspectCrash> countedCrashes(const CrashLimits &limits, const SuspectKey &key,
-                                         const Suspect &suspect,
-                                         const std::map<std::uint64_t, std::size_t> &explained)
+/// @return the crashes among some of a suspect that no convicted suspect explains
+std::vector<SuspectCrash> withoutExplained(const Suspect &suspect,
+                                           std::vector<SuspectCrash> crashes,
+                                           const std::map<std::uint64_t, std::size_t> &explained)
 {
-    std::vector<SuspectCrash> crashes = credibleCrashes(key, suspect, suspect.completions, limits);
     const std::size_t unrefuted = unrefutedCrashes(suspect, suspect.completions).size();
     std::erase_if(crashes, [&](const SuspectCrash &crash) {
         const auto explanation = explained.find(crash.serverRun);
@@ -193,13 +192,16 @@
     SuspectKey key;
     bool neverSound = false;
     Millis lastCompletionAt; ///< -1 for none.
-    std::vector<SuspectCrash> crashes;
+    std::vector<SuspectCrash> crashes; ///< Those that count.
+    /// Crashes that are neither refuted nor explained. More of them than of those that count if
+    /// requests with the suspect ended well shortly before.
+    std::size_t open = 0;
 
     /// @return true if the evidence against this one is stronger
     [[nodiscard]] bool outranks(const Candidate &other) const
     {
-        return std::make_tuple(this->neverSound, this->crashes.size(), other.lastCompletionAt)
-                > std::make_tuple(other.neverSound, other.crashes.size(), this->lastCompletionAt);
+        return std::make_tuple(this->neverSound, this->open, other.lastCompletionAt)
+                > std::make_tuple(other.neverSound, other.open, this->lastCompletionAt);
     }
 
     [[nodiscard]] bool sharesCrashWith(const Candidate &other) const
@@ -223,7 +225,8 @@
         if (key.kind != kind || suspect.convicted || suspect.crashes.size() < crashesToShare) {
             continue;
         }
-        const std::vector<SuspectCrash> crashes = countedCrashes(limits, key, suspect, explained);
+        const std::vector<SuspectCrash> crashes = withoutExplained(
+                suspect, credibleCrashes(key, suspect, suspect.completions, limits), explained);
         if (!suffice(crashes, kind, suspect.completions, limits)) {
             suspect.candidateSince = Millis(-1);
             continue;
@@ -235,7 +238,12 @@
         if (now - suspect.candidateSince >= settleTime) {
             const bool neverSound
                     = !wasSoundBefore(suspect.completions, limits, crashes.front().at);
-            settled.push_back(Candidate{key, neverSound, suspect.completions.lastAt, crashes});
+            const std::size_t open
+                    = withoutExplained(suspect, unrefutedCrashes(suspect, suspect.completions),
+                                       explained)
+                              .size();
+            settled.push_back(
+                    Candidate{key, neverSound, suspect.completions.lastAt, crashes, open});
         }
     }
     std::sort(settled.begin(), settled.end(),
@@ -256,26 +264,27 @@
     return tied;
 }
 
-/// @return true if another suspect was present in all crashes of a candidate and in more: it is not
-/// a candidate yet, although no request with it has ended well for longer
+/// @return true if another suspect has more crashes and was present in those of a candidate: it is
+/// not a candidate yet, because requests with it ended well for longer
 bool isOvershadowed(const CrashEvidence &evidence, const Candidate &candidate)
 {
+    // The report of one crash under the other suspect may be missing, or still to come.
+    constexpr std::size_t missingReports = 1;
     return std::any_of(evidence.suspects.begin(), evidence.suspects.end(), [&](const auto &entry) {
         const Suspect &other = entry.second;
         if (entry.first.kind != SuspectKind::PromptPart || other.convicted
-            || other.completions.lastAt >= candidate.lastCompletionAt
-            || other.crashes.size() <= candidate.crashes.size()) {
+            || entry.first == candidate.key || other.crashes.size() <= candidate.crashes.size()) {
             return false;
         }
         std::set<std::uint64_t> runs;
         for (const SuspectCrash &crash : unrefutedCrashes(other, other.completions)) {
             runs.insert(crash.serverRun);
         }
+        const auto shared = std::count_if(
+                candidate.crashes.begin(), candidate.crashes.end(),
+                [&](const SuspectCrash &crash) { return runs.count(crash.serverRun) != 0; });
         return runs.size() > candidate.crashes.size()
-                && std::all_of(candidate.crashes.begin(), candidate.crashes.end(),
-                               [&](const SuspectCrash &crash) {
-                                   return runs.count(crash.serverRun) != 0;
-                               });
+                && static_cast<std::size_t>(shared) + missingReports >= candidate.crashes.size();
     });
 }
 
--- a/tests/src/unit-crash-turned-part.cpp
+++ b/tests/src/unit-crash-turned-part.cpp
@@ -10,8 +10,17 @@
 TEST_CASE("a part that was sound for a minute and then crashes servers is convicted alone")
 {
     CrashWorldOptions options;
-    const auto [daemons, seed] = GENERATE(table<std::size_t, std::uint64_t>(
-            {{2, 1}, {2, 2}, {2, 3}, {8, 1}, {8, 2}, {8, 3}, {74, 1}, {195, 1}}));
+    const auto [daemons, seed] = GENERATE(table<std::size_t, std::uint64_t>({{2, 1},
+                                                                             {2, 2},
+                                                                             {2, 3},
+                                                                             {8, 1},
+                                                                             {8, 2},
+                                                                             {8, 3},
+                                                                             {8, 4},
+                                                                             {8, 13},
+                                                                             {8, 31},
+                                                                             {74, 1},
+                                                                             {195, 1}}));
     options.daemons = daemons;
     options.seed = seed;
     options.engines = options.daemons > 20 ? 60 : 9;
