Reproduce the store that returns from a copy: changes are lost where revisions are used again

The stand-in of the store keeps copies, returns from one, states its era in all responses and answers 410 to a watch from a revision that it does not have. Four real daemons in two data centres:

- a route added after the return is not served within 3 s (404), if the store has passed the revision that the readers had, so that their watches get no 410;
- a replica that left and is written again after the return is never used: its entry has a lower revision than the tombstone;
- after a first return the next configuration is dropped as old.

--- a/standins/platform/store_standin.cpp
+++ b/standins/platform/store_standin.cpp
@@ -92,9 +92,9 @@
 std::uint64_t StoreStandin::put(const std::string &key, const std::string &value)
 {
     const std::lock_guard lock(this->mutex);
-    const Change change{key, value, ++this->revision, false};
-    this->items[key] = change;
-    this->history.push_back(change);
+    const Change change{key, value, ++this->content.revision, false};
+    this->content.items[key] = change;
+    this->content.history.push_back(change);
     this->completeWatches();
     return change.revision;
 }
@@ -102,8 +102,8 @@
 void StoreStandin::remove(const std::string &key)
 {
     const std::lock_guard lock(this->mutex);
-    this->items.erase(key);
-    this->history.push_back(Change{key, std::string(), ++this->revision, true});
+    this->content.items.erase(key);
+    this->content.history.push_back(Change{key, std::string(), ++this->content.revision, true});
     this->completeWatches();
 }
 
@@ -116,8 +116,31 @@
 void StoreStandin::dropHistory()
 {
     const std::lock_guard lock(this->mutex);
-    this->history.clear();
-    this->historyStart = this->revision;
+    this->content.history.clear();
+    this->content.historyStart = this->content.revision;
+}
+
+StoreStandin::Copy StoreStandin::copy() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->content;
+}
+
+void StoreStandin::restore(const Copy &copy)
+{
+    const std::lock_guard lock(this->mutex);
+    this->content = copy;
+    ++this->era;
+    for (const auto &[number, cut] : this->watches) {
+        cut.writer->send(this->response(unavailable));
+    }
+    this->watches.clear();
+}
+
+void StoreStandin::omitEra()
+{
+    const std::lock_guard lock(this->mutex);
+    this->statesEra = false;
 }
 
 std::uint64_t StoreStandin::calls() const
@@ -132,7 +155,7 @@
     const std::lock_guard lock(this->mutex);
     ++this->callCount;
     if (this->down) {
-        writer->send(HttpResponse{unavailable, {}, std::string()});
+        writer->send(this->response(unavailable));
         return;
     }
     const std::string prefix = queryValue(request.query, "prefix");
@@ -144,8 +167,17 @@
                 Watch{std::strtoull(after.c_str(), nullptr, 10), prefix, writer},
                 Millis(std::strtoll(queryValue(request.query, "wait_ms").c_str(), nullptr, 10)));
     } else {
-        writer->send(HttpResponse{notFound, {}, std::string()});
+        writer->send(this->response(notFound));
+    }
+}
+
+HttpResponse StoreStandin::response(int status, std::string body) const
+{
+    HttpHeaders headers;
+    if (this->statesEra) {
+        headers.push_back({"Store-Era", std::to_string(this->era)});
     }
+    return HttpResponse{status, std::move(headers), std::move(body)};
 }
 
 HttpResponse StoreStandin::list(const std::string &prefix, const std::string &after) const
@@ -157,7 +189,8 @@
     json.StartArray();
     std::size_t count = 0;
     bool more = false;
-    for (auto item = this->items.upper_bound(after); item != this->items.end(); ++item) {
+    for (auto item = this->content.items.upper_bound(after); item != this->content.items.end();
+         ++item) {
         if (!hasPrefix(item->first, prefix)) {
             continue;
         }
@@ -178,15 +211,16 @@
     json.Key("has_more");
     json.Bool(more);
     json.Key("current_rev");
-    json.Uint64(this->revision);
+    json.Uint64(this->content.revision);
     json.EndObject();
-    return HttpResponse{okStatus, {}, std::string(buffer.GetString(), buffer.GetSize())};
+    return this->response(okStatus, std::string(buffer.GetString(), buffer.GetSize()));
 }
 
 void StoreStandin::watch(Watch pendingWatch, Millis wait)
 {
-    if (pendingWatch.after < this->historyStart) {
-        pendingWatch.writer->send(HttpResponse{gone, {}, std::string()});
+    if (pendingWatch.after < this->content.historyStart
+        || pendingWatch.after > this->content.revision) {
+        pendingWatch.writer->send(this->response(gone));
         return;
     }
     const std::uint64_t number = this->nextWatch++;
@@ -196,7 +230,7 @@
         const std::lock_guard lock(this->mutex);
         const auto found = this->watches.find(number);
         if (found != this->watches.end()) {
-            found->second.writer->send(HttpResponse{okStatus, {}, this->events(found->second)});
+            found->second.writer->send(this->response(okStatus, this->events(found->second)));
             this->watches.erase(found);
         }
     });
@@ -209,7 +243,7 @@
     json.StartObject();
     json.Key("events");
     json.StartArray();
-    for (const Change &change : this->history) {
+    for (const Change &change : this->content.history) {
         if (change.revision <= pendingWatch.after || !hasPrefix(change.key, pendingWatch.prefix)) {
             continue;
         }
@@ -229,7 +263,7 @@
     }
     json.EndArray();
     json.Key("current_rev");
-    json.Uint64(this->revision);
+    json.Uint64(this->content.revision);
     json.EndObject();
     return std::string(buffer.GetString(), buffer.GetSize());
 }
@@ -237,8 +271,8 @@
 void StoreStandin::completeWatches()
 {
     for (auto entry = this->watches.begin(); entry != this->watches.end();) {
-        if (this->revision > entry->second.after) {
-            entry->second.writer->send(HttpResponse{okStatus, {}, this->events(entry->second)});
+        if (this->content.revision > entry->second.after) {
+            entry->second.writer->send(this->response(okStatus, this->events(entry->second)));
             entry = this->watches.erase(entry);
         } else {
             ++entry;
--- a/standins/platform/store_standin.h
+++ b/standins/platform/store_standin.h
@@ -30,23 +30,41 @@
     std::uint64_t put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
 
+    /// @brief One change of an item.
+    struct Change
+    {
+        std::string key;
+        std::string value;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+    };
+
+    /// @brief Content of the store at one moment.
+    struct Copy
+    {
+        std::map<std::string, Change> items;
+        std::vector<Change> history;
+        std::uint64_t revision = 0;
+        std::uint64_t historyStart = 0;
+    };
+    [[nodiscard]] Copy copy() const;
+
     /// @name Faults
     /// @{
     void setDown(bool down); ///< While down, all requests fail with 503.
     void dropHistory(); ///< Watches from an earlier revision fail with 410.
+    /// @brief Loses all changes since a copy: revisions go back, and the era rises by one. Waiting
+    /// watches are cut with 503; one from a revision that the store does not have gets 410.
+    void restore(const Copy &copy);
     /// @}
 
+    /// @brief Stops stating the era in responses, as a store of before does.
+    void omitEra();
+
     /// @return the number of received requests
     [[nodiscard]] std::uint64_t calls() const;
 
 private:
-    struct Change
-    {
-        std::string key;
-        std::string value;
-        std::uint64_t revision = 0;
-        bool deleted = false;
-    };
     struct Watch
     {
         std::uint64_t after = 0;
@@ -56,18 +74,19 @@
 
     StoreStandin() = default;
     void serve(const IncomingRequest &request, const std::shared_ptr<ResponseWriter> &writer);
+    /// Builds a response with the header that all responses of the store have.
+    [[nodiscard]] HttpResponse response(int status, std::string body = {}) const;
     [[nodiscard]] HttpResponse list(const std::string &prefix, const std::string &after) const;
     void watch(Watch pendingWatch, Millis wait);
     [[nodiscard]] std::string events(const Watch &pendingWatch) const;
     void completeWatches();
 
     mutable std::mutex mutex;
-    std::uint64_t revision = 1;
-    std::uint64_t historyStart = 0;
+    Copy content{{}, {}, 1, 0};
+    std::uint64_t era = 1;
+    bool statesEra = true;
     bool down = false;
     std::uint64_t callCount = 0;
-    std::map<std::string, Change> items;
-    std::vector<Change> history;
     std::map<std::uint64_t, Watch> watches;
     std::uint64_t nextWatch = 1;
     std::unique_ptr<DelayedTasks> tasks = std::make_unique<DelayedTasks>();
--- a/tests/e2e/edge_world.h
+++ b/tests/e2e/edge_world.h
@@ -152,6 +152,20 @@
     /// @brief Publishes the next version of the configuration.
     void publishConfig(int timeoutMs = 4'000)
     {
+        ++this->configVersion;
+        this->republishConfig(timeoutMs);
+    }
+
+    /// @brief Publishes the configuration with the version that it has.
+    void republishConfig(int timeoutMs = 4'000)
+    {
+        std::string added;
+        for (const std::string &prefix : this->addedRoutes) {
+            added += fmt::format(
+                    R"(,{{"name":"{}","host":"h","prefix":"{}","kind":"unsafe","timeout_ms":1000,
+   "target_latency_ms":200,"priority":2,"service":"app","max_attempts":1}})",
+                    prefix, prefix);
+        }
         this->store->put("op/config",
                          fmt::format(R"({{"version":{},"routes":[
  {{"name":"chat","host":"h","prefix":"/chat/","kind":"streaming","timeout_ms":{},
@@ -161,11 +175,11 @@
  {{"name":"book","host":"h","prefix":"/book/","kind":"unsafe","timeout_ms":1000,
    "target_latency_ms":200,"priority":2,"service":"app","max_attempts":1}},
  {{"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout_ms":1000,
-   "target_latency_ms":200,"priority":2,"service":"app","max_attempts":2}}],
+   "target_latency_ms":200,"priority":2,"service":"app","max_attempts":2}}{}],
  "services":[{{"name":"llm","max_connections":370,"engine":{{"slots":64,"kv_capacity":148252,
   "models":[{{"name":"m","weights_mb":65500}}],"adapter_slots":6,"loads_per_s":2.4}}}},
   {{"name":"app","max_connections":110}}]}})",
-                                     ++this->configVersion, timeoutMs, timeoutMs));
+                                     this->configVersion, timeoutMs, timeoutMs, added));
     }
 
     void startEdge(std::size_t index)
@@ -296,6 +310,7 @@
         return text.str();
     }
 
+    std::vector<std::string> addedRoutes; ///< Prefixes that the next configuration adds.
     MachineLock lock;
     TemporaryFolder folder;
     std::string storeAddress = freeAddress();
