Log every stream that is given up: after which event, with how many bytes unsent

What the logs showed: stream_broken in one of the six ways in which a stream is given up, stream_expired in another, nothing in the rest; no line said what the caller had by then.

All ways now end in RequestFlow::breakStream(), which writes stream_broken with the error, the server, the events, the id of the last one, the bytes that were passed on, those not yet written and those dropped as an incomplete event, and counts balsamport_edge_broken_streams_total by error. stream_expired stays.

unit-metrics and unit-http pass.

--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -53,6 +53,9 @@
                                  "Answers of the edge daemon by outcome"};
 constexpr MetricInfo edgeFailures{"balsamport_edge_failures_total", MetricKind::Counter, "error",
                                   "Requests that the edge daemon refused or failed, by error"};
+constexpr MetricInfo edgeBrokenStreams{"balsamport_edge_broken_streams_total", MetricKind::Counter,
+                                       "error",
+                                       "Streams that ended before their last event, by error"};
 constexpr MetricInfo edgeFirstPiece{"balsamport_edge_first_piece_seconds", MetricKind::Summary,
                                     "route", "From a request's arrival to its first piece"};
 constexpr MetricInfo edgeWait{"balsamport_edge_wait_seconds", MetricKind::Summary, "",
@@ -129,6 +132,7 @@
         connections,
         edgeAnswers,
         edgeFailures,
+        edgeBrokenStreams,
         edgeFirstPiece,
         edgeWait,
         edgeRetries,
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -274,12 +274,17 @@
 {
     const std::size_t bytes = text.size();
     sent->unwrittenBytes += bytes;
-    this->writer->write(std::move(text), [sent, bytes, &http = this->context.edge.http] {
-        sent->unwrittenBytes -= std::min(bytes, sent->unwrittenBytes.load());
-        if (sent->paused.exchange(false)) {
-            http.resume(sent->exchange);
-        }
-    });
+    this->streamBytes += bytes;
+    *this->unsentBytes += bytes;
+    const auto onWritten
+            = [sent, bytes, unsent = this->unsentBytes, &http = this->context.edge.http] {
+                  *unsent -= bytes;
+                  sent->unwrittenBytes -= std::min(bytes, sent->unwrittenBytes.load());
+                  if (sent->paused.exchange(false)) {
+                      http.resume(sent->exchange);
+                  }
+              };
+    this->writer->write(std::move(text), onWritten);
 }
 
 void RequestFlow::handleEnd(const std::shared_ptr<Attempt> &sent, const Result<void> &result)
@@ -331,12 +336,7 @@
     }
     if (!httpstatus::isSuccess(sent->response.status) || !this->splitter.pending.empty()) {
         // Another server refused to resume the stream, or the last event is incomplete.
-        this->writer->abort();
-        this->context.edge.log.write(EventPriority::Notable, "stream_broken",
-                                     {{"request", this->request.id.str()},
-                                      {"server", sent->server.str()},
-                                      {"status", sent->response.status}});
-        this->end();
+        this->breakStream(ErrorCode::AnswerIncomplete, sent->server, sent->response.status);
         return;
     }
     this->writer->finish();
@@ -400,8 +400,7 @@
     this->endAttempt(sent, GrantEvent::NotReady);
     if (this->sendCount >= maxSendCount || !this->tryTakeRetry("not_run")) {
         if (this->streamStarted) {
-            this->writer->abort();
-            this->end();
+            this->breakStream(ErrorCode::Overloaded, sent->server, sent->response.status);
         } else {
             this->refuse(ErrorCode::Overloaded, defaultRetryAfter);
         }
@@ -498,8 +497,7 @@
         return;
     }
     if (this->streamStarted) {
-        this->writer->abort();
-        this->end();
+        this->breakStream(code, sent->server, sent->response.status);
     } else if (notSent) {
         this->refuse(ErrorCode::NoBackendServer, defaultRetryAfter);
     } else {
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -237,10 +237,9 @@
     }
     this->cancelUnfinished();
     if (this->streamStarted) {
-        this->writer->abort();
         this->context.edge.log.write(EventPriority::Notable, "stream_expired",
                                      {{"request", this->request.id.str()}});
-        this->end();
+        this->breakStream(ErrorCode::DeadlineExceeded, {}, 0);
     } else if (this->possibleRuns > 0) {
         this->fail(httpstatus::gatewayTimeout, ErrorCode::DeadlineExceeded);
     } else {
@@ -261,11 +260,32 @@
     this->end();
 }
 
+void RequestFlow::breakStream(ErrorCode code, const BackendServerId &server, int status)
+{
+    const std::uint64_t unsent = *this->unsentBytes;
+    this->writer->abort();
+    this->context.edge.metrics.counter(metric::edgeBrokenStreams, errorName(code)).add();
+    this->context.edge.log.write(EventPriority::Notable, "stream_broken",
+                                 {{"request", this->request.id.str()},
+                                  {"route", this->route.name},
+                                  {"adapter", this->request.adapter.str()},
+                                  {"server", server.str()},
+                                  {"status", status},
+                                  {"error", errorName(code)},
+                                  {"events", this->splitter.eventCount},
+                                  {"last_event", this->splitter.lastId},
+                                  {"bytes", this->streamBytes},
+                                  {"unsent_bytes", unsent},
+                                  {"dropped_bytes", this->splitter.pending.size()},
+                                  {"sends", this->sendCount},
+                                  {"took_ms", monotonicNow() - this->arrivedAt}});
+    this->end();
+}
+
 void RequestFlow::refuse(ErrorCode code, Millis retryAfter)
 {
     if (this->streamStarted) {
-        this->writer->abort();
-        this->end();
+        this->breakStream(code, {}, 0);
         return;
     }
     if (this->possibleRuns > 0) {
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -132,6 +132,10 @@
     void cancelUnfinished();
     void handleDeadline();
     void handleCallerDisconnect();
+    /// Ends a stream that has begun and cannot be completed, and logs what the caller has of it.
+    /// @param server the last one that the request was sent to; empty for none
+    /// @param status of that server's response; 0 for none
+    void breakStream(ErrorCode code, const BackendServerId &server, int status);
     void refuse(ErrorCode code, Millis retryAfter);
     void fail(int status, ErrorCode code);
     void respond(HttpResponse response, std::string_view outcome, ErrorCode code);
@@ -165,6 +169,11 @@
     std::optional<Millis> permitExpectedIn; ///< Shortest wait for a permit that wasn't issued.
     Millis retryAfterHint{0}; ///< Longest wait reported by owners that redirected this request.
     bool streamStarted = false;
+    std::uint64_t streamBytes = 0; ///< Of the complete events that were passed to the writer.
+    /// Of these bytes, the ones that were not yet written to the caller's connection. Shared with
+    /// the network threads, which may outlive this request.
+    std::shared_ptr<std::atomic<std::uint64_t>> unsentBytes
+            = std::make_shared<std::atomic<std::uint64_t>>(0);
     Millis firstChunkAt{0};
     Millis lastChunkAt{0};
     Millis longestTokenGap{0};
