End a broken stream with its connection, after the bytes that were written and no byte more

Cause: a stream was given up by a chunk whose header announces 1 MiB and that has no data; RESTinio's done() then adds the end of a chunked response, 7 bytes that lie where the caller reads the chunk's data. The sign of failure travelled in the channel of the data.

Change: a response builder of our own (StreamOutput), which frames the chunks and can close the connection in place of the last chunk, once all chunks before are written.

--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Size that the header of the last chunk of a broken response announces; the chunk has no data.
-constexpr std::size_t missingChunkBytes = 1024 * 1024;
-
 /// Smallest number of writers of closed connections at which expired ones are removed. The
 /// threshold is then set to twice the number that remains, so that removal is cheap on average.
 constexpr std::size_t minPurgeThreshold = 64;
@@ -33,25 +30,6 @@
     return findHeader(HttpHeaders{header}, "Connection") == "close";
 }
 
-/// A chunk whose header announces more bytes than it has, so that the response is not taken for a
-/// complete one.
-///
-/// RESTinio reads the size once to check that the chunk is not empty and once for the chunk's
-/// header; later reads are for the data.
-class TruncatedChunk
-{
-public:
-    [[nodiscard]] const char *data() const noexcept { return ""; }
-    [[nodiscard]] std::size_t size() const noexcept
-    {
-        constexpr int readsForHeader = 2;
-        return this->reads++ < readsForHeader ? missingChunkBytes : 0;
-    }
-
-private:
-    mutable int reads = 0;
-};
-
 } // namespace
 
 RestinioWriter::RestinioWriter(restinio::request_handle_t handle)
@@ -90,21 +68,19 @@
     }
     this->responseStarted = true;
     this->stream = std::make_unique<Stream>(
-            this->request->create_response<restinio::chunked_output_t>(statusLine(status)));
+            this->request->create_response<StreamOutput>(statusLine(status)));
     for (const HttpHeader &header : headers) {
         this->stream->append_header(header.name, header.value);
     }
-    this->stream->connection_close();
-    this->stream->flush();
+    this->stream->start();
 }
 
 void RestinioWriter::write(std::string chunk, std::function<void()> onWritten)
 {
     {
         const std::lock_guard lock(this->mutex);
-        if (this->stream && !this->disconnected) {
-            this->stream->append_chunk(std::move(chunk));
-            this->stream->flush([callback = std::move(onWritten)](const auto & /*error*/) {
+        if (this->stream && !this->disconnected && !chunk.empty()) {
+            this->stream->write(std::move(chunk), [callback = std::move(onWritten)](const auto &) {
                 if (callback) {
                     callback();
                 }
@@ -121,7 +97,7 @@
 {
     const std::lock_guard lock(this->mutex);
     if (this->stream) {
-        this->stream->done();
+        this->stream->finish();
         this->stream.reset();
     }
 }
@@ -135,8 +111,7 @@
 {
     const std::lock_guard lock(this->mutex);
     if (this->stream) {
-        this->stream->append_chunk(restinio::writable_item_t{std::make_shared<TruncatedChunk>()});
-        this->stream->done();
+        this->stream->breakOff();
         this->stream.reset();
     } else if (!this->responseStarted && this->request) {
         this->responseStarted = true;
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -1,6 +1,8 @@
 #ifndef BALSAMPORT_HTTP_RESPONSE_WRITER_H
 #define BALSAMPORT_HTTP_RESPONSE_WRITER_H
 
+#include "stream_output.h"
+
 #include <balsamport/http/http_server.h>
 
 #include <restinio/all.hpp>
@@ -38,7 +40,7 @@
     void detach();
 
 private:
-    using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
+    using Stream = restinio::response_builder_t<StreamOutput>;
 
     void breakResponse();
 
--- /dev/null
+++ b/tests/src/unit-broken-response.cpp
@@ -0,0 +1,158 @@
+// Guards against bytes that no handler wrote: callers of a stream that was given up were handed the
+// end of its chunked response as data. Guards also against data that is lost, or an end that looks
+// complete, when a response is given up.
+
+#include <balsamport/http/http_server.h>
+
+#include <certificate_files.h>
+#include <raw_caller.h>
+
+#include <asio/ssl.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <vector>
+
+using namespace balsamport;
+using namespace balsamport::testing;
+
+namespace {
+
+const std::string listenAddress = "127.0.0.1:18485";
+constexpr int largeChunkCount = 800;
+
+std::string largeChunk(int number)
+{
+    constexpr std::size_t fillBytes = 1'000;
+    return "data: " + std::to_string(number) + std::string(fillBytes, 'x') + "\n\n";
+}
+
+std::string largeBody()
+{
+    std::string body;
+    for (int i = 0; i < largeChunkCount; ++i) {
+        body += largeChunk(i);
+    }
+    return body;
+}
+
+void handleRequest(const IncomingRequest &request, const std::shared_ptr<ResponseWriter> &writer,
+                   std::atomic<int> &written)
+{
+    if (request.path == "/error") {
+        writer->send(HttpResponse{503, {}, "overloaded"});
+        return;
+    }
+    writer->startStream(200, {{"Content-Type", "text/event-stream"}});
+    if (request.path == "/empty") {
+        writer->abort();
+    } else if (request.path == "/large") {
+        for (int i = 0; i < largeChunkCount; ++i) {
+            writer->write(largeChunk(i), [&written] { ++written; });
+        }
+        writer->abort();
+    } else if (request.path == "/whole") {
+        writer->write("data: one\n\n", {});
+        writer->write("", {}); // An empty chunk would end the response.
+        writer->write("data: two\n\n", {});
+        writer->finish();
+    } else if (request.path == "/destroyed") {
+        writer->write("data: one\n\n", {});
+    } else {
+        writer->write("data: one\n\n", {});
+        writer->abort();
+        writer->write("data: late\n\n", [&written] { ++written; });
+        writer->finish();
+    }
+}
+
+std::string get(const std::string &path, const std::string &version = "HTTP/1.1")
+{
+    return "GET " + path + " " + version + "\r\nHost: h\r\n\r\n";
+}
+
+void requireBroken(const RawResponse &response, const std::string &body)
+{
+    CAPTURE(response.head, response.body.size());
+    REQUIRE(response.status == 200);
+    REQUIRE(response.body == body);
+    REQUIRE_FALSE(response.complete);
+    REQUIRE_FALSE(response.malformed);
+    REQUIRE(response.surplus.empty());
+    REQUIRE(response.end == RawResponse::End::Closed);
+}
+
+} // namespace
+
+TEST_CASE("a response that is given up ends after the bytes that its handler wrote")
+{
+    std::atomic<int> written{0};
+    HttpServerSettings settings;
+    settings.address = listenAddress;
+    const auto server
+            = HttpServer::start(settings, [&written](const auto &request, const auto &writer) {
+                  handleRequest(*request, writer, written);
+              }).value();
+    RawReading byByte;
+    byByte.bytesAtOnce = 1;
+
+    SECTION("for a caller that reads as it likes")
+    {
+        for (const RawReading &reading : {RawReading{}, byByte}) {
+            requireBroken(callRaw(listenAddress, get("/aborted"), reading), "data: one\n\n");
+            requireBroken(callRaw(listenAddress, get("/destroyed"), reading), "data: one\n\n");
+            requireBroken(callRaw(listenAddress, get("/empty"), reading), "");
+        }
+        REQUIRE(written == 2); // Writes after the end are dropped.
+    }
+
+    SECTION("for a slow caller: all that was written arrives")
+    {
+        RawReading slowly;
+        slowly.bytesAtOnce = 2'048;
+        slowly.pause = Millis(1);
+        slowly.receiveBufferBytes = 4'096;
+        requireBroken(callRaw(listenAddress, get("/large"), slowly), largeBody());
+        REQUIRE(written == largeChunkCount);
+    }
+
+    SECTION("but a stream that is finished is complete")
+    {
+        const RawResponse response = callRaw(listenAddress, get("/whole"));
+        REQUIRE(response.complete);
+        REQUIRE(response.body == "data: one\n\ndata: two\n\n");
+        REQUIRE(response.surplus.empty());
+        REQUIRE(response.end == RawResponse::End::Closed);
+    }
+}
+
+TEST_CASE("a response that is given up with TLS ends after the bytes that its handler wrote")
+{
+    const CertificateFiles files("broken-response", daySeconds);
+    std::atomic<int> written{0};
+    HttpServerSettings settings;
+    settings.address = listenAddress;
+    settings.tlsCertificateFile = files.certificate;
+    settings.tlsKeyFile = files.key;
+    const auto server
+            = HttpServer::start(settings, [&written](const auto &request, const auto &writer) {
+                  handleRequest(*request, writer, written);
+              }).value();
+    asio::io_context context;
+    asio::ssl::context tls(asio::ssl::context::tls_client);
+    for (const char *path : {"/aborted", "/large", "/destroyed", "/empty"}) {
+        asio::ssl::stream<asio::ip::tcp::socket> stream(context, tls);
+        constexpr std::uint16_t port = 18'485;
+        stream.lowest_layer().connect({asio::ip::address_v4::loopback(), port});
+        stream.handshake(asio::ssl::stream_base::client);
+        asio::write(stream, asio::buffer(get(path)));
+        const RawResponse response = readRawResponse(stream, {});
+        CAPTURE(path);
+        const bool isSmall = std::string(path) == "/aborted" || std::string(path) == "/destroyed";
+        requireBroken(response,
+                      std::string(path) == "/large" ? largeBody()
+                              : isSmall             ? "data: one\n\n"
+                                                    : "");
+    }
+}
