Continue a resumed stream only with a sealed response of the same kind

What callers would see: the body of a 200 without a seal, or of one that is no stream of events, in the middle of their stream; where it ended in a blank line, the stream looked complete.

Cause: once a stream had begun, handleBody() asked only for a success status.

Change: handleHead() decides for each attempt whether its body continues the stream: the response is valid and has the media type of the one that began the stream. Any other success is a BadResponse, which is retried where the route allows it, or breaks the stream.

Evidence: e2e-broken-streams, sections without-seal and blank-json, failed before (their bodies were passed on) and pass now.

--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -159,12 +159,19 @@
         this->context.edge.http.cancel(sent->exchange);
         return;
     }
-    const bool isStream = this->route.streaming && httpstatus::isSuccess(sent->response.status)
-            && sent->response.valid && !sent->response.didNotRun;
-    if (isStream && !this->streamStarted) {
+    const bool isSuccess
+            = httpstatus::isSuccess(sent->response.status) && !sent->response.didNotRun;
+    if (!this->route.streaming || !isSuccess || !sent->response.valid) {
+        return;
+    }
+    const auto mediaType = findHeader(sent->response.headers, "Content-Type");
+    if (!this->streamStarted) {
         this->streamStarted = true;
+        this->streamMediaType = mediaType;
         this->writer->startStream(sent->response.status, sent->response.headers);
     }
+    // A resumed stream is continued only by a response of the same kind as the one that began it.
+    sent->forwardsEvents = mediaType == this->streamMediaType;
 }
 
 void RequestFlow::applyAvailability(const Attempt &sent)
@@ -207,9 +214,7 @@
     if (this->ended || sent != this->attempt || sent->invalidResponse) {
         return;
     }
-    const bool isStream = this->streamStarted && httpstatus::isSuccess(sent->response.status)
-            && !sent->response.didNotRun;
-    if (!isStream) {
+    if (!sent->forwardsEvents) {
         sent->unwrittenBytes -= std::min(chunk.size(), sent->unwrittenBytes.load());
         this->resumeIfPaused(*sent);
         if (sent->body.size() + chunk.size() > maxResponseBytes) {
@@ -304,7 +309,9 @@
         this->handleFailure(sent, result.error().code);
         return;
     }
-    if (sent->response.status == 0 || !sent->response.valid) {
+    const bool isSuccess = httpstatus::isSuccess(sent->response.status);
+    if (sent->response.status == 0 || !sent->response.valid
+        || (this->streamStarted && isSuccess && !sent->forwardsEvents)) {
         this->handleFailure(sent, ErrorCode::BadResponse);
         return;
     }
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -64,6 +64,7 @@
         std::atomic<bool> abandoned{false};
         std::atomic<std::size_t> unwrittenBytes{0}; ///< Received, but not yet sent to the caller.
         std::atomic<bool> paused{false};
+        bool forwardsEvents = false; ///< Its body is the stream that the caller receives.
         bool started = false; ///< A chunk of the stream was forwarded.
         bool complete = false; ///< The response was a success and is complete.
         bool invalidResponse = false; ///< It belongs to another request, or is too large.
@@ -169,6 +170,7 @@
     std::optional<Millis> permitExpectedIn; ///< Shortest wait for a permit that wasn't issued.
     Millis retryAfterHint{0}; ///< Longest wait reported by owners that redirected this request.
     bool streamStarted = false;
+    std::optional<std::string> streamMediaType; ///< Content-Type of the response that began it.
     std::uint64_t streamBytes = 0; ///< Of the complete events that were passed to the writer.
     /// Of these bytes, the ones that were not yet written to the caller's connection. Shared with
     /// the network threads, which may outlive this request.
