Continue a resumed stream only after its last event

What callers would see: events twice, and a stream that looks complete, where the server of a resumed stream starts again at the first event; the same where the events so far have no ids, because a resumed run cannot be asked for what follows them.

Cause: events were passed on whatever their ids were, and a stream was resumed with whatever id came last, or none.

Change: the splitter drops an event whose id does not follow the one before, and all after it; the response is then a BadResponse. A stream is resumed only if the last event that the caller has bears an id. Comments, such as keep-alives, count as no event.

--- a/include/balsamport/edge/event_splitter.h
+++ b/include/balsamport/edge/event_splitter.h
@@ -16,6 +16,8 @@
     std::string pending; ///< The beginning of an incomplete event.
     std::string lastId; ///< Of the last complete event that has one.
     std::uint32_t eventCount = 0; ///< Complete events so far.
+    bool lastEventHasId = false;
+    bool outOfOrder = false; ///< An event repeated an id or had a lower one than the event before.
 
     bool operator==(const EventSplitter &) const = default;
 };
@@ -29,7 +31,16 @@
     return splitter.pending.size() > maxEventBytes;
 }
 
+/// @return true if a server can be asked for the events after the last complete one
+[[nodiscard]] inline bool isResumable(const EventSplitter &splitter) noexcept
+{
+    return splitter.eventCount == 0 || splitter.lastEventHasId;
+}
+
 /// @brief Appends a chunk of the stream and removes the complete events.
+///
+/// An event whose id is not greater than the one before sets `outOfOrder`; it and the events after
+/// it are dropped. Ids that are not decimal numbers are only compared for equality.
 /// @return the events that are now complete; empty if there is none
 /// @complexity linear in the chunk, and in the pending bytes if an event is complete
 [[nodiscard]] std::string splitEvents(EventSplitter &splitter, std::string_view chunk);
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -227,10 +227,9 @@
     }
     std::string events = splitEvents(this->splitter, chunk);
     sent->unwrittenBytes -= std::min(chunk.size(), sent->unwrittenBytes.load());
-    if (isOverlong(this->splitter)) {
-        sent->invalidResponse = true; // An event without an end is not a valid response.
+    if (isOverlong(this->splitter) || this->splitter.outOfOrder) {
+        sent->invalidResponse = true;
         this->context.edge.http.cancel(sent->exchange);
-        return;
     }
     if (events.empty()) {
         this->resumeIfPaused(*sent);
@@ -420,8 +419,8 @@
 {
     const bool repeatable = this->route.repeatability == Repeatability::Idempotent
             || (this->route.streaming && this->route.resumable);
-    return repeatable && this->possibleRuns < this->route.maxAttempts
-            && this->sendCount < maxSendCount
+    return repeatable && (!this->streamStarted || isResumable(this->splitter))
+            && this->possibleRuns < this->route.maxAttempts && this->sendCount < maxSendCount
             && timeUntil(this->deadlineAt, monotonicNow()) > minUsefulTime;
 }
 
@@ -442,6 +441,7 @@
 void RequestFlow::retry()
 {
     this->splitter.pending.clear();
+    this->splitter.outOfOrder = false;
     if (this->waitIfUnderJudgement()) {
         return;
     }
--- a/tests/e2e/e2e-broken-streams.cpp
+++ b/tests/e2e/e2e-broken-streams.cpp
@@ -94,7 +94,11 @@
         connection.close();
         return;
     }
-    connection.write(sealedHead(id) + chunkedField + chunk(eventsOf(id, 1, eventsBeforeBreak)));
+    if (has("/without-ids")) {
+        connection.write(sealedHead(id) + chunkedField + chunk("data: one\n\ndata: two\n\n"));
+    } else {
+        connection.write(sealedHead(id) + chunkedField + chunk(eventsOf(id, 1, eventsBeforeBreak)));
+    }
     if (has("/inside")) {
         connection.write(chunk(half));
     } else if (has("/overlong")) {
@@ -321,4 +325,11 @@
             CHECK(response.body == eventsOf(world.lastId, 1, eventsBeforeBreak));
         }
     }
+
+    SECTION("it breaks where the caller has events without ids, which a server would repeat")
+    {
+        const RawResponse response = world.call("/again/without-ids");
+        requireBroken(response, "data: one\n\ndata: two\n\n");
+        CHECK(response.body == "data: one\n\ndata: two\n\n");
+    }
 }
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -874,6 +874,50 @@
     REQUIRE(splitter.lastId == "3");
     REQUIRE(splitter.eventCount == 3);
 
+    SECTION("an event that repeats an id, or has a lower one, is dropped with all after it")
+    {
+        REQUIRE(splitEvents(splitter, "id: 4\n\nid: 4\ndata: again\n\nid: 5\n\n") == "id: 4\n\n");
+        REQUIRE(splitter.outOfOrder);
+        REQUIRE(splitter.lastId == "4");
+        REQUIRE(splitter.eventCount == 4);
+        EventSplitter other;
+        REQUIRE(splitEvents(other, "id: 10\n\nid: 9\n\n") == "id: 10\n\n");
+        REQUIRE(other.outOfOrder);
+    }
+
+    SECTION("ids are compared as numbers where they are numbers, and may leave gaps")
+    {
+        EventSplitter other;
+        REQUIRE(splitEvents(other, "id: 9\n\nid: 10\n\nid: 12\n\n").size() == 23);
+        REQUIRE(splitEvents(other, "id: b\n\nid: a\n\n").size() == 14);
+        REQUIRE_FALSE(other.outOfOrder);
+        REQUIRE(splitEvents(other, "id: a\n\n").empty());
+        REQUIRE(other.outOfOrder);
+    }
+
+    SECTION("a stream can be resumed after an event with an id, wherever the id stands in it")
+    {
+        EventSplitter other;
+        REQUIRE(isResumable(other));
+        REQUIRE_FALSE(splitEvents(other, ": keep-alive\n\n").empty());
+        REQUIRE(isResumable(other));
+        REQUIRE_FALSE(
+                splitEvents(other, "x-version: 2\nid: 1\ndata: a\n\n: keep-alive\n\n").empty());
+        REQUIRE(isResumable(other));
+        REQUIRE(other.lastId == "1");
+        REQUIRE_FALSE(splitEvents(other, "data: without\n\n: keep-alive\n\n").empty());
+        REQUIRE_FALSE(isResumable(other));
+        REQUIRE_FALSE(splitEvents(other, "id: 2\n\n").empty());
+        REQUIRE(isResumable(other));
+    }
+
+    SECTION("further blank lines are passed on and are no events")
+    {
+        REQUIRE(splitEvents(splitter, "id: 4\n\n\n") == "id: 4\n\n\n");
+        REQUIRE(splitter.eventCount == 4);
+        REQUIRE_FALSE(splitter.outOfOrder);
+    }
+
     SECTION("an event without an end is reported as overlong")
     {
         const std::string chunk(16 * 1024, 'x');
