Send callers of HTTP/1.0 a stream with its length, or 502 where it breaks off

What callers of HTTP/1.0 saw: the headers of chunks in the body, and no way to tell a part of a stream from the whole.

Cause: streams are always chunked; HTTP/1.0 has no chunks.

Change: the writer collects the stream, at most 8 MiB, and sends it with its length once it is finished; where it is given up, the caller gets 502. RESTinio does not pass on the version of a request, so a caller of HTTP/1.0 is recognised by a connection that is not kept although no header field asks for that; one that sends a Connection field still gets chunks.

--- a/include/balsamport/http/http_server.h
+++ b/include/balsamport/http/http_server.h
@@ -38,7 +38,8 @@
     /// effect.
     virtual void send(const HttpResponse &response) = 0;
 
-    /// @brief Starts a chunked response.
+    /// @brief Starts a chunked response. A caller of HTTP/1.0 gets it with its length once it is
+    /// complete, or status 502.
     virtual void startStream(int status, const HttpHeaders &headers) = 0;
 
     /// @brief Sends a chunk of a stream.
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Largest stream that is collected for a caller of HTTP/1.0.
+constexpr std::size_t maxCollectedBytes = 8 * 1024 * 1024;
+
 /// Smallest number of writers of closed connections at which expired ones are removed. The
 /// threshold is then set to twice the number that remains, so that removal is cheap on average.
 constexpr std::size_t minPurgeThreshold = 64;
@@ -30,6 +33,15 @@
     return findHeader(HttpHeaders{header}, "Connection") == "close";
 }
 
+/// @return false for a caller of HTTP/1.0, which knows no chunked responses
+///
+/// RESTinio does not pass on the version of a request: one of HTTP/1.0 shows by a connection that
+/// is not kept although no header field asks for that.
+bool knowsChunks(const restinio::http_request_header_t &header)
+{
+    return header.should_keep_alive() || header.has_field("Connection");
+}
+
 } // namespace
 
 RestinioWriter::RestinioWriter(restinio::request_handle_t handle)
@@ -47,6 +59,11 @@
     if (this->responseStarted || !this->request) {
         return;
     }
+    this->sendLocked(response);
+}
+
+void RestinioWriter::sendLocked(const HttpResponse &response)
+{
     this->responseStarted = true;
     auto builder = this->request->create_response(statusLine(response.status));
     for (const HttpHeader &header : response.headers) {
@@ -67,6 +84,10 @@
         return;
     }
     this->responseStarted = true;
+    if (!knowsChunks(this->request->header())) {
+        this->collected = HttpResponse{status, headers, {}};
+        return;
+    }
     this->stream = std::make_unique<Stream>(
             this->request->create_response<StreamOutput>(statusLine(status)));
     for (const HttpHeader &header : headers) {
@@ -87,6 +108,11 @@
             });
             return;
         }
+        if (this->collected && this->collected->body.size() + chunk.size() > maxCollectedBytes) {
+            this->breakLocked();
+        } else if (this->collected) {
+            this->collected->body += chunk;
+        }
     }
     if (onWritten) {
         onWritten();
@@ -99,6 +125,8 @@
     if (this->stream) {
         this->stream->finish();
         this->stream.reset();
+    } else if (this->collected) {
+        this->sendLocked(*std::exchange(this->collected, std::nullopt));
     }
 }
 
@@ -110,9 +138,17 @@
 void RestinioWriter::breakResponse()
 {
     const std::lock_guard lock(this->mutex);
+    this->breakLocked();
+}
+
+void RestinioWriter::breakLocked()
+{
     if (this->stream) {
         this->stream->breakOff();
         this->stream.reset();
+    } else if (this->collected) {
+        this->collected.reset();
+        this->sendLocked(HttpResponse{httpstatus::badGateway, {{"Connection", "close"}}, {}});
     } else if (!this->responseStarted && this->request) {
         this->responseStarted = true;
         this->request->create_response(statusLine(httpstatus::internalError))
@@ -153,6 +189,7 @@
     this->disconnected = true;
     dropped.swap(this->disconnectCallback);
     this->stream.reset();
+    this->collected.reset();
     this->request.reset();
 }
 
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -43,10 +44,16 @@
     using Stream = restinio::response_builder_t<StreamOutput>;
 
     void breakResponse();
+    // The mutex must be locked.
+    void sendLocked(const HttpResponse &response);
+    void breakLocked();
 
     std::mutex mutex;
     restinio::request_handle_t request; ///< Guarded by mutex. Null once detached.
     std::unique_ptr<Stream> stream; ///< Guarded by mutex.
+    /// A stream for a caller of HTTP/1.0, which knows no chunks: sent with its length once it is
+    /// complete. Guarded by mutex.
+    std::optional<HttpResponse> collected;
     std::function<void()> disconnectCallback; ///< Guarded by mutex.
     bool responseStarted = false; ///< Guarded by mutex.
     std::atomic<bool> disconnected{false};
--- a/tests/src/unit-broken-response.cpp
+++ b/tests/src/unit-broken-response.cpp
@@ -117,6 +117,27 @@
         REQUIRE(written == largeChunkCount);
     }
 
+    SECTION("for a caller of HTTP/1.0, which knows no chunks, as an error")
+    {
+        for (const char *path : {"/aborted", "/destroyed", "/empty", "/large"}) {
+            const RawResponse response = callRaw(listenAddress, get(path, "HTTP/1.0"));
+            CAPTURE(path);
+            REQUIRE(response.status == 502);
+            REQUIRE(response.complete);
+            REQUIRE(response.body.empty());
+        }
+
+        SECTION("while a whole stream comes with its length")
+        {
+            const RawResponse response = callRaw(listenAddress, get("/whole", "HTTP/1.0"));
+            REQUIRE(response.status == 200);
+            REQUIRE_FALSE(response.chunked);
+            REQUIRE(response.complete);
+            REQUIRE(response.body == "data: one\n\ndata: two\n\n");
+            REQUIRE(response.head.find("Content-Type: text/event-stream") != std::string::npos);
+        }
+    }
+
     SECTION("but a stream that is finished is complete")
     {
         const RawResponse response = callRaw(listenAddress, get("/whole"));
