Close a connection without discarding the response bytes that the kernel has not sent

Cause: RESTinio closes a socket with unread bytes, and the kernel then resets the connection and discards what it has not sent.

Change: the plain server's socket ends its sending side only while bytes are unsent, and discards what arrives until the caller closes too, at most 2 s or 1 MiB. Connections without unsent bytes are closed as before, so that a request that crosses the close still counts as not read. TLS connections are closed as before.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include <balsamport/http/http_server.h>
 
+#include "lingering_socket.h"
 #include "server_runner.h"
 
 #include <charconv>
@@ -42,8 +43,11 @@
 
 std::unique_ptr<ServerRunner> runPlainServer(const RunnerSettings &settings)
 {
-    using Traits = ServerTraits<
-            restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>>;
+    struct Traits
+        : ServerTraits<restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>>
+    {
+        using stream_socket_t = LingeringSocket;
+    };
     return runServer<Traits>(serverSettings<Traits>(settings), settings);
 }
 
--- a/tests/src/unit-broken-response.cpp
+++ b/tests/src/unit-broken-response.cpp
@@ -117,6 +117,19 @@
         REQUIRE(written == largeChunkCount);
     }
 
+    SECTION("for a caller that sends more requests meanwhile: all that was written arrives")
+    {
+        RawReading slowly;
+        slowly.bytesAtOnce = 2'048;
+        slowly.pause = Millis(1);
+        slowly.receiveBufferBytes = 4'096;
+        std::string requests = get("/large");
+        for (int i = 0; i < 5'000; ++i) {
+            requests += get("/error");
+        }
+        requireBroken(callRaw(listenAddress, requests, slowly), largeBody());
+    }
+
     SECTION("for a caller of HTTP/1.0, which knows no chunks, as an error")
     {
         for (const char *path : {"/aborted", "/destroyed", "/empty", "/large"}) {
