Send no body with the response to a HEAD request

What a caller would see on a kept connection: the text of an error after the head of a response to HEAD, where the next response is due.

Cause: the writer sent each body, whatever the method; RESTinio leaves that to the handler. The class is that of the broken streams: bytes that the caller reads as something else than they are.

Change: the writer sends the length without the body; a stream is collected for its length.

Evidence: unit-broken-response, the section on the head alone, failed before and passes now.

--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -33,6 +33,23 @@
     return findHeader(HttpHeaders{header}, "Connection") == "close";
 }
 
+template<typename Builder>
+void addHeaders(Builder &builder, const HttpHeaders &headers)
+{
+    for (const HttpHeader &header : headers) {
+        if (isConnectionClose(header)) {
+            builder.connection_close();
+        } else {
+            builder.append_header(header.name, header.value);
+        }
+    }
+}
+
+bool isForHeadAlone(const restinio::http_request_header_t &header)
+{
+    return header.method() == restinio::http_method_head();
+}
+
 /// @return false for a caller of HTTP/1.0, which knows no chunked responses
 ///
 /// RESTinio does not pass on the version of a request: one of HTTP/1.0 shows by a connection that
@@ -65,14 +82,17 @@
 void RestinioWriter::sendLocked(const HttpResponse &response)
 {
     this->responseStarted = true;
-    auto builder = this->request->create_response(statusLine(response.status));
-    for (const HttpHeader &header : response.headers) {
-        if (isConnectionClose(header)) {
-            builder.connection_close();
-        } else {
-            builder.append_header(header.name, header.value);
-        }
+    if (isForHeadAlone(this->request->header())) {
+        // The response has the length of the body, but not the body.
+        auto builder = this->request->create_response<restinio::user_controlled_output_t>(
+                statusLine(response.status));
+        addHeaders(builder, response.headers);
+        builder.set_content_length(response.body.size());
+        builder.done();
+        return;
     }
+    auto builder = this->request->create_response(statusLine(response.status));
+    addHeaders(builder, response.headers);
     builder.set_body(response.body);
     builder.done();
 }
@@ -84,7 +104,7 @@
         return;
     }
     this->responseStarted = true;
-    if (!knowsChunks(this->request->header())) {
+    if (!knowsChunks(this->request->header()) || isForHeadAlone(this->request->header())) {
         this->collected = HttpResponse{status, headers, {}};
         return;
     }
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -51,8 +51,8 @@
     std::mutex mutex;
     restinio::request_handle_t request; ///< Guarded by mutex. Null once detached.
     std::unique_ptr<Stream> stream; ///< Guarded by mutex.
-    /// A stream for a caller of HTTP/1.0, which knows no chunks: sent with its length once it is
-    /// complete. Guarded by mutex.
+    /// A stream for a caller of HTTP/1.0, which knows no chunks, or for a HEAD request: sent with
+    /// its length once it is complete. Guarded by mutex.
     std::optional<HttpResponse> collected;
     std::function<void()> disconnectCallback; ///< Guarded by mutex.
     bool responseStarted = false; ///< Guarded by mutex.
--- a/tests/src/unit-broken-response.cpp
+++ b/tests/src/unit-broken-response.cpp
@@ -130,6 +130,26 @@
         requireBroken(callRaw(listenAddress, requests, slowly), largeBody());
     }
 
+    SECTION("for a request for the head alone: no body follows, which would begin the next "
+            "response")
+    {
+        RawReading briefly;
+        briefly.limit = Millis(300);
+        for (const char *path : {"/error", "/whole", "/aborted"}) {
+            const RawResponse response = callRaw(
+                    listenAddress, std::string("HEAD ") + path + " HTTP/1.1\r\nHost: h\r\n\r\n",
+                    briefly);
+            CAPTURE(path, response.head);
+            const bool isWhole = std::string(path) == "/whole";
+            const bool isError = std::string(path) == "/error";
+            REQUIRE(response.status == (isWhole ? 200 : isError ? 503 : 502));
+            REQUIRE((!isError
+                     || response.head.find("Content-Length: 10\r\n") != std::string::npos));
+            REQUIRE(response.body.empty());
+            REQUIRE(response.surplus.empty());
+        }
+    }
+
     SECTION("for a caller of HTTP/1.0, which knows no chunks, as an error")
     {
         for (const char *path : {"/aborted", "/destroyed", "/empty", "/large"}) {
