Keep the files of an end-to-end test that fails

The folder of a failed test is now kept in the build folder under e2e-failed and its path is printed.

--- a/tests/e2e/process_fixture.h
+++ b/tests/e2e/process_fixture.h
@@ -9,10 +9,12 @@
 #include <chrono>
 #include <csignal>
 #include <cstdint>
+#include <exception>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <iostream>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,6 +53,9 @@
 }
 
 /// @brief A temporary folder, which the destructor removes with its contents.
+///
+/// A failed requirement ends a test by an exception: the folder is then kept in the build folder
+/// under e2e-failed, and its path is printed.
 class TemporaryFolder
 {
 public:
@@ -66,6 +71,14 @@
     ~TemporaryFolder()
     {
         std::error_code ignored;
+        if (std::uncaught_exceptions() > this->exceptionsBefore) {
+            const std::filesystem::path kept = std::filesystem::path(BALSAMPORT_BIN_DIR)
+                    / "e2e-failed" / this->folder.filename();
+            std::filesystem::create_directories(kept.parent_path(), ignored);
+            std::filesystem::copy(this->folder, kept, std::filesystem::copy_options::recursive,
+                                  ignored);
+            std::cerr << "The files of the failed test are in " << kept << '\n';
+        }
         std::filesystem::remove_all(this->folder, ignored);
     }
     TemporaryFolder(const TemporaryFolder &) = delete;
@@ -82,6 +95,7 @@
 
 private:
     std::filesystem::path folder;
+    int exceptionsBefore = std::uncaught_exceptions();
 };
 
 /// @brief Allows one fixture at a time on a machine, because all use the same ports.
