Show what callers get of a planned stop: requests that were passed on end without an answer

What callers saw: with a grace of 8 s, an unsafe request whose server needs longer than that was passed on before SIGTERM and 0.5 s after it, and its connection was closed at the end without a byte. So were requests that waited when SIGTERM came, for the first configuration or for an engine, and were passed on later. A request whose server broke off 2 s after SIGTERM was sent to a second one.

RawReading can end with a response that has its length, EdgeWorld can set the grace.

--- a/tests/e2e/edge_world.h
+++ b/tests/e2e/edge_world.h
@@ -194,10 +194,11 @@
                            fmt::format("node: \"{}\"\nip: \"127.0.0.1\"\nzone: \"{}\"\n"
                                        "zones: {{a: \"east\", b: \"west\"}}\n"
                                        "listen: {{front: \"{}\", ready: \"{}\", control: \"{}\"}}\n"
-                                       "seeds: [{}]\nbounds: {{lease_ms: 3000, grace_s: 8}}\n"
+                                       "seeds: [{}]\nbounds: {{lease_ms: 3000, grace_s: {}}}\n"
                                        "platform: {{address: \"{}\"}}\n",
                                        edge.name, edge.dataCentre, edge.front, edge.ready,
-                                       edge.control, seeds, this->storeLink->address()));
+                                       edge.control, seeds, this->graceSeconds,
+                                       this->storeLink->address()));
         edge.process = std::make_unique<Process>(
                 "balsamport-edge",
                 std::vector<std::string>{"--settings", (this->folder.path() / file).string()},
@@ -310,6 +311,7 @@
         return text.str();
     }
 
+    int graceSeconds = 8; ///< Of edge daemons that are started from then on.
     std::vector<std::string> addedRoutes; ///< Prefixes that the next configuration adds.
     MachineLock lock;
     TemporaryFolder folder;
--- a/tests/include/raw_caller.h
+++ b/tests/include/raw_caller.h
@@ -89,6 +89,8 @@
     Millis pause{0}; ///< Between two reads.
     int receiveBufferBytes = 0; ///< 0 for the default of the system.
     Millis limit{15'000}; ///< After which the caller stops reading.
+    bool untilComplete
+            = false; ///< Ends with a response that has its length, as on a kept connection.
 };
 
 /// @brief A response as it came over the wire.
@@ -168,6 +170,9 @@
             response.end = closed ? RawResponse::End::Closed : RawResponse::End::Reset;
             break;
         }
+        if (reading.untilComplete && hasLength && response.body.size() >= length) {
+            break;
+        }
         if (reading.pause > Millis(0)) {
             std::this_thread::sleep_for(std::chrono::milliseconds(reading.pause.count()));
         }
