Answer what is in progress before a stopping daemon ends

What callers saw: at the end of a planned stop, everything that was still in progress was closed without a byte, requests that may not be repeated among it.

Cause: the stop only waited, until a deadline that was a constant 0.7 s before the kill, and then left its loop.

Change: planStop() derives all times of a stop from the grace.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -28,11 +28,6 @@
 constexpr Millis pauseThreshold{1'200};
 /// Shortest interval between requests to peers for missing entries.
 constexpr Millis pullInterval{250};
-/// While draining: an open connection of a caller may carry another request within this time of the
-/// last one.
-constexpr Millis idleTime{400};
-/// Margin before the platform kills the process.
-constexpr Millis stopMargin{700};
 /// Interval between checks for the end of the requests in progress, while draining.
 constexpr Millis drainCheckInterval{50};
 
@@ -141,8 +136,6 @@
     Millis lastPullAt{-1};
     Millis lastRequestAt{0};
     Millis lastBusyAt{0}; ///< While draining: when a request was last in progress.
-    Millis stopDeadline;
-    Millis drainStartedAt;
     std::map<VmId, std::uint64_t> peerIncarnations; ///< Of the last message of each peer.
     std::atomic<bool> ready{false};
     std::unique_ptr<MessageServer> messageServer;
@@ -286,8 +279,9 @@
             sites.push_back(EngineSite{id, server.entry.dataCentre});
         }
     }
-    const OwnershipChange change = updateOwnership(this->ownership, this->ownershipTimings, sites,
-                                                   this->peers.table(), this->state.draining, now);
+    const OwnershipChange change
+            = updateOwnership(this->ownership, this->ownershipTimings, sites, this->peers.table(),
+                              this->state.stop.has_value(), now);
     for (const BackendServerId &server : change.released) {
         this->engines.release(server);
     }
@@ -396,7 +390,7 @@
         return;
     }
     this->state.config = std::make_shared<const EdgeConfig>(config);
-    this->ready = !this->state.draining;
+    this->ready = !this->state.stop;
     this->log.write(EventPriority::Vital, "config_in_force",
                     {{"version", config.version}, {"hosts", config.routesByHost.size()}});
     for (const auto &[id, server] : this->state.catalog.servers) {
@@ -568,10 +562,11 @@
 {
     const Millis now = monotonicNow();
     this->lastRequestAt = now;
-    if (this->state.draining && now - this->drainStartedAt > this->settings.balancerDrainTime) {
+    if (this->state.stop && now > this->state.stop->admitUntil) {
         // The request might outlive this process; any other daemon can accept it.
-        this->log.write(EventPriority::Notable, "refused",
-                        {{"reason", "stopping"}, {"stopping_ms", now - this->drainStartedAt}});
+        this->log.write(
+                EventPriority::Notable, "refused",
+                {{"reason", "stopping"}, {"stopping_ms", now - this->state.stop->startedAt}});
         writer->send(HttpResponse{httpstatus::unavailable,
                                   {{"Retry-After", "0.05"}, {"Connection", "close"}},
                                   std::string(errorName(ErrorCode::Leaving))});
@@ -587,7 +582,7 @@
     status.keptDigest = keptEntriesDigest(this->published.state());
     status.publishedAge = this->published.age(monotonicNow());
     status.storeReachable = this->published.storeReachable();
-    status.draining = this->state.draining;
+    status.draining = this->state.stop.has_value();
     status.inStartupGrace
             = isInStartupGrace(this->ownership, this->ownershipTimings, monotonicNow());
     status.owned = this->ownership.owned;
@@ -614,33 +609,40 @@
 
 void EdgeDaemon::Impl::startDrain()
 {
-    if (this->state.draining) {
+    if (this->state.stop) {
         return;
     }
-    this->state.draining = true;
+    const Millis now = monotonicNow();
+    this->state.stop
+            = planStop(this->settings.shutdownTimeout, this->settings.balancerDrainTime, now);
     this->ready = false;
-    this->drainStartedAt = monotonicNow();
-    this->stopDeadline = this->drainStartedAt + this->settings.shutdownTimeout - stopMargin;
     this->log.write(EventPriority::Vital, "stopping", {{"requests", this->flows.running.size()}});
-    this->updateEngines(this->drainStartedAt);
+    this->updateEngines(now);
     this->peers.broadcastStatus();
     this->awaitDrained();
 }
 
 void EdgeDaemon::Impl::awaitDrained()
 {
+    const StopPlan &plan = *this->state.stop;
     const Millis now = monotonicNow();
     if (!this->flows.running.empty()) {
         this->lastBusyAt = now;
     }
+    // A copy, because requests that end are removed from the set.
+    const auto running = this->flows.running;
+    for (const std::shared_ptr<RequestFlow> &flow : running) {
+        if (now >= plan.answerAt) {
+            flow->endForStop();
+        }
+    }
     // The network threads may still be sending the last responses.
-    const bool idle = now - this->lastBusyAt > idleTime
-            && now - this->drainStartedAt > this->settings.balancerDrainTime
-            && now - this->lastRequestAt > idleTime;
-    if (idle || now > this->stopDeadline) {
-        this->log.write(EventPriority::Vital, "stop",
-                        {{"requests", this->flows.running.size()},
-                         {"took_ms", now - this->drainStartedAt}});
+    const bool idle = now - this->lastBusyAt > plan.idleTime && now > plan.admitUntil
+            && now - this->lastRequestAt > plan.idleTime;
+    if (idle || now > plan.exitAt) {
+        this->log.write(
+                EventPriority::Vital, "stop",
+                {{"requests", this->flows.running.size()}, {"took_ms", now - plan.startedAt}});
         this->loop.stop();
         return;
     }
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -1,6 +1,7 @@
 #ifndef BALSAMPORT_EDGE_EDGE_STATE_H
 #define BALSAMPORT_EDGE_EDGE_STATE_H
 
+#include <balsamport/edge/planned_stop.h>
 #include <balsamport/edge/server_availability.h>
 #include <balsamport/edge/server_catalog.h>
 #include <balsamport/edge/server_choice.h>
@@ -10,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace balsamport {
 
@@ -28,7 +30,7 @@
     std::map<std::string, Millis> longestTimeouts;
     std::map<ServiceId, SharedRetryBudget> retryBudgets;
     CrashEvidence crashEvidence;
-    bool draining = false; ///< This daemon is stopping.
+    std::optional<StopPlan> stop; ///< Set once this daemon is stopping.
 };
 
 } // namespace balsamport
--- a/src/edge/rate_limit_controller.cpp
+++ b/src/edge/rate_limit_controller.cpp
@@ -165,7 +165,8 @@
 PermitGroup &RateLimitController::groupOf(const DataCentreId &dataCentre, Millis now)
 {
     PermitGroup &group = this->groups[dataCentre];
-    updateMembers(group, permitMembers(this->peers.table(), dataCentre, this->state.draining, now),
+    updateMembers(group,
+                  permitMembers(this->peers.table(), dataCentre, this->state.stop.has_value(), now),
                   now);
     return group;
 }
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -247,6 +247,24 @@
     }
 }
 
+void RequestFlow::endForStop()
+{
+    if (this->ended) {
+        return;
+    }
+    const BackendServerId server = this->attempt ? this->attempt->server : BackendServerId();
+    const int status = this->attempt ? this->attempt->response.status : 0;
+    this->waitsForConfig = false;
+    this->cancelUnfinished();
+    if (this->streamStarted) {
+        this->breakStream(ErrorCode::Leaving, server, status);
+    } else if (this->possibleRuns > 0) {
+        this->fail(httpstatus::gatewayTimeout, ErrorCode::Leaving);
+    } else {
+        this->refuse(ErrorCode::Leaving, stopRetryAfter);
+    }
+}
+
 void RequestFlow::handleCallerDisconnect()
 {
     if (this->ended) {
@@ -318,7 +336,7 @@
     if (isOwnError) {
         this->context.edge.metrics.counter(metric::edgeFailures, errorName(code)).add();
     }
-    if (this->context.state.draining) {
+    if (this->context.state.stop) {
         response.headers.push_back({"Connection", "close"});
     }
     this->context.edge.log.write(isOwnError ? EventPriority::Notable : EventPriority::Routine,
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -50,6 +50,9 @@
     /// @brief Ends the request if a suspect of it was convicted, unless its response has begun.
     void handleConviction();
 
+    /// @brief Ends the request with its final response, because the daemon is about to end.
+    void endForStop();
+
 private:
     /// One attempt to run the request on a backend server, shared with the callbacks of its
     /// exchange.
--- a/src/edge/request_times.h
+++ b/src/edge/request_times.h
@@ -12,6 +12,9 @@
 /// Retry-After if no better estimate is known.
 constexpr Millis defaultRetryAfter{500};
 
+/// Retry-After while the daemon is stopping: any other daemon accepts the request at once.
+constexpr Millis stopRetryAfter{50};
+
 /// @return the remaining time until a moment; 0 once it has passed
 inline Millis timeUntil(Millis at, Millis now) noexcept
 {
