Pass on nothing in a planned stop that can't be expected to end in it

What callers saw: a stopping daemon passed on requests that came up to 2.5 s after SIGTERM, requests that waited for an engine or the first configuration, and repeats, although they could not end before the process did.

Cause: the stop looked at the time of arrival only, not at the time that a request needs.

Change: from SIGTERM on a request is sent to a server only if it can be expected to end before the final responses of the stop. That is checked on arrival, at each send, before each repeat, and every 50 ms for requests that wait. One without that much time is refused at once, with 503, a Retry-After of 50 ms and Connection: close, so that another daemon serves it; one that may have run gets 502 or 504, and a stream is broken off.

With fewer than 8 known, the deadline alone decides. Deadlines alone would refuse nearly all callers on kept connections from SIGTERM on, as most are longer than the grace while the responses take milliseconds. The few requests that then take longer than expected get the final response of the stop.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -632,9 +632,7 @@
     // A copy, because requests that end are removed from the set.
     const auto running = this->flows.running;
     for (const std::shared_ptr<RequestFlow> &flow : running) {
-        if (now >= plan.answerAt) {
-            flow->endForStop();
-        }
+        flow->applyStop(plan, now);
     }
     // The network threads may still be sending the last responses.
     const bool idle = now - this->lastBusyAt > plan.idleTime && now > plan.admitUntil
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -12,6 +12,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace balsamport {
 
@@ -30,6 +32,8 @@
     std::map<std::string, Millis> longestTimeouts;
     std::map<ServiceId, SharedRetryBudget> retryBudgets;
     CrashEvidence crashEvidence;
+    /// How long the complete responses of each route and service took.
+    std::map<std::pair<std::string, ServiceId>, RecentDurations> durations;
     std::optional<StopPlan> stop; ///< Set once this daemon is stopping.
 };
 
--- a/src/edge/planned_stop.cpp
+++ b/src/edge/planned_stop.cpp
@@ -18,6 +18,12 @@
 constexpr Millis maxIdleTime{400};
 /// Part of the grace that an idle daemon may spend waiting for that.
 constexpr std::int64_t idleTimeDivisor = 15;
+/// Requests after which their durations are an estimate: a seldom-used route has as many within
+/// minutes.
+constexpr std::size_t minDurations = 8;
+/// Part of the requests that end within the expected duration, in hundredths.
+constexpr std::size_t quantilePercent = 95;
+constexpr std::size_t percent = 100;
 
 } // namespace
 
@@ -33,4 +39,29 @@
     return plan;
 }
 
+bool canEndInTime(const StopPlan &plan, std::optional<Millis> expected, Millis deadlineAt,
+                  Millis now) noexcept
+{
+    const Millis endAt = expected ? std::min(now + *expected, deadlineAt) : deadlineAt;
+    return endAt <= plan.answerAt;
+}
+
+void recordDuration(RecentDurations &durations, Millis duration) noexcept
+{
+    durations.ring[durations.recorded % RecentDurations::capacity] = duration;
+    ++durations.recorded;
+}
+
+std::optional<Millis> expectedDuration(const RecentDurations &durations)
+{
+    const std::size_t count = std::min(durations.recorded, RecentDurations::capacity);
+    if (count < minDurations) {
+        return std::nullopt;
+    }
+    std::array<Millis, RecentDurations::capacity> sorted = durations.ring;
+    const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(count);
+    std::sort(sorted.begin(), end);
+    return sorted[(count * quantilePercent + percent - 1) / percent - 1];
+}
+
 } // namespace balsamport
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -57,6 +57,12 @@
         return;
     }
     const Millis now = monotonicNow();
+    if (!this->canEndBeforeStop(now)) {
+        this->context.grants.sendUpdate(grantNumber,
+                                        GrantUpdate{GrantEvent::Cancelled, {}, std::nullopt});
+        this->refuse(ErrorCode::Leaving, stopRetryAfter);
+        return;
+    }
     const auto found = this->context.state.catalog.servers.find(server);
     auto sent = std::make_shared<Attempt>();
     sent->server = server;
@@ -329,6 +335,9 @@
     }
     sent->complete = httpstatus::isSuccess(sent->response.status);
     RequestTraits sound{this->traits.fingerprint, {}};
+    if (sent->complete) {
+        this->recordServerTime(*sent, monotonicNow());
+    }
     if (sent->complete && this->splitter.pending.empty()) {
         sound = this->traits;
     }
@@ -404,6 +413,10 @@
         this->failedServers.insert(sent->server);
     }
     this->endAttempt(sent, GrantEvent::NotReady);
+    if (!this->canEndBeforeStop(monotonicNow())) {
+        this->refuse(ErrorCode::Leaving, stopRetryAfter);
+        return;
+    }
     if (this->sendCount >= maxSendCount || !this->tryTakeRetry("not_run")) {
         if (this->streamStarted) {
             this->breakStream(ErrorCode::Overloaded, sent->server, sent->response.status);
@@ -417,11 +430,12 @@
 
 bool RequestFlow::mayRepeat() const
 {
+    const Millis now = monotonicNow();
     const bool repeatable = this->route.repeatability == Repeatability::Idempotent
             || (this->route.streaming && this->route.resumable);
     return repeatable && (!this->streamStarted || isResumable(this->splitter))
             && this->possibleRuns < this->route.maxAttempts && this->sendCount < maxSendCount
-            && timeUntil(this->deadlineAt, monotonicNow()) > minUsefulTime;
+            && timeUntil(this->deadlineAt, now) > minUsefulTime && this->canEndBeforeStop(now);
 }
 
 bool RequestFlow::tryTakeRetry(std::string_view reason)
@@ -497,6 +511,10 @@
             sent, code == ErrorCode::ConnectFailed ? GrantEvent::Unreachable : GrantEvent::Ended);
     const bool quarantined = this->brokenRuns >= maxBrokenRuns
             || convictedSuspect(this->context.state.crashEvidence, this->traits);
+    if (notSent && !this->canEndBeforeStop(now)) {
+        this->refuse(ErrorCode::Leaving, stopRetryAfter);
+        return;
+    }
     const bool mayRetry = !quarantined && (notSent || this->mayRepeat())
             && this->sendCount < maxSendCount && (!this->streamStarted || this->mayRepeat());
     if (mayRetry && this->tryTakeRetry(errorName(code))) {
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -54,6 +54,7 @@
         return;
     }
     const Millis timeout = this->request.timeout.value_or(defaultTimeout);
+    this->deadlineAt = this->arrivedAt + timeout;
     this->waitForConfig(
             std::min(timeUntil(this->context.state.startedAt + startupTime, this->arrivedAt),
                      timeout / configWaitDivisor));
@@ -83,6 +84,10 @@
     if (this->ended || !this->resolveRoute() || !this->admit()) {
         return;
     }
+    if (!this->canEndBeforeStop(monotonicNow())) {
+        this->refuse(ErrorCode::Leaving, stopRetryAfter);
+        return;
+    }
     this->timer->set(timeUntil(this->deadlineAt, monotonicNow()), [weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->handleDeadline();
@@ -235,6 +240,9 @@
     if (this->ended) {
         return;
     }
+    if (this->attempt) {
+        this->recordServerTime(*this->attempt, monotonicNow());
+    }
     this->cancelUnfinished();
     if (this->streamStarted) {
         this->context.edge.log.write(EventPriority::Notable, "stream_expired",
@@ -247,9 +255,28 @@
     }
 }
 
-void RequestFlow::endForStop()
+bool RequestFlow::canEndBeforeStop(Millis now) const
 {
-    if (this->ended) {
+    const EdgeState &state = this->context.state;
+    if (!state.stop) {
+        return true;
+    }
+    const auto known = state.durations.find({this->route.name, this->service});
+    const std::optional<Millis> expected
+            = known == state.durations.end() ? std::nullopt : expectedDuration(known->second);
+    return canEndInTime(*state.stop, expected, this->deadlineAt, now);
+}
+
+void RequestFlow::recordServerTime(const Attempt &sent, Millis now)
+{
+    recordDuration(this->context.state.durations[{this->route.name, this->service}],
+                   now - sent.sentAt);
+}
+
+void RequestFlow::applyStop(const StopPlan &plan, Millis now)
+{
+    const bool mayGoOn = this->attempt ? now < plan.answerAt : this->canEndBeforeStop(now);
+    if (this->ended || mayGoOn) {
         return;
     }
     const BackendServerId server = this->attempt ? this->attempt->server : BackendServerId();
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -50,8 +50,11 @@
     /// @brief Ends the request if a suspect of it was convicted, unless its response has begun.
     void handleConviction();
 
-    /// @brief Ends the request with its final response, because the daemon is about to end.
-    void endForStop();
+    /// @brief Ends the request if the stop of the daemon leaves no time for it: one that waits,
+    /// once it can't be expected to end in time if it is sent now; one that was sent, once its
+    /// final response is due.
+    /// @param plan of the stop
+    void applyStop(const StopPlan &plan, Millis now);
 
 private:
     /// One attempt to run the request on a backend server, shared with the callbacks of its
@@ -87,6 +90,11 @@
     /// Refuses a request that must not be sent because of a suspect.
     /// @param where part of the daemon that checks, for the log
     [[nodiscard]] bool refuseIfQuarantined(std::string_view where);
+    /// @return false where the daemon is stopping, and the request can't be expected to end in time
+    /// if it is sent now
+    [[nodiscard]] bool canEndBeforeStop(Millis now) const;
+    /// Records how long a server took, to estimate the duration of later requests.
+    void recordServerTime(const Attempt &sent, Millis now);
     /// Selects a server again after a delay while a suspect of the request is being judged.
     [[nodiscard]] bool waitIfUnderJudgement();
     /// Selects the candidates and sends the request to one of them.
