--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -54,6 +54,7 @@
         return;
     }
     const Millis timeout = this->request.timeout.value_or(defaultTimeout);
+    this->deadlineAt = this->arrivedAt + timeout;
     this->waitForConfig(
             std::min(timeUntil(this->context.state.startedAt + startupTime, this->arrivedAt),
                      timeout / configWaitDivisor));
@@ -83,6 +84,10 @@
     if (this->ended || !this->resolveRoute() || !this->admit()) {
         return;
     }
+    if (!this->canEndBeforeStop(monotonicNow())) {
+        this->refuse(ErrorCode::Leaving, stopRetryAfter);
+        return;
+    }
     this->timer->set(timeUntil(this->deadlineAt, monotonicNow()), [weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->handleDeadline();
@@ -235,6 +240,9 @@
     if (this->ended) {
         return;
     }
+    if (this->attempt) {
+        this->recordServerTime(*this->attempt, monotonicNow());
+    }
     this->cancelUnfinished();
     if (this->streamStarted) {
         this->context.edge.log.write(EventPriority::Notable, "stream_expired",
@@ -247,6 +255,43 @@
     }
 }
 
+bool RequestFlow::canEndBeforeStop(Millis now) const
+{
+    const EdgeState &state = this->context.state;
+    if (!state.stop) {
+        return true;
+    }
+    const auto known = state.durations.find({this->route.name, this->service});
+    const std::optional<Millis> expected
+            = known == state.durations.end() ? std::nullopt : expectedDuration(known->second);
+    return canEndInTime(*state.stop, expected, this->deadlineAt, now);
+}
+
+void RequestFlow::recordServerTime(const Attempt &sent, Millis now)
+{
+    recordDuration(this->context.state.durations[{this->route.name, this->service}],
+                   now - sent.sentAt);
+}
+
+void RequestFlow::applyStop(const StopPlan &plan, Millis now)
+{
+    const bool mayGoOn = this->attempt ? now < plan.answerAt : this->canEndBeforeStop(now);
+    if (this->ended || mayGoOn) {
+        return;
+    }
+    const BackendServerId server = this->attempt ? this->attempt->server : BackendServerId();
+    const int status = this->attempt ? this->attempt->response.status : 0;
+    this->waitsForConfig = false;
+    this->cancelUnfinished();
+    if (this->streamStarted) {
+        this->breakStream(ErrorCode::Leaving, server, status);
+    } else if (this->possibleRuns > 0) {
+        this->fail(httpstatus::gatewayTimeout, ErrorCode::Leaving);
+    } else {
+        this->refuse(ErrorCode::Leaving, stopRetryAfter);
+    }
+}
+
 void RequestFlow::handleCallerDisconnect()
 {
     if (this->ended) {
@@ -318,7 +363,7 @@
     if (isOwnError) {
         this->context.edge.metrics.counter(metric::edgeFailures, errorName(code)).add();
     }
-    if (this->context.state.draining) {
+    if (this->context.state.stop) {
         response.headers.push_back({"Connection", "close"});
     }
     this->context.edge.log.write(isOwnError ? EventPriority::Notable : EventPriority::Routine,
