End a response without a deadlock where RESTinio closes the connection within the call

Nobody saw it: no present handler ends a response on the connection's own thread while nothing is being written. A handler of a pipelined request that gave up the response before it hung the network thread, and the server at its end.

Cause: the end of a response may close the connection within the call, which notifies the writer, which locks the mutex that the call holds.

Change: the mutex is recursive. The writes that sockets have not taken yet are counted as well, for the stop of a daemon.

--- a/include/balsamport/http/http_server.h
+++ b/include/balsamport/http/http_server.h
@@ -96,6 +96,10 @@
     /// @return the number of open connections
     [[nodiscard]] std::uint32_t connections() const noexcept;
 
+    /// @return true while written bytes wait for slow callers; they are lost if the server is
+    /// destroyed
+    [[nodiscard]] bool hasUnsentBytes() const noexcept;
+
 private:
     struct Impl;
     explicit HttpServer(std::unique_ptr<Impl> impl);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -91,4 +91,9 @@
     return this->impl->registry->openConnections();
 }
 
+bool HttpServer::hasUnsentBytes() const noexcept
+{
+    return *this->impl->registry->unsentWrites() > 0;
+}
+
 } // namespace balsamport
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -61,10 +61,25 @@
 
 } // namespace
 
-RestinioWriter::RestinioWriter(restinio::request_handle_t handle)
-    : request(std::move(handle))
+RestinioWriter::RestinioWriter(restinio::request_handle_t handle,
+                               std::shared_ptr<std::atomic<std::uint32_t>> unsentWriteCount)
+    : unsentWrites(std::move(unsentWriteCount))
+    , request(std::move(handle))
 { }
 
+std::function<void(const asio::error_code &)>
+RestinioWriter::countWrite(std::function<void()> onWritten) const
+{
+    ++*this->unsentWrites;
+    return [count = this->unsentWrites,
+            callback = std::move(onWritten)](const asio::error_code & /*failure*/) {
+        --*count;
+        if (callback) {
+            callback();
+        }
+    };
+}
+
 RestinioWriter::~RestinioWriter()
 {
     this->breakResponse();
@@ -88,13 +103,13 @@
                 statusLine(response.status));
         addHeaders(builder, response.headers);
         builder.set_content_length(response.body.size());
-        builder.done();
+        builder.done(this->countWrite({}));
         return;
     }
     auto builder = this->request->create_response(statusLine(response.status));
     addHeaders(builder, response.headers);
     builder.set_body(response.body);
-    builder.done();
+    builder.done(this->countWrite({}));
 }
 
 void RestinioWriter::startStream(int status, const HttpHeaders &headers)
@@ -121,11 +136,7 @@
     {
         const std::lock_guard lock(this->mutex);
         if (this->stream && !this->disconnected && !chunk.empty()) {
-            this->stream->write(std::move(chunk), [callback = std::move(onWritten)](const auto &) {
-                if (callback) {
-                    callback();
-                }
-            });
+            this->stream->write(std::move(chunk), this->countWrite(std::move(onWritten)));
             return;
         }
         if (this->collected && this->collected->body.size() + chunk.size() > maxCollectedBytes) {
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -19,7 +19,9 @@
 class RestinioWriter : public ResponseWriter
 {
 public:
-    explicit RestinioWriter(restinio::request_handle_t handle);
+    /// @param unsentWrites counts the writes that the connections' sockets have not taken yet
+    RestinioWriter(restinio::request_handle_t handle,
+                   std::shared_ptr<std::atomic<std::uint32_t>> unsentWrites);
     ~RestinioWriter() override;
     RestinioWriter(const RestinioWriter &) = delete;
     RestinioWriter &operator=(const RestinioWriter &) = delete;
@@ -48,7 +50,14 @@
     void sendLocked(const HttpResponse &response);
     void breakLocked();
 
-    std::mutex mutex;
+    /// @return a callback that ends the count of a write
+    [[nodiscard]] std::function<void(const asio::error_code &)>
+    countWrite(std::function<void()> onWritten) const;
+
+    /// Recursive, because RESTinio may close the connection, and call handleConnectionClosed(),
+    /// within a call that ends a response.
+    std::recursive_mutex mutex;
+    std::shared_ptr<std::atomic<std::uint32_t>> unsentWrites;
     restinio::request_handle_t request; ///< Guarded by mutex. Null once detached.
     std::unique_ptr<Stream> stream; ///< Guarded by mutex.
     /// A stream for a caller of HTTP/1.0, which knows no chunks, or for a HEAD request: sent with
@@ -74,6 +83,12 @@
 
     [[nodiscard]] std::uint32_t openConnections() const noexcept { return this->connectionCount; }
 
+    /// @return the number of writes of all connections that their sockets have not taken yet
+    [[nodiscard]] std::shared_ptr<std::atomic<std::uint32_t>> unsentWrites() const noexcept
+    {
+        return this->unsentWriteCount;
+    }
+
 private:
     using Writers = std::vector<std::weak_ptr<RestinioWriter>>;
 
@@ -86,6 +101,8 @@
     /// Size of closedWriters at which expired writers are removed. Guarded by mutex.
     std::size_t purgeThreshold = 0;
     std::atomic<std::uint32_t> connectionCount{0};
+    std::shared_ptr<std::atomic<std::uint32_t>> unsentWriteCount
+            = std::make_shared<std::atomic<std::uint32_t>>(0);
 };
 
 /// @brief Copies the parts of a RESTinio request that a handler uses.
--- a/src/http/server_runner.h
+++ b/src/http/server_runner.h
@@ -95,7 +95,7 @@
     constexpr std::chrono::seconds writeTimeout{60};
     const auto onRequest = [registry = settings.registry,
                             handler = settings.handler](const restinio::request_handle_t &handle) {
-        auto writer = std::make_shared<RestinioWriter>(handle);
+        auto writer = std::make_shared<RestinioWriter>(handle, registry->unsentWrites());
         registry->add(handle->connection_id(), writer);
         handler(readRequest(handle), std::move(writer));
         return restinio::request_accepted();
--- a/tests/src/unit-broken-response.cpp
+++ b/tests/src/unit-broken-response.cpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 using namespace balsamport;
@@ -181,6 +182,34 @@
     }
 }
 
+// Guards against a deadlock: RESTinio closes the connection within the call that ends the response.
+TEST_CASE("a stream that the handler of a later request on its connection gives up ends")
+{
+    std::mutex mutex;
+    std::shared_ptr<ResponseWriter> held;
+    HttpServerSettings settings;
+    settings.address = listenAddress;
+    const auto server = HttpServer::start(settings, [&](const auto &request, const auto &writer) {
+                            const std::lock_guard lock(mutex);
+                            if (request->path == "/hold") {
+                                held = writer;
+                                writer->startStream(200, {});
+                                writer->write("data: one\n\n", {});
+                            } else {
+                                held->abort();
+                            }
+                        }).value();
+    RawCaller caller(listenAddress);
+    caller.send(get("/hold"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200)); // Its bytes are written by then.
+    caller.send(get("/abort"));
+    RawReading briefly;
+    briefly.limit = Millis(3'000);
+    const RawResponse response = caller.read(briefly);
+    REQUIRE(response.end == RawResponse::End::Closed);
+    REQUIRE(response.body == "data: one\n\n");
+}
+
 TEST_CASE("a response that is given up with TLS ends after the bytes that its handler wrote")
 {
     const CertificateFiles files("broken-response", daySeconds);
