Count a connection once that RESTinio reports as closed twice

What operators saw: balsamport_connections near 4,294,961,410 after callers that leave early, in the gateway.

Cause: RESTinio reports a connection twice whose read and write both fail; each report was counted.

--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -276,8 +276,12 @@
             this->writers[notice.connection_id()];
             ++this->connectionCount;
         } else if (restinio::holds_alternative<closed_t>(notice.cause())) {
-            closed.swap(this->writers[notice.connection_id()]);
-            this->writers.erase(notice.connection_id());
+            const auto found = this->writers.find(notice.connection_id());
+            if (found == this->writers.end()) {
+                return; // RESTinio reports a connection twice whose read and write both fail.
+            }
+            closed.swap(found->second);
+            this->writers.erase(found);
             this->addClosedWriters(closed);
             --this->connectionCount;
         }
--- a/tests/src/unit-broken-response.cpp
+++ b/tests/src/unit-broken-response.cpp
@@ -210,6 +210,26 @@
     REQUIRE(response.body == "data: one\n\n");
 }
 
+TEST_CASE("connections that both sides close at once are counted once")
+{
+    std::atomic<int> written{0};
+    HttpServerSettings settings;
+    settings.address = listenAddress;
+    const auto server
+            = HttpServer::start(settings, [&written](const auto &request, const auto &writer) {
+                  handleRequest(*request, writer, written);
+              }).value();
+    for (int i = 0; i < 6'000; ++i) {
+        RawCaller caller(listenAddress);
+        caller.send(get(i % 2 == 0 ? "/aborted" : "/empty"));
+        for (int spin = 0; spin < i % 60; ++spin) {
+            std::this_thread::yield();
+        }
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    REQUIRE(server->connections() == 0);
+}
+
 TEST_CASE("a response that is given up with TLS ends after the bytes that its handler wrote")
 {
     const CertificateFiles files("broken-response", daySeconds);
