Refuse a resumed run whose events cannot be told from those that the caller has

What callers would see: events twice, where a resumed run has no ids, where the last id was empty, or where ids go back beyond 64 bits; or a broken stream, where the media types differ by a parameter. Found by review, on the splitter.

Change: after a resume the first event must have an id; an empty id is none; ids are compared as decimal numbers of any length; media types are compared without parameters and case. A response that cannot continue the stream is cancelled at its head. e2e-broken-streams also requires that each resumed stream reached a second run, and one without ids none.

Evidence: three new sections of unit-edge-state.

--- a/include/balsamport/edge/event_splitter.h
+++ b/include/balsamport/edge/event_splitter.h
@@ -17,6 +17,7 @@
     std::string lastId; ///< Of the last complete event that has one.
     std::uint32_t eventCount = 0; ///< Complete events so far.
     bool lastEventHasId = false;
+    bool resumed = false; ///< No event has followed since the stream was resumed.
     bool outOfOrder = false; ///< An event repeated an id or had a lower one than the event before.
 
     bool operator==(const EventSplitter &) const = default;
--- a/src/edge/event_splitter.cpp
+++ b/src/edge/event_splitter.cpp
@@ -1,8 +1,8 @@
 #include <balsamport/edge/event_splitter.h>
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
+#include <utility>
 
 namespace balsamport {
 
@@ -31,21 +31,21 @@
     return id;
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
+bool isDecimal(std::string_view text)
 {
-    std::uint64_t number = 0;
-    const auto read = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (read.ec != std::errc() || read.ptr != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return number;
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char digit) {
+        return digit >= '0' && digit <= '9';
+    });
 }
 
 bool follows(std::string_view id, std::string_view previousId)
 {
-    const auto number = parseNumber(id);
-    const auto previous = parseNumber(previousId);
-    return number && previous ? *number > *previous : id != previousId;
+    if (!isDecimal(id) || !isDecimal(previousId)) {
+        return id != previousId;
+    }
+    id.remove_prefix(std::min(id.find_first_not_of('0'), id.size()));
+    previousId.remove_prefix(std::min(previousId.find_first_not_of('0'), previousId.size()));
+    return std::pair(id.size(), id) > std::pair(previousId.size(), previousId);
 }
 
 /// A comment, such as a keep-alive, is no event for the caller.
@@ -65,15 +65,27 @@
 /// @return false if the event is out of order
 bool recordEvent(EventSplitter &splitter, std::string_view event)
 {
-    const std::optional<std::string_view> id = idOf(event);
-    if (id && !splitter.lastId.empty() && !follows(*id, splitter.lastId)) {
+    if (isComment(event)) {
+        splitter.lastEventHasId = isResumable(splitter);
+        ++splitter.eventCount;
+        return true;
+    }
+    // An empty id names no event that a stream could be resumed after.
+    std::optional<std::string_view> id = idOf(event);
+    if (id && id->empty()) {
+        id.reset();
+    }
+    const bool repeats = id ? !splitter.lastId.empty() && !follows(*id, splitter.lastId)
+                            : splitter.resumed && !splitter.lastId.empty();
+    if (repeats) {
         splitter.outOfOrder = true;
         return false;
     }
     if (id) {
         splitter.lastId = std::string(*id);
     }
-    splitter.lastEventHasId = id.has_value() || (isComment(event) && isResumable(splitter));
+    splitter.lastEventHasId = id.has_value();
+    splitter.resumed = false;
     ++splitter.eventCount;
     return true;
 }
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -33,6 +33,17 @@
     return static_cast<double>(time.count()) / millisPerSecond;
 }
 
+/// @return the value of Content-Type in lower case without parameters; empty if there is none
+std::string mediaTypeOf(const HttpHeaders &headers)
+{
+    std::string type = findHeader(headers, "Content-Type").value_or(std::string());
+    type.resize(std::min(type.find_first_of("; \t"), type.size()));
+    std::transform(type.begin(), type.end(), type.begin(), [](unsigned char letter) {
+        return static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter + ('a' - 'A') : letter);
+    });
+    return type;
+}
+
 std::uint32_t promptTokensOf(const CallerRequest &request)
 {
     std::uint32_t tokens = 0;
@@ -170,7 +181,7 @@
     if (!this->route.streaming || !isSuccess || !sent->response.valid) {
         return;
     }
-    const auto mediaType = findHeader(sent->response.headers, "Content-Type");
+    const std::string mediaType = mediaTypeOf(sent->response.headers);
     if (!this->streamStarted) {
         this->streamStarted = true;
         this->streamMediaType = mediaType;
@@ -178,6 +189,10 @@
     }
     // A resumed stream is continued only by a response of the same kind as the one that began it.
     sent->forwardsEvents = mediaType == this->streamMediaType;
+    if (!sent->forwardsEvents) {
+        sent->invalidResponse = true;
+        this->context.edge.http.cancel(sent->exchange);
+    }
 }
 
 void RequestFlow::applyAvailability(const Attempt &sent)
@@ -314,9 +329,7 @@
         this->handleFailure(sent, result.error().code);
         return;
     }
-    const bool isSuccess = httpstatus::isSuccess(sent->response.status);
-    if (sent->response.status == 0 || !sent->response.valid
-        || (this->streamStarted && isSuccess && !sent->forwardsEvents)) {
+    if (sent->response.status == 0 || !sent->response.valid) {
         this->handleFailure(sent, ErrorCode::BadResponse);
         return;
     }
@@ -456,6 +469,7 @@
 {
     this->splitter.pending.clear();
     this->splitter.outOfOrder = false;
+    this->splitter.resumed = true;
     if (this->waitIfUnderJudgement()) {
         return;
     }
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -181,7 +181,7 @@
     std::optional<Millis> permitExpectedIn; ///< Shortest wait for a permit that wasn't issued.
     Millis retryAfterHint{0}; ///< Longest wait reported by owners that redirected this request.
     bool streamStarted = false;
-    std::optional<std::string> streamMediaType; ///< Content-Type of the response that began it.
+    std::string streamMediaType; ///< Of the response that began the stream.
     std::uint64_t streamBytes = 0; ///< Of the complete events that were passed to the writer.
     /// Of these bytes, the ones that were not yet written to the caller's connection. Shared with
     /// the network threads, which may outlive this request.
--- a/tests/e2e/e2e-broken-streams.cpp
+++ b/tests/e2e/e2e-broken-streams.cpp
@@ -214,6 +214,12 @@
                        reading);
     }
 
+    int runsOf(const std::string &id)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->runs[id];
+    }
+
     std::mutex mutex;
     std::map<std::string, int> runs; ///< Of each request.
     int requestCount = 0;
@@ -323,6 +329,7 @@
             const RawResponse response = world.call(path);
             requireBroken(response, eventsOf(world.lastId, 1, eventCount));
             CHECK(response.body == eventsOf(world.lastId, 1, eventsBeforeBreak));
+            CHECK(world.runsOf(world.lastId) >= 2);
         }
     }
 
@@ -331,5 +338,6 @@
         const RawResponse response = world.call("/again/without-ids");
         requireBroken(response, "data: one\n\ndata: two\n\n");
         CHECK(response.body == "data: one\n\ndata: two\n\n");
+        CHECK(world.runsOf(world.lastId) == 1);
     }
 }
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -895,6 +895,34 @@
         REQUIRE(other.outOfOrder);
     }
 
+    SECTION("ids of any length are compared as numbers")
+    {
+        EventSplitter other;
+        REQUIRE_FALSE(splitEvents(other, "id: 18446744073709551617\n\n").empty());
+        REQUIRE_FALSE(splitEvents(other, "id: 0018446744073709551618\n\n").empty());
+        REQUIRE(splitEvents(other, "id: 18446744073709551617\n\n").empty());
+        REQUIRE(other.outOfOrder);
+    }
+
+    SECTION("an event with an empty id cannot be resumed after")
+    {
+        EventSplitter other;
+        REQUIRE_FALSE(splitEvents(other, "id: 1\n\nid:\ndata: a\n\n").empty());
+        REQUIRE_FALSE(isResumable(other));
+        REQUIRE(splitEvents(other, "id: 1\n\n").empty());
+        REQUIRE(other.outOfOrder);
+    }
+
+    SECTION("a resumed stream does not go on with an event without an id")
+    {
+        splitter.resumed = true;
+        REQUIRE(splitEvents(splitter, "data: again\n\n").empty());
+        REQUIRE(splitter.outOfOrder);
+        splitter.outOfOrder = false;
+        REQUIRE_FALSE(splitEvents(splitter, ": keep-alive\n\nid: 4\n\ndata: a\n\n").empty());
+        REQUIRE_FALSE(splitter.outOfOrder);
+    }
+
     SECTION("a stream can be resumed after an event with an id, wherever the id stands in it")
     {
         EventSplitter other;
