Wait for slow callers' responses before a stopping daemon ends

What a slow caller would see: a response that was complete, and logged as served, cut when its daemon ended early in the grace, because no request was in progress any more.

Evidence: by reading and review; the test follows with those of the planned stop.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -627,7 +627,7 @@
 {
     const StopPlan &plan = *this->state.stop;
     const Millis now = monotonicNow();
-    if (!this->flows.running.empty()) {
+    if (!this->flows.running.empty() || this->callerServer->hasUnsentBytes()) {
         this->lastBusyAt = now;
     }
     // A copy, because requests that end are removed from the set.
