--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -351,6 +351,7 @@
                         {{"key", entry.key},
                          {"revision", entry.revision.number},
                          {"error", errorName(content.error().code)},
+                         {"field", content.error().location.key},
                          {"detail", content.error().detail}});
         return;
     }
