Drop a server when its own entry becomes invalid, until a good one is written

What callers would see: requests to a server that may be gone, for as long as the invalid entry stays; a daemon that starts meanwhile would not use that server.

Cause: an invalid entry was ignored, and what the key held before stayed in use.

Keeping the last good value would use what the store no longer names, without an end; dropping it costs the server until its next heartbeat, if it is alive. The entry is therefore applied as a deletion: with the grace period after an outage of the store, and logged as entry_ignored and server_gone. Of the configuration and of adapter versions the last good value stays.

Evidence: e2e-odd-entries, section on a server's own entry: before, 47 more requests ran there after it became invalid; now none, 0 of 144 are refused, and a good entry brings it back. All 27 checks pass, as do e2e-hazards and e2e-restored-store.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -59,6 +59,10 @@
     void applyChanges(const std::vector<PublishedEntry> &changed, const StoreRevision &since,
                       bool fromStore);
     void applyEntry(const PublishedEntry &entry, Millis now);
+    /// Drops the server that an invalid entry belongs to, as if the entry had been deleted: it
+    /// names no server to use, and the one named before may be gone. A good entry brings the server
+    /// back.
+    void dropServerOf(const PublishedEntry &invalid, Millis now);
     void applyServer(const PublishedEntry &entry, const ServerEntry &server, Millis now);
     void applyConfig(const EdgeConfig &config);
     /// Resumes the requests that arrived before the first configuration.
@@ -353,6 +357,7 @@
                          {"error", errorName(content.error().code)},
                          {"field", content.error().location.key},
                          {"detail", content.error().detail}});
+        this->dropServerOf(entry, now);
         return;
     }
     if (const auto *server = std::get_if<ServerEntry>(&content.value())) {
@@ -364,6 +369,18 @@
     }
 }
 
+void EdgeDaemon::Impl::dropServerOf(const PublishedEntry &invalid, Millis now)
+{
+    PublishedEntry deletion = invalid;
+    deletion.value.clear();
+    deletion.deleted = true;
+    const Result<EntryContent> content = this->dialect.readEntry(deletion);
+    const auto *server = content.has_value() ? std::get_if<ServerEntry>(&content.value()) : nullptr;
+    if (server != nullptr && this->state.catalog.servers.count(server->id) != 0) {
+        this->applyServer(deletion, *server, now);
+    }
+}
+
 void EdgeDaemon::Impl::applyServer(const PublishedEntry &entry, const ServerEntry &server,
                                    Millis now)
 {
