Read the soak's streams byte by byte, and check what callers were handed

Eight more callers read the bytes of their connections: one at a time, slowly with long events and a small receive buffer, as they arrive, and until the daemon closes the connection. Each body must be a beginning of what its runs made, cut at the end of an event; it may look complete only if it is, and no byte may follow. The runs and refusals of these streams are checked like the others. A second series of faults, beside the first, breaks streams: engines cut them between events and inside one, their connections are reset, they crash; daemons get SIGHUP and short pauses, also while they stop.

Where a caller's daemon was killed meanwhile, the body may end inside an event: the system sends on what the process had handed to it.

--- a/standins/platform/replica_standin.cpp
+++ b/standins/platform/replica_standin.cpp
@@ -17,6 +17,7 @@
 constexpr int misdirected = 421;
 constexpr int serverError = 500;
 constexpr int unavailable = 503;
+constexpr int decimalBase = 10;
 constexpr const char *modelName = "m";
 
 std::string headerOf(const IncomingRequest &request, const char *name)
@@ -24,13 +25,14 @@
     return findHeader(request.headers, name).value_or(std::string());
 }
 
-std::string eventText(const std::string &id, std::uint32_t number)
+} // namespace
+
+std::string eventText(const std::string &id, std::uint32_t number, std::size_t fillBytes)
 {
-    return fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+    return fmt::format("id: {}\ndata: {} {}{}\n\n", number, id, number,
+                       std::string(fillBytes, 'x'));
 }
 
-} // namespace
-
 Result<std::unique_ptr<ReplicaStandin>> ReplicaStandin::start(ReplicaOptions options)
 {
     std::unique_ptr<ReplicaStandin> replica(new ReplicaStandin());
@@ -294,9 +296,17 @@
     }
     const std::string resumed = headerOf(request, "Last-Event-Id");
     const auto first = static_cast<std::uint32_t>(std::strtoul(resumed.c_str(), nullptr, 10)) + 1;
-    const std::uint32_t last = this->chance(this->faults.abortShare) ? this->options.events / 2
-                                                                     : this->options.events;
-    this->sendEvent(id, first, last, adapter, writer);
+    StreamRun run;
+    run.id = id;
+    run.adapter = adapter;
+    run.fillBytes
+            = std::strtoul(headerOf(request, "Event-Fill-Bytes").c_str(), nullptr, decimalBase);
+    run.last = this->options.events;
+    if (this->chance(this->faults.abortShare)) {
+        run.last /= 2;
+        run.endsInsideEvent = this->chance(this->faults.halfEventShare);
+    }
+    this->sendEvent(run, first, writer);
 }
 
 bool ReplicaStandin::hasCrashingPart(const std::string &prompt) const
@@ -308,24 +318,27 @@
                        });
 }
 
-void ReplicaStandin::sendEvent(const std::string &id, std::uint32_t number, std::uint32_t last,
-                               const std::string &adapter,
+void ReplicaStandin::sendEvent(const StreamRun &run, std::uint32_t number,
                                const std::shared_ptr<ResponseWriter> &writer)
 {
-    this->tasks->after(this->options.serviceTime, [this, id, number, last, adapter, writer] {
+    this->tasks->after(this->options.serviceTime, [this, run, number, writer] {
         const std::lock_guard lock(this->mutex);
-        if (number <= last && !writer->isDisconnected()) {
-            writer->write(eventText(id, number), {});
-            this->sendEvent(id, number + 1, last, adapter, writer);
+        if (number <= run.last && !writer->isDisconnected()) {
+            writer->write(eventText(run.id, number, run.fillBytes), {});
+            this->sendEvent(run, number + 1, writer);
             return;
         }
-        std::uint32_t &count = this->runningRequests[adapter];
+        std::uint32_t &count = this->runningRequests[run.adapter];
         count -= count > 0 ? 1 : 0;
-        if (last == this->options.events) {
+        if (run.last == this->options.events) {
             writer->finish();
-        } else {
-            writer->abort();
+            return;
         }
+        if (run.endsInsideEvent) {
+            const std::string next = eventText(run.id, number, run.fillBytes);
+            writer->write(next.substr(0, next.size() / 2), {});
+        }
+        writer->abort();
     });
 }
 
--- a/standins/platform/replica_standin.h
+++ b/standins/platform/replica_standin.h
@@ -54,9 +54,26 @@
     /// Ids of prompt parts, in hexadecimal, that end the replica once it responds to a request with
     /// one of them, unless it is the last part.
     std::set<std::string> crashingParts{};
+    double halfEventShare = 0; ///< Of the aborted streams, those that end inside an event.
 };
 
+/// @brief A stream that an engine runs.
+struct StreamRun
+{
+    std::string id; ///< Of the request.
+    std::string adapter;
+    std::uint32_t last = 0; ///< Number of the last event.
+    std::size_t fillBytes = 0; ///< Added to each event.
+    bool endsInsideEvent = false; ///< The half of one more event follows the last one.
+};
+
+/// @return the text of an event; all runs of a request make the same ones
+[[nodiscard]] std::string eventText(const std::string &id, std::uint32_t number,
+                                    std::size_t fillBytes = 0);
+
 /// @brief Minimal stand-in for a model engine or a plain replica of the users' platform.
+///
+/// A request may state by `Event-Fill-Bytes` how much longer the events of its stream are to be.
 class ReplicaStandin
 {
 public:
@@ -105,8 +122,8 @@
                       const std::shared_ptr<ResponseWriter> &writer);
     /// @return true if a part of the prompt, other than the last, ends the replica
     [[nodiscard]] bool hasCrashingPart(const std::string &prompt) const;
-    void sendEvent(const std::string &id, std::uint32_t number, std::uint32_t last,
-                   const std::string &adapter, const std::shared_ptr<ResponseWriter> &writer);
+    void sendEvent(const StreamRun &run, std::uint32_t number,
+                   const std::shared_ptr<ResponseWriter> &writer);
     [[nodiscard]] bool chance(double share);
 
     ReplicaOptions options;
--- a/tests/e2e/edge_world.h
+++ b/tests/e2e/edge_world.h
@@ -274,12 +274,13 @@
     }
 
     /// @return the complete body of the stream for a request
-    [[nodiscard]] static std::string completeStream(const std::string &id)
+    [[nodiscard]] static std::string completeStream(const std::string &id,
+                                                    std::size_t fillBytes = 0)
     {
-        constexpr int events = 8;
+        constexpr std::uint32_t events = 8;
         std::string text;
-        for (int i = 1; i <= events; ++i) {
-            text += fmt::format("id: {}\ndata: {} {}\n\n", i, id, i);
+        for (std::uint32_t i = 1; i <= events; ++i) {
+            text += standins::eventText(id, i, fillBytes);
         }
         return text;
     }
--- a/tests/include/raw_caller.h
+++ b/tests/include/raw_caller.h
@@ -9,8 +9,10 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <charconv>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -89,6 +91,8 @@
     Millis pause{0}; ///< Between two reads.
     int receiveBufferBytes = 0; ///< 0 for the default of the system.
     Millis limit{15'000}; ///< After which the caller stops reading.
+    Millis afterComplete{15'000}; ///< Further time in which it reads after a complete response.
+    const std::atomic<bool> *stop = nullptr; ///< Ends the reading after a complete response.
 };
 
 /// @brief A response as it came over the wire.
@@ -115,6 +119,18 @@
             && (body.empty() || body.substr(body.size() - eventEnd.size()) == eventEnd);
 }
 
+/// @return the status that the head of a response states; 0 where it is no head
+inline int statusOf(std::string_view head)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t statusAt = 9;
+    int status = 0;
+    if (head.substr(0, version.size()) == version && head.size() > statusAt) {
+        std::from_chars(head.data() + statusAt, head.data() + head.size(), status);
+    }
+    return status;
+}
+
 /// @brief Reads a response until the connection ends or the time is over.
 /// @param stream a connected socket or TLS stream on which the request was written
 template<typename Stream>
@@ -127,7 +143,17 @@
     std::array<char, 65'536> buffer{};
     std::size_t length = 0;
     bool hasLength = false;
+    std::optional<Millis> completeAt;
     while (monotonicNow() - begin < reading.limit) {
+        const bool complete
+                = response.chunked ? chunks.complete : hasLength && response.body.size() >= length;
+        if (complete && !completeAt) {
+            completeAt = monotonicNow();
+        }
+        const bool stopped = reading.stop != nullptr && *reading.stop;
+        if (completeAt && (stopped || monotonicNow() - *completeAt >= reading.afterComplete)) {
+            break;
+        }
         pollfd readable{stream.lowest_layer().native_handle(), POLLIN, 0};
         constexpr int pollMs = 20;
         if (poll(&readable, 1, pollMs) == 0) {
@@ -143,8 +169,8 @@
             if (end != std::string::npos) {
                 response.head = received.substr(0, end + 2);
                 received.erase(0, end + 4);
-                constexpr std::size_t statusAt = 9;
-                response.status = std::stoi(response.head.substr(statusAt));
+                response.status = statusOf(response.head);
+                response.malformed = response.status == 0;
                 response.chunked
                         = response.head.find("Transfer-Encoding: chunked") != std::string::npos;
                 const std::string name = "Content-Length: ";
@@ -175,7 +201,7 @@
     if (response.chunked) {
         response.body = chunks.body;
         response.complete = chunks.complete;
-        response.malformed = chunks.malformed;
+        response.malformed = response.malformed || chunks.malformed;
         response.surplus = chunks.surplus;
     } else if (hasLength) {
         response.complete = response.body.size() >= length;
--- a/tests/soak/soak_edge.cpp
+++ b/tests/soak/soak_edge.cpp
@@ -2,6 +2,7 @@
 /// requests, and the guarantees are checked from the records of callers and backend servers.
 #include "../e2e/edge_world.h"
 #include "../e2e/rate_limit_check.h"
+#include "stream_callers.h"
 
 #include <boost/program_options.hpp>
 
@@ -28,7 +29,10 @@
 /// Time within which service must recover after the last fault. Source: recovery_s of RULES.md.
 constexpr Millis recoveryTime{12'000};
 constexpr std::size_t edgeCount = 4;
-constexpr int callerThreads = 6;
+constexpr std::uint64_t callerThreads = 6;
+constexpr int streamCallersOfEachKind = 2;
+/// Of the pauses that may come while a daemon stops.
+constexpr Millis maxShortPause{600};
 
 /// One request of a caller and its response.
 struct SentRequest
@@ -53,10 +57,15 @@
 {
     std::mutex mutex;
     std::vector<SentRequest> sent;
+    std::vector<SentStream> streams;
+    std::vector<Span> kills; ///< From a SIGKILL to the start of the next process.
+    std::vector<Span> shortPauses; ///< Faults that may abort the requests of their daemon.
+    std::vector<Span> streamFaults; ///< Faults that may abort streams.
     std::vector<Span> stops; ///< From a SIGTERM to the end of the process.
     std::vector<Span> unplanned; ///< Faults that may abort requests.
     std::vector<std::pair<std::string, Millis>> resumes; ///< Ends of process pauses.
     std::vector<std::string> violations;
+    std::size_t streamsCutByKills = 0; ///< Inside an event.
 
     void addViolation(const std::string &text)
     {
@@ -88,12 +97,89 @@
     }
 }
 
+/// Requests streams and reads them byte by byte; see stream_callers.h.
+void runStreamCaller(const EdgeWorld &world, Record &record, std::uint64_t seed, StreamReading kind,
+                     const std::atomic<bool> &stop)
+{
+    std::mt19937_64 random(seed);
+    std::uint64_t number = 0;
+    while (!stop) {
+        SentStream sent;
+        sent.id = "t" + std::to_string(seed) + "-" + std::to_string(++number);
+        sent.path = (random() % 2 == 0 ? "/chat/" : "/once/") + std::to_string(number);
+        sent.edge = random() % edgeCount;
+        sent.fillBytes = fillBytesOf(kind, random());
+        constexpr std::uint64_t adapters = 6;
+        const std::string model
+                = random() % 2 == 0 ? "m" : "m/a" + std::to_string(random() % adapters);
+        RawReading reading = readingOf(kind, random());
+        reading.stop = &stop;
+        callStream(world, sent, model, reading);
+        {
+            const std::lock_guard lock(record.mutex);
+            record.streams.push_back(std::move(sent));
+        }
+        sleepFor(Millis(static_cast<std::int64_t>(random() % 60)));
+    }
+}
+
+/// Signals daemons and starts them again, for two threads that inject faults.
+class DaemonControl
+{
+public:
+    explicit DaemonControl(EdgeWorld &edgeWorld)
+        : world(edgeWorld)
+    { }
+
+    void signal(std::size_t edge, int number)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!this->world.edges[edge].process->hasEnded()) {
+            this->world.edges[edge].process->signal(number);
+        }
+    }
+
+    [[nodiscard]] bool hasEnded(std::size_t edge)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->world.edges[edge].process->hasEnded();
+    }
+
+    /// @return as Process::waitForExit(); a daemon can be signalled meanwhile
+    std::optional<int> waitForExit(std::size_t edge, Millis limit)
+    {
+        if (!eventually(limit, [&] { return this->hasEnded(edge); })) {
+            return std::nullopt;
+        }
+        const std::lock_guard lock(this->mutex);
+        return this->world.edges[edge].process->waitForExit(Millis(0));
+    }
+
+    void start(std::size_t edge)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->world.startEdge(edge);
+    }
+
+    void publishConfig(int timeoutMs)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->world.publishConfig(timeoutMs);
+    }
+
+private:
+    EdgeWorld &world;
+    std::mutex mutex;
+};
+
 /// Injects random faults. Each ends before step() returns or is undone by endFaults().
 class FaultInjector
 {
 public:
-    FaultInjector(EdgeWorld &edgeWorld, Record &faultRecord, std::uint64_t seed)
+    FaultInjector(EdgeWorld &edgeWorld, DaemonControl &daemonControl, Record &faultRecord,
+                  std::uint64_t seed)
         : world(edgeWorld)
+        , daemons(daemonControl)
         , record(faultRecord)
         , random(seed)
     { }
@@ -112,7 +198,7 @@
             this->stop(edge);
             break;
         case 3:
-            this->world.edges[edge].process->signal(SIGHUP);
+            this->daemons.signal(edge, SIGHUP);
             break;
         case 4:
             this->world.store->setDown(true);
@@ -122,7 +208,7 @@
             break;
         case 6:
             this->world.store->dropHistory();
-            this->world.publishConfig(3'000 + static_cast<int>(this->random() % 3) * 500);
+            this->daemons.publishConfig(3'000 + static_cast<int>(this->random() % 3) * 500);
             break;
         case 7:
             this->disturb(*this->world.storeLink);
@@ -156,9 +242,9 @@
             this->world.publishServer(id, false);
         }
         for (std::size_t i = 0; i < edgeCount; ++i) {
-            this->world.edges[i].process->resume();
-            if (this->world.edges[i].process->hasEnded()) {
-                this->world.startEdge(i);
+            this->daemons.signal(i, SIGCONT);
+            if (this->daemons.hasEnded(i)) {
+                this->daemons.start(i);
             }
         }
     }
@@ -173,9 +259,9 @@
     void pause(std::size_t edge)
     {
         const Millis from = monotonicNow();
-        this->world.edges[edge].process->pause();
+        this->daemons.signal(edge, SIGSTOP);
         sleepFor(Millis(200 + static_cast<std::int64_t>(this->random() % 3'000)));
-        this->world.edges[edge].process->resume();
+        this->daemons.signal(edge, SIGCONT);
         this->recordSpan(edge, from, this->record.unplanned);
         const std::lock_guard lock(this->record.mutex);
         this->record.resumes.emplace_back(this->world.edges[edge].name, monotonicNow());
@@ -184,23 +270,35 @@
     void kill(std::size_t edge)
     {
         const Millis from = monotonicNow();
-        this->world.edges[edge].process->killNow();
-        (void)this->world.edges[edge].process->waitForExit(Millis(2'000));
+        this->daemons.signal(edge, SIGKILL);
+        (void)this->daemons.waitForExit(edge, Millis(2'000));
         sleepFor(Millis(static_cast<std::int64_t>(this->random() % 800)));
-        this->world.startEdge(edge);
+        this->daemons.start(edge);
+        this->recordSpan(edge, from, this->record.kills);
         this->recordSpan(edge, from, this->record.unplanned);
     }
 
     void stop(std::size_t edge)
     {
         const Millis from = monotonicNow();
-        this->world.edges[edge].process->terminate();
-        const auto code = this->world.edges[edge].process->waitForExit(shutdownTimeout);
+        this->daemons.signal(edge, SIGTERM);
+        auto code = this->daemons.waitForExit(edge, shutdownTimeout);
+        if (!code && this->wasPaused(edge, from)) {
+            code = this->daemons.waitForExit(edge, maxShortPause);
+        }
         if (code != 0) {
             this->record.addViolation(this->world.edges[edge].name + " did not end with 0 in time");
         }
         this->recordSpan(edge, from, this->record.stops);
-        this->world.startEdge(edge);
+        this->daemons.start(edge);
+    }
+
+    bool wasPaused(std::size_t edge, Millis since)
+    {
+        const std::lock_guard lock(this->record.mutex);
+        return std::any_of(
+                this->record.shortPauses.begin(), this->record.shortPauses.end(),
+                [&](const Span &pause) { return pause.edge == edge && pause.to > since; });
     }
 
     void disturb(LinkProxy &link)
@@ -227,6 +325,82 @@
     }
 
     EdgeWorld &world;
+    DaemonControl &daemons;
+    Record &record;
+    std::mt19937_64 random;
+};
+
+/// Injects faults that break streams, beside those of FaultInjector and independent of them.
+class StreamFaultInjector
+{
+public:
+    StreamFaultInjector(EdgeWorld &edgeWorld, DaemonControl &daemonControl, Record &faultRecord,
+                        std::uint64_t seed)
+        : world(edgeWorld)
+        , daemons(daemonControl)
+        , record(faultRecord)
+        , random(seed)
+    { }
+
+    void run(const std::atomic<bool> &stop)
+    {
+        const Millis from = monotonicNow();
+        while (!stop) {
+            this->step();
+            sleepFor(Millis(static_cast<std::int64_t>(30 + this->random() % 150)));
+        }
+        const std::lock_guard lock(this->record.mutex);
+        this->record.streamFaults.push_back(Span{0, from, monotonicNow()});
+    }
+
+private:
+    void step()
+    {
+        const std::size_t edge = this->random() % edgeCount;
+        const std::string engine = this->random() % 2 == 0 ? "e1" : "e2";
+        EdgeWorld::Replica &replica = this->world.replicas.at(engine);
+        standins::ReplicaFaults faults;
+        switch (this->random() % 16) {
+        case 0:
+        case 1:
+        case 2:
+            faults.abortShare = 0.5;
+            faults.halfEventShare = 0.5;
+            faults.dropShare = 0.1;
+            replica.standin->setFaults(faults);
+            break;
+        case 3:
+            this->world.crash(engine);
+            break;
+        case 4:
+        case 5:
+            this->daemons.signal(edge, SIGHUP);
+            break;
+        case 6:
+            this->pause(edge);
+            break;
+        case 7:
+            this->daemons.publishConfig(3'000 + static_cast<int>(this->random() % 3) * 500);
+            break;
+        default:
+            replica.link->resetAll();
+        }
+    }
+
+    void pause(std::size_t edge)
+    {
+        const Millis from = monotonicNow();
+        const auto range = static_cast<std::uint64_t>(maxShortPause.count());
+        this->daemons.signal(edge, SIGSTOP);
+        sleepFor(Millis(static_cast<std::int64_t>(this->random() % range)));
+        this->daemons.signal(edge, SIGCONT);
+        const std::lock_guard lock(this->record.mutex);
+        this->record.shortPauses.push_back(Span{edge, from, monotonicNow()});
+        this->record.resumes.emplace_back(this->world.edges[edge].name, monotonicNow());
+    }
+
+    EdgeWorld &world;
+    DaemonControl &daemons;
     Record &record;
     std::mt19937_64 random;
 };
@@ -257,6 +431,32 @@
     }
 }
 
+/// Each stream is whole, or broken off after whole events of its run; see findStreamFault().
+void checkStreams(const EdgeWorld &world, Record &record)
+{
+    const std::map<std::string, std::uint32_t> runs = world.runs();
+    for (const SentStream &sent : record.streams) {
+        const bool wasKilled
+                = std::any_of(record.kills.begin(), record.kills.end(), [&](const Span &kill) {
+                      return kill.edge == sent.edge && kill.from >= sent.at
+                              && kill.from <= sent.endedAt;
+                  });
+        if (const auto fault = findStreamFault(sent, wasKilled)) {
+            record.addViolation(sent.id + " " + *fault);
+        } else if (wasKilled && findStreamFault(sent, false)) {
+            ++record.streamsCutByKills;
+        }
+        const auto found = runs.find(sent.id);
+        const std::uint32_t count = found == runs.end() ? 0 : found->second;
+        if (!mayRepeat(sent.path) && count > 1) {
+            record.addViolation(sent.id + " ran " + std::to_string(count) + " times");
+        }
+        if (!mayRepeat(sent.path) && sent.response.status == notRun && count > 0) {
+            record.addViolation(sent.id + " was refused although it ran");
+        }
+    }
+}
+
 /// A planned stop aborts no request, unless another fault occurred at about the same time.
 void checkStops(Record &record)
 {
@@ -268,10 +468,20 @@
         for (const Span &stop : record.stops) {
             const bool during = stop.edge == sent.edge && sent.at > stop.from
                     && sent.at < stop.from + Millis(3'000) && sent.endedAt <= stop.to + Millis(200);
-            const bool exempt = std::any_of(
-                    record.unplanned.begin(), record.unplanned.end(), [&](const Span &fault) {
-                        return fault.from < sent.endedAt && fault.to + faultAftermath > sent.at;
-                    });
+            const auto isNear = [&](const Span &fault) {
+                return fault.from < sent.endedAt && fault.to + faultAftermath > sent.at;
+            };
+            const auto isNearAtEdge
+                    = [&](const Span &fault) { return fault.edge == sent.edge && isNear(fault); };
+            const bool isStream
+                    = sent.path.rfind("/chat", 0) == 0 || sent.path.rfind("/once", 0) == 0;
+            const bool exempt
+                    = std::any_of(record.unplanned.begin(), record.unplanned.end(), isNear)
+                    || std::any_of(record.shortPauses.begin(), record.shortPauses.end(),
+                                   isNearAtEdge)
+                    || (isStream
+                        && std::any_of(record.streamFaults.begin(), record.streamFaults.end(),
+                                       isNear));
             if (during && !exempt) {
                 record.addViolation(sent.id + " was aborted by a planned stop of edge "
                                     + std::to_string(sent.edge + 1));
@@ -376,6 +586,73 @@
     }
 }
 
+std::vector<std::thread> startCallers(EdgeWorld &world, Record &record, std::uint64_t seed,
+                                      const std::atomic<bool> &stop)
+{
+    constexpr std::uint64_t seedsPerRun = 100;
+    std::vector<std::thread> callers;
+    for (std::uint64_t i = 0; i < callerThreads; ++i) {
+        callers.emplace_back([&, callerSeed = seed * seedsPerRun + i] {
+            runCaller(world, record, callerSeed, stop);
+        });
+    }
+    std::uint64_t streamSeed = seed * seedsPerRun;
+    for (const StreamReading kind : streamReadings) {
+        for (int i = 0; i < streamCallersOfEachKind; ++i) {
+            callers.emplace_back([&, kind, callerSeed = streamSeed++] {
+                runStreamCaller(world, record, callerSeed, kind, stop);
+            });
+        }
+    }
+    return callers;
+}
+
+/// Injects faults for some time, in two series at once, and undoes them.
+void injectFaults(EdgeWorld &world, Record &record, std::uint64_t seed, Millis end)
+{
+    DaemonControl daemons(world);
+    FaultInjector faults(world, daemons, record, seed);
+    StreamFaultInjector streamFaults(world, daemons, record, seed);
+    std::atomic<bool> stop{false};
+    std::thread streamFaultThread([&] { streamFaults.run(stop); });
+    while (monotonicNow() < end) {
+        faults.step();
+        constexpr std::int64_t faultIntervalRange = 900;
+        sleepFor(Millis(static_cast<std::int64_t>(seed % faultIntervalRange) + 100));
+    }
+    stop = true;
+    streamFaultThread.join();
+    faults.endFaults();
+}
+
+void printResult(const EdgeWorld &world, const Record &record, std::uint64_t seed)
+{
+    const auto served
+            = std::count_if(record.sent.begin(), record.sent.end(), [](const SentRequest &sent) {
+                  return sent.response.status == okStatus;
+              });
+    std::cout << "seed " << seed << ": " << record.sent.size() << " requests, " << served
+              << " served, " << record.streams.size() << " streams read by bytes, "
+              << std::count_if(record.streams.begin(), record.streams.end(), isWhole) << " whole, "
+              << std::count_if(record.streams.begin(), record.streams.end(), isBroken)
+              << " broken (" << record.streamsCutByKills << " inside an event by a kill), "
+              << record.violations.size() << " violations\n";
+    for (const std::string &violation : record.violations) {
+        std::cout << "  " << violation << '\n';
+    }
+    if (!record.violations.empty()) {
+        const auto logFolder = std::filesystem::temp_directory_path()
+                / ("balsamport-soak-" + std::to_string(seed));
+        std::error_code ignored;
+        std::filesystem::copy(world.folder.path(), logFolder,
+                              std::filesystem::copy_options::recursive
+                                      | std::filesystem::copy_options::overwrite_existing,
+                              ignored);
+        std::cout << "  logs: " << logFolder.string() << '\n';
+    }
+    std::cout.flush();
+}
+
 int runSeed(std::uint64_t seed, Millis faultTime)
 {
     EdgeWorld world(edgeCount);
@@ -387,23 +664,10 @@
         record.addViolation("the daemons did not become ready");
     }
     std::atomic<bool> stop{false};
-    std::vector<std::thread> callers;
-    for (int i = 0; i < callerThreads; ++i) {
-        callers.emplace_back([&, i] {
-            constexpr std::uint64_t seedsPerRun = 100;
-            runCaller(world, record, seed * seedsPerRun + static_cast<std::uint64_t>(i), stop);
-        });
-    }
-    FaultInjector faults(world, record, seed);
+    std::vector<std::thread> callers = startCallers(world, record, seed, stop);
     stateLimits(world, seed);
     const Millis limitsFrom = monotonicNow();
-    const Millis end = limitsFrom + faultTime;
-    while (monotonicNow() < end) {
-        faults.step();
-        constexpr std::int64_t faultIntervalRange = 900;
-        sleepFor(Millis(static_cast<std::int64_t>(seed % faultIntervalRange) + 100));
-    }
-    faults.endFaults();
+    injectFaults(world, record, seed, limitsFrom + faultTime);
     const Millis faultsEndedAt = monotonicNow();
     endLimits(world);
     sleepFor(recoveryTime + Millis(3'000));
@@ -417,30 +681,12 @@
         }
     }
     checkResponses(world, record);
+    checkStreams(world, record);
     checkStops(record);
     checkCommands(world, record);
     checkLimits(world, record, seed, limitsFrom, faultsEndedAt);
     checkRecovery(record, faultsEndedAt);
-    std::size_t served = 0;
-    for (const SentRequest &sent : record.sent) {
-        served += sent.response.status == okStatus ? 1 : 0;
-    }
-    std::cout << "seed " << seed << ": " << record.sent.size() << " requests, " << served
-              << " served, " << record.violations.size() << " violations\n";
-    for (const std::string &violation : record.violations) {
-        std::cout << "  " << violation << '\n';
-    }
-    if (!record.violations.empty()) {
-        const auto logFolder = std::filesystem::temp_directory_path()
-                / ("balsamport-soak-" + std::to_string(seed));
-        std::error_code ignored;
-        std::filesystem::copy(world.folder.path(), logFolder,
-                              std::filesystem::copy_options::recursive
-                                      | std::filesystem::copy_options::overwrite_existing,
-                              ignored);
-        std::cout << "  logs: " << logFolder.string() << '\n';
-    }
-    std::cout.flush();
+    printResult(world, record, seed);
     return record.violations.empty() ? 0 : 1;
 }
 
