Resume a stream whose server stopped inside an event

Callers of resumable streams got a broken stream where the server stopped inside an event and then closed the connection of a response without a length, or sent its last chunk. The same stream whose connection was reset was resumed at another server.

finishResponse() took the end of such a response for the end of its stream, and gave the stream up when it found an incomplete event. By the platform's pages, a server that crashes or resets may cut its stream off inside an event, so handleEnd() now treats it as a broken connection: it is resumed where it may be, and counts as a sign of a crash. The log's error of a stream that is then given up is connection_broken instead of answer_incomplete.

--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -314,6 +314,11 @@
         this->handleFailure(sent, ErrorCode::BadResponse);
         return;
     }
+    if (this->streamStarted && isSuccess && !this->splitter.pending.empty()) {
+        // A server that stops inside an event has broken its stream off, however that ends.
+        this->handleFailure(sent, ErrorCode::ConnectionBroken);
+        return;
+    }
     this->finishResponse(sent);
 }
 
@@ -329,7 +334,7 @@
     }
     sent->complete = httpstatus::isSuccess(sent->response.status);
     RequestTraits sound{this->traits.fingerprint, {}};
-    if (sent->complete && this->splitter.pending.empty()) {
+    if (sent->complete) {
         sound = this->traits;
     }
     this->context.crashes.recordCompletion(sound, sent->sentAt);
@@ -340,8 +345,8 @@
                       ErrorCode::Internal);
         return;
     }
-    if (!httpstatus::isSuccess(sent->response.status) || !this->splitter.pending.empty()) {
-        // Another server refused to resume the stream, or the last event is incomplete.
+    if (!httpstatus::isSuccess(sent->response.status)) {
+        // Another server refused to resume the stream.
         this->breakStream(ErrorCode::AnswerIncomplete, sent->server, sent->response.status);
         return;
     }
