--- a/tests/e2e/e2e-planned-stop.cpp
+++ b/tests/e2e/e2e-planned-stop.cpp
@@ -46,6 +46,13 @@
     return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
 }
 
+/// More than the kernel takes at once for a caller that does not read.
+std::string largeFill()
+{
+    constexpr std::size_t largeBytes = 7'000'000;
+    return std::string(largeBytes, 'x');
+}
+
 bool saysClose(const RawResponse &response)
 {
     return response.head.find("Connection: close") != std::string::npos;
@@ -234,7 +241,7 @@
             connection.reset();
             return;
         }
-        const std::string body = "done " + id;
+        const std::string body = "done " + id + (has("/large/") ? largeFill() : std::string());
         connection.write(sealedHead(id) + "Content-Length: " + std::to_string(body.size())
                          + "\r\n\r\n" + body);
     }
@@ -355,6 +362,31 @@
               != std::string::npos);
     }
 
+    SECTION("a caller that reads slowly gets all of a response that was complete before the stop")
+    {
+        StopWorld world;
+        RawReading slowly;
+        slowly.bytesAtOnce = 65'536;
+        slowly.pause = Millis(40);
+        slowly.receiveBufferBytes = 65'536;
+        slowly.afterComplete = Millis(0);
+        auto large = std::async(std::launch::async, [&] {
+            return callRaw(world.world.edges[0].front,
+                           StopWorld::requestText("/quick/large/0", "large"), slowly);
+        });
+        REQUIRE(eventually(Millis(2'000), [&] {
+            return world.world.logText(0).find("\"served\",\"request\":\"large\"")
+                    != std::string::npos;
+        }));
+        world.stop();
+        const RawResponse response = large.get();
+        CHECK(response.took > Millis(3'500)); // Longer than an idle daemon stays.
+        CHECK(response.status == okStatus);
+        CHECK(response.complete);
+        CHECK(response.body == "done large" + largeFill());
+        REQUIRE(world.waitForEnd());
+    }
+
     SECTION("connections are kept and used until the process is gone, with SIGHUP and a second "
             "SIGTERM in between")
     {
