Report the memory of the edge daemon by part, as metrics and in its log

A daemon that outgrows its VM is killed without a line. The log and balsamport_edge_memory_bytes now show its resident memory, the heap in use and free, and the bytes of messages to and from peers that wait, of the published entries and of the log, every 2 s. No decision changes.

--- a/include/balsamport/core/event_log.h
+++ b/include/balsamport/core/event_log.h
@@ -96,6 +96,9 @@
     /// @return number of lines dropped since the start
     [[nodiscard]] std::uint64_t droppedLines() const noexcept;
 
+    /// @return bytes of the lines that wait to be written
+    [[nodiscard]] std::uint64_t queuedBytes() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl;
--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -89,6 +89,8 @@
                                  "Requests that wait for a place on the engines owned here"};
 constexpr MetricInfo edgePublishedAge{"balsamport_edge_published_age_seconds", MetricKind::Gauge,
                                       "", "Since the platform's entries were last confirmed"};
+constexpr MetricInfo edgeMemory{"balsamport_edge_memory_bytes", MetricKind::Gauge, "part",
+                                "Memory of the process and of the parts that may grow"};
 constexpr MetricInfo edgeConfigVersion{"balsamport_edge_config_version", MetricKind::Gauge, "",
                                        "Version of the configuration in force"};
 constexpr MetricInfo edgeStoreCalls{"balsamport_edge_store_calls_total", MetricKind::Counter, "",
@@ -147,6 +149,7 @@
         edgeOwned,
         edgeWaiting,
         edgePublishedAge,
+        edgeMemory,
         edgeConfigVersion,
         edgeStoreCalls,
         edgeLimitedServers,
--- a/include/balsamport/wire/message_client.h
+++ b/include/balsamport/wire/message_client.h
@@ -50,6 +50,8 @@
 
     [[nodiscard]] std::uint64_t bytesReceived() const noexcept;
     [[nodiscard]] std::uint64_t bytesSent() const noexcept;
+    /// @return bytes of the serialized messages that were neither sent nor dropped yet
+    [[nodiscard]] std::uint64_t bytesQueued() const noexcept;
 
 private:
     struct Loop;
--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -197,6 +197,12 @@
     }
 }
 
+std::uint64_t EventLog::queuedBytes() const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->queue.size();
+}
+
 std::uint64_t EventLog::droppedLines() const noexcept
 {
     return this->impl->droppedLines;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -8,6 +8,7 @@
 #include "request_flow.h"
 
 #include <balsamport/core/http_status.h>
+#include <balsamport/core/memory_use.h>
 #include <balsamport/core/metric_names.h>
 #include <balsamport/edge/published_message.h>
 #include <balsamport/http/http_server.h>
@@ -30,6 +31,8 @@
 constexpr Millis pullInterval{250};
 /// Interval between checks for the end of the requests in progress, while draining.
 constexpr Millis drainCheckInterval{50};
+/// Interval between log lines on the memory that each part of the daemon uses.
+constexpr Millis memoryLogInterval{2'000};
 
 } // namespace
 
@@ -49,6 +52,8 @@
     void begin();
     void tick();
     void updateGauges(Millis now);
+    /// Publishes and logs the memory that each part of the daemon uses.
+    void reportMemory(Millis now);
     void detectPause(Millis now);
     void updateEngines(Millis now);
     void applyChanges(const std::vector<PublishedEntry> &changed, const StoreRevision &since,
@@ -138,6 +143,8 @@
     std::unique_ptr<LoopTimer> stopTimer = this->loop.makeTimer();
     Millis lastTickAt;
     Millis lastPullAt{-1};
+    Millis lastMemoryLogAt{0};
+    std::atomic<std::uint64_t> unhandledBytes{0}; ///< Of the messages of peers.
     Millis lastRequestAt{0};
     Millis lastBusyAt{0}; ///< While draining: when a request was last in progress.
     std::map<VmId, std::uint64_t> peerIncarnations; ///< Of the last message of each peer.
@@ -154,7 +161,12 @@
             "tcp://" + this->settings.peerAddress,
             MessageSender{this->settings.vm.str(), this->incarnation}, CurveKeys{},
             [this](const wire::Envelope &message, const ReplySender &reply) {
-                this->loop.post([this, message, reply] { this->handleMessage(message, reply); });
+                const std::uint64_t bytes = message.ByteSizeLong();
+                this->unhandledBytes += bytes;
+                this->loop.post([this, message, reply, bytes] {
+                    this->unhandledBytes -= bytes;
+                    this->handleMessage(message, reply);
+                });
             });
     if (peerServer.has_error()) {
         return peerServer.error();
@@ -233,6 +245,7 @@
     forgetUnlistedServers(this->state.availability, this->state.catalog, now);
     this->updateEngines(now);
     this->updateGauges(now);
+    this->reportMemory(now);
     this->lastTickAt = now;
     this->tickTimer->set(tickInterval, [this] { this->tick(); });
 }
@@ -252,6 +265,47 @@
     metrics.gauge(metric::logDrops).set(static_cast<double>(this->log.droppedLines()));
 }
 
+void EdgeDaemon::Impl::reportMemory(Millis now)
+{
+    const MemoryUse memory = memoryUse();
+    std::uint64_t publishedBytes = 0;
+    for (const auto &[key, entry] : this->published.state().entries) {
+        publishedBytes += key.size() + entry.value.size();
+    }
+    const std::uint64_t received = this->unhandledBytes;
+    const std::uint64_t outgoing = this->messages.bytesQueued();
+    const std::uint64_t replies = this->messageServer->bytesQueued();
+    const std::uint64_t log = this->log.queuedBytes();
+    const auto setGauge = [this](std::string_view part, std::uint64_t bytes) {
+        this->context.metrics.gauge(metric::edgeMemory, part).set(static_cast<double>(bytes));
+    };
+    setGauge("resident", memory.residentBytes);
+    setGauge("heap_used", memory.heapUsedBytes);
+    setGauge("heap_free", memory.heapFreeBytes);
+    setGauge("messages_received", received);
+    setGauge("messages_outgoing", outgoing);
+    setGauge("replies", replies);
+    setGauge("published", publishedBytes);
+    setGauge("log", log);
+    if (now - this->lastMemoryLogAt < memoryLogInterval) {
+        return;
+    }
+    this->lastMemoryLogAt = now;
+    this->log.write(EventPriority::Notable, "memory",
+                    {{"resident", memory.residentBytes},
+                     {"heap_used", memory.heapUsedBytes},
+                     {"heap_free", memory.heapFreeBytes},
+                     {"messages_received", received},
+                     {"messages_outgoing", outgoing},
+                     {"replies", replies},
+                     {"published", publishedBytes},
+                     {"log", log},
+                     {"requests", this->flows.running.size()},
+                     {"connections", this->callerServer->connections()},
+                     {"bytes_sent", this->messages.bytesSent()},
+                     {"bytes_received", this->messageServer->bytesReceived()}});
+}
+
 void EdgeDaemon::Impl::detectPause(Millis now)
 {
     const Millis gap = now - this->lastTickAt;
--- a/src/wire/message_client.cpp
+++ b/src/wire/message_client.cpp
@@ -100,7 +100,7 @@
         for (OutgoingMessage &message : batch) {
             message.envelope.mutable_sender()->set_vm(this->self.vm);
             message.envelope.mutable_sender()->set_incarnation(this->self.incarnation);
-            this->sendTo(message.endpoint, serialize(message.envelope));
+            this->sendTo(message.endpoint, serialize(message.envelope, this->queuedBytes));
         }
     }
 
@@ -267,6 +267,7 @@
     std::atomic<bool> stopping{false};
     std::atomic<std::uint64_t> received{0};
     std::atomic<std::uint64_t> sent{0};
+    MessageMeter queuedBytes = std::make_shared<std::atomic<std::uint64_t>>(0);
     std::thread thread;
 };
 
@@ -343,4 +344,9 @@
     return this->loop->sent;
 }
 
+std::uint64_t MessageClient::bytesQueued() const noexcept
+{
+    return *this->loop->queuedBytes;
+}
+
 } // namespace balsamport
--- a/src/wire/message_server.cpp
+++ b/src/wire/message_server.cpp
@@ -112,7 +112,7 @@
         for (OutgoingReply &reply : batch) {
             reply.envelope.mutable_sender()->set_vm(this->self.vm);
             reply.envelope.mutable_sender()->set_incarnation(this->self.incarnation);
-            zmq::message_t body = serialize(reply.envelope);
+            zmq::message_t body = serialize(reply.envelope, this->queuedBytes);
             this->sent += body.size();
             try {
                 this->router.send(zmq::buffer(reply.peer),
@@ -135,6 +135,7 @@
     bool stopped = false; ///< Guarded by `mutex`.
     std::atomic<std::uint64_t> received{0};
     std::atomic<std::uint64_t> sent{0};
+    MessageMeter queuedBytes = std::make_shared<std::atomic<std::uint64_t>>(0);
     std::unique_ptr<CurveAuthenticator> authenticator;
     std::thread thread;
 };
@@ -183,4 +184,9 @@
     return this->loop->sent;
 }
 
+std::uint64_t MessageServer::bytesQueued() const noexcept
+{
+    return *this->loop->queuedBytes;
+}
+
 } // namespace balsamport
--- a/src/wire/socket_support.cpp
+++ b/src/wire/socket_support.cpp
@@ -88,11 +88,22 @@
     this->signalled = false;
 }
 
-zmq::message_t serialize(const wire::Envelope &envelope)
+zmq::message_t serialize(const wire::Envelope &envelope, const MessageMeter &meter)
 {
-    zmq::message_t message(envelope.ByteSizeLong());
-    envelope.SerializeToArray(message.data(), static_cast<int>(message.size()));
-    return message;
+    struct MeteredBytes
+    {
+        std::string bytes;
+        MessageMeter meter;
+    };
+    auto owned = std::make_unique<MeteredBytes>(MeteredBytes{envelope.SerializeAsString(), meter});
+    *meter += owned->bytes.size();
+    const auto release = [](void * /*data*/, void *hint) {
+        const std::unique_ptr<MeteredBytes> released(static_cast<MeteredBytes *>(hint));
+        *released->meter -= released->bytes.size();
+    };
+    char *const data = owned->bytes.data();
+    const std::size_t size = owned->bytes.size();
+    return zmq::message_t(data, size, release, owned.release());
 }
 
 bool discardRemainingFrames(zmq::socket_t &socket, const zmq::message_t &last)
--- a/src/wire/socket_support.h
+++ b/src/wire/socket_support.h
@@ -40,8 +40,12 @@
     std::atomic<bool> signalled{false};
 };
 
-/// @return the serialized envelope as a ZeroMQ message
-[[nodiscard]] zmq::message_t serialize(const wire::Envelope &envelope);
+/// Bytes of messages that were handed to ZeroMQ and are not sent or dropped yet.
+using MessageMeter = std::shared_ptr<std::atomic<std::uint64_t>>;
+
+/// @brief Serializes an envelope as a ZeroMQ message, whose copies share its bytes.
+/// @param meter counts the bytes until the last copy is destroyed
+[[nodiscard]] zmq::message_t serialize(const wire::Envelope &envelope, const MessageMeter &meter);
 
 /// @brief Receives and discards the remaining frames of the message that `last` is part of.
 /// @return true if there were any
