Bound what waits between daemons, and relay statuses together

Cause: a queue without a limit. The delegate sent each status of another data centre on at once, to some 32 peers, with all that it knew of servers itself; for each peer a copy of the message waited as an object, to be serialized by a thread that shares 0.12 of a core with the loop that added them. Sending fell to a third while the heap grew.

A message to several peers is serialized once, and its copies share their bytes. Unsent messages are limited in number for a peer and in bytes for all (edge daemon: 16 MiB); beyond that messages are dropped and counted, and requests fail at once. What waits for a peer that got nothing new for a minute goes with its connection. A delegate collects statuses for 100 ms and sends them alone; a daemon's own status goes out alone too when it changes, what it knows of servers follows with the regular gossip. A daemon drops messages of peers beyond 4 MiB unhandled, and refuses a request for a grant at once, so that its sender asks elsewhere.

--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -91,6 +91,9 @@
                                       "", "Since the platform's entries were last confirmed"};
 constexpr MetricInfo edgeMemory{"balsamport_edge_memory_bytes", MetricKind::Gauge, "part",
                                 "Memory of the process and of the parts that may grow"};
+constexpr MetricInfo edgeDroppedMessages{
+        "balsamport_edge_dropped_messages", MetricKind::Gauge, "direction",
+        "Messages between daemons that were dropped because too many waited, since the start"};
 constexpr MetricInfo edgeConfigVersion{"balsamport_edge_config_version", MetricKind::Gauge, "",
                                        "Version of the configuration in force"};
 constexpr MetricInfo edgeStoreCalls{"balsamport_edge_store_calls_total", MetricKind::Counter, "",
@@ -150,6 +153,7 @@
         edgeWaiting,
         edgePublishedAge,
         edgeMemory,
+        edgeDroppedMessages,
         edgeConfigVersion,
         edgeStoreCalls,
         edgeLimitedServers,
--- a/include/balsamport/wire/message_client.h
+++ b/include/balsamport/wire/message_client.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace balsamport {
 
@@ -18,14 +19,26 @@
 /// @return true if further replies to the request are expected, for example after QUEUED
 using ReplyHandler = std::function<bool(const Result<wire::Envelope> &reply)>;
 
+/// @brief Limits of the messages that wait because peers do not take them.
+struct MessageQueueLimits
+{
+    int messagesPerPeer = 10'000;
+    std::uint64_t bytes = std::uint64_t{64} * 1024 * 1024; ///< To all peers together.
+
+    bool operator==(const MessageQueueLimits &) const = default;
+};
+
 /// @brief Sends requests to any number of peers over ZeroMQ DEALER sockets, one per endpoint.
 ///
 /// Owns a thread that calls all handlers; handlers must not block. All functions may be called from
 /// any thread. A request to an unreachable peer ends with a timeout; only call() blocks.
+///
+/// Beyond its limits of waiting messages, it drops messages, and requests end with a timeout at
+/// once. What waits for a peer that got nothing new for a minute is dropped with its connection.
 class MessageClient
 {
 public:
-    MessageClient(MessageSender self, CurveKeys keys);
+    MessageClient(MessageSender self, CurveKeys keys, MessageQueueLimits limits = {});
     ~MessageClient();
     MessageClient(const MessageClient &) = delete;
     MessageClient &operator=(const MessageClient &) = delete;
@@ -44,6 +57,10 @@
     /// @brief Sends a message without a reply.
     void notify(const std::string &endpoint, wire::Envelope message);
 
+    /// @brief Sends a message without a reply to several peers. All copies that wait to be sent
+    /// share their bytes.
+    void notifyAll(const std::vector<std::string> &endpoints, wire::Envelope message);
+
     /// @brief Sends a request and blocks until its first reply. Must not be called by a handler.
     [[nodiscard]] Result<wire::Envelope> call(const std::string &endpoint, wire::Envelope message,
                                               Millis timeout);
@@ -52,6 +69,8 @@
     [[nodiscard]] std::uint64_t bytesSent() const noexcept;
     /// @return bytes of the serialized messages that were neither sent nor dropped yet
     [[nodiscard]] std::uint64_t bytesQueued() const noexcept;
+    /// @return the number of messages and requests that were dropped because too many bytes waited
+    [[nodiscard]] std::uint64_t messagesDropped() const noexcept;
 
 private:
     struct Loop;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -31,6 +31,11 @@
 constexpr Millis pullInterval{250};
 /// Interval between checks for the end of the requests in progress, while draining.
 constexpr Millis drainCheckInterval{50};
+/// Limits of the messages to peers that are slow or cut off. Source: a tenth of the memory of the
+/// smallest VMs, 160 MB.
+constexpr MessageQueueLimits peerQueueLimits{1'000, std::uint64_t{16} * 1024 * 1024};
+/// Bytes of peers' messages that wait to be handled, above which further ones are dropped.
+constexpr std::uint64_t maxUnhandledBytes = std::uint64_t{4} * 1024 * 1024;
 /// Interval between log lines on the memory that each part of the daemon uses.
 constexpr Millis memoryLogInterval{2'000};
 
@@ -45,7 +50,8 @@
         , log(eventLog)
         , reload(std::move(reloadSettings))
         , incarnation(static_cast<std::uint64_t>(wallNow().count()))
-        , messages(MessageSender{this->settings.vm.str(), this->incarnation}, CurveKeys{})
+        , messages(MessageSender{this->settings.vm.str(), this->incarnation}, CurveKeys{},
+                   peerQueueLimits)
     { }
 
     [[nodiscard]] Result<void> listen();
@@ -67,6 +73,8 @@
     void applyConfig(const EdgeConfig &config);
     /// Resumes the requests that arrived before the first configuration.
     void resumeEarlyRequests();
+    /// Queues a message of a peer for the loop. Called on the thread of the message server.
+    void receiveMessage(const wire::Envelope &message, const ReplySender &reply);
     void handleMessage(const wire::Envelope &message, const ReplySender &reply);
     void handleGossipMessage(const wire::Envelope &message);
     /// Ends the requests with a convicted suspect that wait for a grant or a response.
@@ -145,6 +153,7 @@
     Millis lastPullAt{-1};
     Millis lastMemoryLogAt{0};
     std::atomic<std::uint64_t> unhandledBytes{0}; ///< Of the messages of peers.
+    std::atomic<std::uint64_t> droppedMessages{0}; ///< Of peers, because too many waited.
     Millis lastRequestAt{0};
     Millis lastBusyAt{0}; ///< While draining: when a request was last in progress.
     std::map<VmId, std::uint64_t> peerIncarnations; ///< Of the last message of each peer.
@@ -161,12 +170,7 @@
             "tcp://" + this->settings.peerAddress,
             MessageSender{this->settings.vm.str(), this->incarnation}, CurveKeys{},
             [this](const wire::Envelope &message, const ReplySender &reply) {
-                const std::uint64_t bytes = message.ByteSizeLong();
-                this->unhandledBytes += bytes;
-                this->loop.post([this, message, reply, bytes] {
-                    this->unhandledBytes -= bytes;
-                    this->handleMessage(message, reply);
-                });
+                this->receiveMessage(message, reply);
             });
     if (peerServer.has_error()) {
         return peerServer.error();
@@ -287,6 +291,12 @@
     setGauge("replies", replies);
     setGauge("published", publishedBytes);
     setGauge("log", log);
+    const std::uint64_t droppedOutgoing = this->messages.messagesDropped();
+    const std::uint64_t droppedReceived = this->droppedMessages;
+    this->context.metrics.gauge(metric::edgeDroppedMessages, "outgoing")
+            .set(static_cast<double>(droppedOutgoing));
+    this->context.metrics.gauge(metric::edgeDroppedMessages, "received")
+            .set(static_cast<double>(droppedReceived));
     if (now - this->lastMemoryLogAt < memoryLogInterval) {
         return;
     }
@@ -300,6 +310,8 @@
                      {"replies", replies},
                      {"published", publishedBytes},
                      {"log", log},
+                     {"dropped_outgoing", droppedOutgoing},
+                     {"dropped_received", droppedReceived},
                      {"requests", this->flows.running.size()},
                      {"connections", this->callerServer->connections()},
                      {"bytes_sent", this->messages.bytesSent()},
@@ -473,6 +485,27 @@
     }
 }
 
+void EdgeDaemon::Impl::receiveMessage(const wire::Envelope &message, const ReplySender &reply)
+{
+    if (this->unhandledBytes > maxUnhandledBytes) {
+        ++this->droppedMessages;
+        if (message.has_place_request()) {
+            // The peer can ask another owner at once.
+            wire::Envelope refusal;
+            refusal.mutable_place_reply()->set_place(message.place_request().place());
+            refusal.mutable_place_reply()->set_verdict(wire::PlaceReply::NOT_OWNER);
+            reply(std::move(refusal));
+        }
+        return;
+    }
+    const std::uint64_t bytes = message.ByteSizeLong();
+    this->unhandledBytes += bytes;
+    this->loop.post([this, message, reply, bytes] {
+        this->unhandledBytes -= bytes;
+        this->handleMessage(message, reply);
+    });
+}
+
 void EdgeDaemon::Impl::handleMessage(const wire::Envelope &message, const ReplySender &reply)
 {
     const VmId peer(message.sender().vm());
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint64_t roundsPerSeedContact = 4;
 /// Remote owners that a daemon connects to in one round; in a large fleet all take seconds.
 constexpr std::size_t maxOwnerContactsPerRound = 6;
+/// Time for which a delegate collects statuses of remote daemons before it relays them. Without it,
+/// a burst of changes in a large fleet exceeds what its VM can send.
+constexpr Millis relayDelay{100};
 
 std::string endpointOf(const std::string &address)
 {
@@ -52,6 +55,7 @@
     , localStatus(std::move(status))
     , addKnowledge(std::move(knowledge))
     , timer(owner.loop.makeTimer())
+    , relayTimer(owner.loop.makeTimer())
 {
     this->peers.self = owner.settings.vm;
     this->peers.dataCentre = owner.settings.location.dataCentre;
@@ -72,15 +76,11 @@
     for (const Peer *peer : peersToAnnounce(this->peers, now)) {
         addMember(*localMessage.mutable_edge_gossip(), *peer);
     }
-    for (const Peer *peer : targets.local) {
-        this->messages.notify(peer->endpoint, localMessage);
-    }
+    this->sendTo(targets.local, std::move(localMessage));
     if (!targets.remote.empty()) {
         wire::Envelope message = this->dataCentreGossip(now);
         message.mutable_edge_gossip()->set_relay(targets.relayed);
-        for (const Peer *peer : targets.remote) {
-            this->messages.notify(peer->endpoint, message);
-        }
+        this->sendTo(targets.remote, std::move(message));
     }
     this->contactRemoteOwners(now);
     if (roundNumber % roundsPerSeedContact == 0 || this->alivePeers.empty()) {
@@ -144,6 +144,13 @@
 }
 
 wire::Envelope PeerController::gossipMessage() const
+{
+    wire::Envelope message = this->statusMessage();
+    this->addKnowledge(*message.mutable_edge_gossip());
+    return message;
+}
+
+wire::Envelope PeerController::statusMessage() const
 {
     const LocalStatus status = this->localStatus();
     wire::Envelope message;
@@ -164,7 +171,6 @@
     gossip.set_published_age_ms(static_cast<std::uint32_t>(status.publishedAge.count()));
     gossip.set_store_reachable(status.storeReachable);
     gossip.set_known_peers(static_cast<std::uint32_t>(this->alivePeers.size()));
-    this->addKnowledge(gossip);
     return message;
 }
 
@@ -253,23 +259,43 @@
 
 void PeerController::relayGossip(const wire::EdgeGossip &gossip, std::uint64_t incarnation)
 {
-    wire::Envelope message = this->gossipMessage();
-    wire::EdgeGossip &relayed = *message.mutable_edge_gossip();
-    relayed.set_speaks_for_members(true);
-    *relayed.mutable_members() = gossip.members();
-    wire::EdgeMember &sender = *relayed.add_members();
-    sender = gossip.self();
-    sender.set_incarnation(incarnation);
-    this->sendToDataCentre(message);
+    const Millis now = monotonicNow();
+    const bool isScheduled = !this->relays.empty();
+    if (gossip.speaks_for_members()) {
+        for (const wire::EdgeMember &member : gossip.members()) {
+            this->relays.insert_or_assign(VmId(member.vm()), Relay{member, now});
+        }
+    }
+    Relay sender{gossip.self(), now};
+    sender.member.set_incarnation(incarnation);
+    this->relays.insert_or_assign(VmId(gossip.self().vm()), std::move(sender));
+    if (!isScheduled) {
+        this->relayTimer->set(relayDelay, [this] { this->flushRelays(); });
+    }
+}
+
+void PeerController::flushRelays()
+{
+    const Millis now = monotonicNow();
+    wire::Envelope message = this->statusMessage();
+    wire::EdgeGossip &gossip = *message.mutable_edge_gossip();
+    gossip.set_speaks_for_members(true);
+    for (auto &[vm, relay] : this->relays) {
+        const auto delay = static_cast<std::uint32_t>((now - relay.receivedAt).count());
+        relay.member.set_silent_ms(relay.member.silent_ms() + delay);
+        *gossip.add_members() = std::move(relay.member);
+    }
+    this->relays.clear();
+    this->sendToDataCentre(std::move(message));
 }
 
 void PeerController::broadcastStatus()
 {
-    wire::Envelope message = this->gossipMessage();
+    wire::Envelope message = this->statusMessage();
     this->sendToDataCentre(message);
     const GossipTargets targets = remoteTargets(this->peers, monotonicNow());
     message.mutable_edge_gossip()->set_relay(targets.relayed);
-    this->sendTo(targets.remote, message);
+    this->sendTo(targets.remote, std::move(message));
 }
 
 void PeerController::broadcastCrashes(const wire::CrashNote &note)
@@ -363,12 +389,14 @@
                            });
 }
 
-void PeerController::sendTo(const std::vector<const Peer *> &recipients,
-                            const wire::Envelope &message)
+void PeerController::sendTo(const std::vector<const Peer *> &recipients, wire::Envelope message)
 {
+    std::vector<std::string> endpoints;
+    endpoints.reserve(recipients.size());
     for (const Peer *peer : recipients) {
-        this->messages.notify(peer->endpoint, message);
+        endpoints.push_back(peer->endpoint);
     }
+    this->messages.notifyAll(endpoints, std::move(message));
 }
 
 bool PeerController::isDelegate() const
@@ -376,13 +404,15 @@
     return balsamport::isDelegate(this->peers, this->localStatus().draining, monotonicNow());
 }
 
-void PeerController::sendToDataCentre(const wire::Envelope &message)
+void PeerController::sendToDataCentre(wire::Envelope message)
 {
+    std::vector<const Peer *> recipients;
     for (const auto &[vm, peer] : this->peers.peers) {
         if (peer.dataCentre == this->peers.dataCentre) {
-            this->messages.notify(peer.endpoint, message);
+            recipients.push_back(&peer);
         }
     }
+    this->sendTo(recipients, std::move(message));
 }
 
 std::size_t PeerController::liveDaemons() const
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -47,6 +47,7 @@
     bool handleGossip(const wire::EdgeGossip &gossip, std::uint64_t incarnation);
 
     /// @brief Sends the status of this daemon to all peers immediately, for example that it drains.
+    /// What it knows of backend servers follows with its regular gossip.
     void broadcastStatus();
 
     /// @brief Sends the crash count of a request to all peers.
@@ -78,7 +79,7 @@
     void queryIssuer(const VmId &issuer, wire::Envelope request, Millis timeout,
                      std::function<void(const std::optional<wire::PermitReply> &reply)> handler);
     /// @brief Sends a message to all known peers of the own data centre.
-    void sendToDataCentre(const wire::Envelope &message);
+    void sendToDataCentre(wire::Envelope message);
 
     [[nodiscard]] const PeerTable &table() const noexcept { return this->peers; }
     /// @return the number of live daemons, this one included
@@ -87,16 +88,21 @@
 private:
     void runRound();
     void sendGossip(const std::string &endpoint);
-    void sendTo(const std::vector<const Peer *> &recipients, const wire::Envelope &message);
+    void sendTo(const std::vector<const Peer *> &recipients, wire::Envelope message);
     /// @return true where this daemon relays messages to its data centre
     [[nodiscard]] bool isDelegate() const;
     void contactSeeds();
     void updateLiveness(Millis now);
+    /// @return the status of this daemon, with what it knows of backend servers
     [[nodiscard]] wire::Envelope gossipMessage() const;
+    /// @return the status of this daemon alone
+    [[nodiscard]] wire::Envelope statusMessage() const;
     [[nodiscard]] wire::Envelope dataCentreGossip(Millis now) const;
     void addMembers(wire::EdgeGossip &gossip, Millis now) const;
-    /// Relays the gossip of the delegate of another data centre to the own one.
+    /// Relays the statuses in the gossip of another data centre to the own one, together with
+    /// others that arrive soon after.
     void relayGossip(const wire::EdgeGossip &gossip, std::uint64_t incarnation);
+    void flushRelays();
     /// Replies to the first gossip of a peer.
     void introduceTo(const Peer &peer, std::size_t knownPeers, Millis now);
     /// Opens connections to remote daemons that own engines, before a request has to wait for one.
@@ -109,6 +115,14 @@
     PeerTable peers;
     std::unique_ptr<LoopTimer> timer;
     std::set<VmId> alivePeers; ///< Of the last round.
+    /// A status of a remote daemon that waits to be relayed.
+    struct Relay
+    {
+        wire::EdgeMember member;
+        Millis receivedAt;
+    };
+    std::map<VmId, Relay> relays; ///< The latest status of each daemon.
+    std::unique_ptr<LoopTimer> relayTimer;
     /// Incarnations of the remote owners that this daemon has sent its gossip to.
     std::map<VmId, std::uint64_t> contactedOwners;
 };
--- a/src/wire/message_client.cpp
+++ b/src/wire/message_client.cpp
@@ -12,6 +12,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -21,7 +22,9 @@
 namespace {
 
 constexpr Millis maxPollTime{1000};
-constexpr int maxQueuedMessages = 10'000;
+/// Time after which a connection that sent and received nothing is closed. Longer than any regular
+/// interval between messages.
+constexpr Millis maxConnectionIdleTime{60'000};
 
 struct PendingRequest
 {
@@ -33,7 +36,7 @@
 struct OutgoingMessage
 {
     std::string endpoint;
-    wire::Envelope envelope;
+    zmq::message_t body; ///< Shares its bytes with the copies for other endpoints.
 };
 
 /// Adds a leading zero to the port. ZeroMQ ignores a second connection to an endpoint that is
@@ -48,9 +51,17 @@
 
 struct MessageClient::Loop
 {
-    Loop(MessageSender name, CurveKeys curveKeys)
+    /// The connection to one endpoint.
+    struct Connection
+    {
+        zmq::socket_t socket;
+        Millis usedAt; ///< When a message was last sent or received.
+    };
+
+    Loop(MessageSender name, CurveKeys curveKeys, MessageQueueLimits queueLimits)
         : self(std::move(name))
         , keys(std::move(curveKeys))
+        , limits(queueLimits)
     { }
 
     void run()
@@ -60,10 +71,11 @@
             this->wakeup.clear();
             this->sendUnsent();
             this->sendAll();
-            for (auto &[endpoint, socket] : this->sockets) {
-                this->receiveAll(socket);
+            for (auto &[endpoint, connection] : this->connections) {
+                this->receiveAll(connection);
             }
             this->failExpired();
+            this->closeIdle();
         }
         this->sendAll();
     }
@@ -72,10 +84,10 @@
     {
         std::vector<zmq::pollitem_t> items;
         items.push_back(this->wakeup.pollItem());
-        for (auto &[endpoint, socket] : this->sockets) {
+        for (auto &[endpoint, connection] : this->connections) {
             const bool blocked = this->unsent.count(endpoint) != 0;
             const int events = blocked ? ZMQ_POLLIN | ZMQ_POLLOUT : ZMQ_POLLIN;
-            items.push_back({socket.handle(), 0, static_cast<short>(events), 0});
+            items.push_back({connection.socket.handle(), 0, static_cast<short>(events), 0});
         }
         zmq::poll(items, std::chrono::milliseconds(this->timeToNextDeadline().count()));
     }
@@ -98,10 +110,20 @@
             batch.swap(this->outgoing);
         }
         for (OutgoingMessage &message : batch) {
-            message.envelope.mutable_sender()->set_vm(this->self.vm);
-            message.envelope.mutable_sender()->set_incarnation(this->self.incarnation);
-            this->sendTo(message.endpoint, serialize(message.envelope, this->queuedBytes));
+            this->sendTo(message.endpoint, std::move(message.body));
+        }
+    }
+
+    /// @return the serialized message; nothing if too many bytes wait to be sent
+    std::optional<zmq::message_t> prepare(wire::Envelope &envelope)
+    {
+        if (*this->queuedBytes > this->limits.bytes) {
+            ++this->dropped;
+            return std::nullopt;
         }
+        envelope.mutable_sender()->set_vm(this->self.vm);
+        envelope.mutable_sender()->set_incarnation(this->self.incarnation);
+        return serialize(envelope, this->queuedBytes);
     }
 
     /// Sends the messages that wait for a connection. Used only during a key rotation.
@@ -126,7 +148,8 @@
             }
             // A message is dropped if the queue is full; a request then ends with its timeout.
             if (this->isRotating()
-                && this->unsent[endpoint].size() < std::size_t{maxQueuedMessages}) {
+                && this->unsent[endpoint].size()
+                        < static_cast<std::size_t>(this->limits.messagesPerPeer)) {
                 this->unsent[endpoint].push_back(std::move(body));
             }
         } catch (const zmq::error_t &error) {
@@ -142,13 +165,14 @@
 
     zmq::socket_t &socketFor(const std::string &endpoint)
     {
-        const auto found = this->sockets.find(endpoint);
-        if (found != this->sockets.end()) {
-            return found->second;
+        const auto found = this->connections.find(endpoint);
+        if (found != this->connections.end()) {
+            found->second.usedAt = monotonicNow();
+            return found->second.socket;
         }
         zmq::socket_t socket(this->context, zmq::socket_type::dealer);
         socket.set(zmq::sockopt::linger, 200);
-        socket.set(zmq::sockopt::sndhwm, maxQueuedMessages);
+        socket.set(zmq::sockopt::sndhwm, this->limits.messagesPerPeer);
         socket.set(zmq::sockopt::maxmsgsize, MessageServer::maxMessageBytes);
         socket.set(zmq::sockopt::reconnect_ivl, 50);
         socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
@@ -166,17 +190,32 @@
             socket.set(zmq::sockopt::curve_serverkey, this->keys.publicKey);
         }
         socket.connect(endpoint);
-        return this->sockets.emplace(endpoint, std::move(socket)).first->second;
+        Connection connection{std::move(socket), monotonicNow()};
+        return this->connections.emplace(endpoint, std::move(connection)).first->second.socket;
     }
 
-    void receiveAll(zmq::socket_t &socket)
+    /// Closes connections that are not used, with the messages that their peers have not taken.
+    void closeIdle()
+    {
+        const Millis now = monotonicNow();
+        if (now - this->idleCheckedAt < maxConnectionIdleTime / 2) {
+            return;
+        }
+        this->idleCheckedAt = now;
+        std::erase_if(this->connections, [now](const auto &entry) {
+            return now - entry.second.usedAt > maxConnectionIdleTime;
+        });
+    }
+
+    void receiveAll(Connection &connection)
     {
         while (true) {
             zmq::message_t body;
-            if (!socket.recv(body, zmq::recv_flags::dontwait)) {
+            if (!connection.socket.recv(body, zmq::recv_flags::dontwait)) {
                 return;
             }
-            const bool hasExtraFrames = discardRemainingFrames(socket, body);
+            connection.usedAt = monotonicNow();
+            const bool hasExtraFrames = discardRemainingFrames(connection.socket, body);
             this->received += body.size();
             wire::Envelope envelope;
             if (hasExtraFrames
@@ -254,25 +293,29 @@
 
     MessageSender self;
     CurveKeys keys;
+    MessageQueueLimits limits;
     zmq::context_t context;
     Wakeup wakeup;
-    std::map<std::string, zmq::socket_t> sockets; ///< Used by the client's thread only.
+    /// By endpoint. Used by the client's thread only.
+    std::map<std::string, Connection> connections;
+    Millis idleCheckedAt{0}; ///< Used by the client's thread only.
     /// Messages that wait for a connection, by endpoint. Used by the client's thread only.
     std::map<std::string, std::deque<zmq::message_t>> unsent;
     std::mutex mutex;
     std::deque<OutgoingMessage> outgoing; ///< Guarded by `mutex`.
     std::unordered_map<std::uint64_t, PendingRequest> pending; ///< Guarded by `mutex`.
     std::multimap<Millis, std::uint64_t> deadlines; ///< Guarded by `mutex`.
-    std::uint64_t nextNumber = 1; ///< Guarded by `mutex`.
+    std::atomic<std::uint64_t> nextNumber{1};
     std::atomic<bool> stopping{false};
     std::atomic<std::uint64_t> received{0};
     std::atomic<std::uint64_t> sent{0};
+    std::atomic<std::uint64_t> dropped{0};
     MessageMeter queuedBytes = std::make_shared<std::atomic<std::uint64_t>>(0);
     std::thread thread;
 };
 
-MessageClient::MessageClient(MessageSender self, CurveKeys keys)
-    : loop(std::make_unique<Loop>(std::move(self), std::move(keys)))
+MessageClient::MessageClient(MessageSender self, CurveKeys keys, MessageQueueLimits limits)
+    : loop(std::make_unique<Loop>(std::move(self), std::move(keys), limits))
 {
     this->loop->thread = std::thread([raw = this->loop.get()] { raw->run(); });
 }
@@ -287,15 +330,18 @@
 std::uint64_t MessageClient::request(const std::string &endpoint, wire::Envelope message,
                                      Millis timeout, ReplyHandler handler)
 {
-    std::uint64_t number = 0;
+    const std::uint64_t number = this->loop->nextNumber++;
+    message.set_correlation(number);
+    std::optional<zmq::message_t> body = this->loop->prepare(message);
+    // A request that is not sent fails at once.
+    const Millis deadline = monotonicNow() + (body ? timeout : Millis(0));
     {
         const std::lock_guard lock(this->loop->mutex);
-        number = this->loop->nextNumber++;
-        message.set_correlation(number);
-        const Millis deadline = monotonicNow() + timeout;
         this->loop->pending.emplace(number, PendingRequest{deadline, timeout, std::move(handler)});
         this->loop->deadlines.emplace(deadline, number);
-        this->loop->outgoing.push_back(OutgoingMessage{endpoint, std::move(message)});
+        if (body) {
+            this->loop->outgoing.push_back(OutgoingMessage{endpoint, std::move(*body)});
+        }
     }
     this->loop->wakeup.signal();
     return number;
@@ -312,11 +358,24 @@
 }
 
 void MessageClient::notify(const std::string &endpoint, wire::Envelope message)
+{
+    this->notifyAll({endpoint}, std::move(message));
+}
+
+void MessageClient::notifyAll(const std::vector<std::string> &endpoints, wire::Envelope message)
 {
     message.set_correlation(0);
+    std::optional<zmq::message_t> body = this->loop->prepare(message);
+    if (!body || endpoints.empty()) {
+        return;
+    }
     {
         const std::lock_guard lock(this->loop->mutex);
-        this->loop->outgoing.push_back(OutgoingMessage{endpoint, std::move(message)});
+        for (const std::string &endpoint : endpoints) {
+            OutgoingMessage copy{endpoint, zmq::message_t()};
+            copy.body.copy(*body);
+            this->loop->outgoing.push_back(std::move(copy));
+        }
     }
     this->loop->wakeup.signal();
 }
@@ -349,4 +408,9 @@
     return *this->loop->queuedBytes;
 }
 
+std::uint64_t MessageClient::messagesDropped() const noexcept
+{
+    return this->loop->dropped;
+}
+
 } // namespace balsamport
