Hand over a request once the response before it is complete

Callers saw: a request sent behind a stream, or behind a request whose response ends its connection, was passed on to a sound server and its connection closed without an answer; a booking may so run unseen. Cause: every stream, and every response of a stopping daemon, closes its connection, while RESTinio reads one request ahead and handed it to the daemon at once. A request was accepted whose response had no way back.

The registry of connections now hands over one request of a connection at a time. If the connection ends with the response before, the request is dropped unhandled, and the log says so: connection_closed with reason, unanswered and unhandled requests. Streams keep their connection when they are whole; in a planned stop only the last response closes it. This holds for plain and TLS servers, edge daemon and gateway.

Two checks of unit-broken-response relied on the old handover. A whole stream is still followed by the end of the connection if the caller asks for it, and keeps it otherwise, three times in a row. The stream that is given up within a call on its connection's own thread is now given up by the handler of another connection on the same thread, because a later request of its own connection waits.

--- a/include/balsamport/http/http_server.h
+++ b/include/balsamport/http/http_server.h
@@ -61,6 +61,21 @@
     virtual void onDisconnect(std::function<void()> callback) = 0;
 };
 
+/// @brief Why and how the connection of a caller ended.
+struct ConnectionEnd
+{
+    std::string remote; ///< IP:PORT of the caller
+    std::string reason; ///< In words, for the log.
+    Millis age{0}; ///< Time since the connection was accepted.
+    std::uint32_t answered = 0; ///< Requests whose responses are complete.
+    std::uint32_t unanswered = 0; ///< Requests that a handler got, without a complete response.
+    std::uint32_t unhandled = 0; ///< Requests that were read, but that no handler got.
+
+    bool operator==(const ConnectionEnd &) const = default;
+};
+
+/// @brief Handles a request. On one connection, the next request is handed over once the response
+/// before it is complete, and only if the connection stays open then.
 using HttpHandler = std::function<void(std::shared_ptr<const IncomingRequest> request,
                                        std::shared_ptr<ResponseWriter> writer)>;
 
@@ -75,6 +90,8 @@
     Millis handleTimeout{600'000};
     std::string tlsCertificateFile; ///< PEM; empty for plain HTTP.
     std::string tlsKeyFile; ///< PEM
+    /// Called when a connection ends; must not block. May be empty.
+    std::function<void(const ConnectionEnd &end)> onConnectionEnd;
 };
 
 /// @brief Serves HTTP with RESTinio. Owns its threads.
@@ -100,6 +117,10 @@
     /// destroyed
     [[nodiscard]] bool hasUnsentBytes() const noexcept;
 
+    /// @brief From now on, a response closes its connection, unless the caller has already sent
+    /// another request on it: then the last of these responses does.
+    void closeAfterResponses() noexcept;
+
 private:
     struct Impl;
     explicit HttpServer(std::unique_ptr<Impl> impl);
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -69,6 +69,8 @@
     void handleServerNotice(const VmId &peer, const wire::ServerNotice &notice);
     void handleRequest(std::shared_ptr<const IncomingRequest> request,
                        std::shared_ptr<ResponseWriter> writer);
+    /// Called on the threads of the caller server.
+    void logConnectionEnd(const ConnectionEnd &end);
     void handleEntries(const VmId &peer, const wire::PublishedItems &items);
     void requestEntries(const VmId &peer, Millis now);
     [[nodiscard]] wire::Envelope entriesMessage(const std::vector<PublishedEntry> &entries,
@@ -189,6 +191,7 @@
         this->metricsServer = std::move(metrics).value();
     }
     server.address = this->settings.callerAddress;
+    server.onConnectionEnd = [this](const ConnectionEnd &end) { this->logConnectionEnd(end); };
     // The configuration has a lower limit for bodies; this one only bounds the memory use.
     server.maxBodyBytes = 4 * 1024 * 1024;
     auto callers = HttpServer::start(server, [this](auto request, auto writer) {
@@ -593,6 +596,18 @@
     std::make_shared<RequestFlow>(this->flows, std::move(request), std::move(writer))->start();
 }
 
+void EdgeDaemon::Impl::logConnectionEnd(const ConnectionEnd &end)
+{
+    const bool isLoss = end.unanswered > 0 || end.unhandled > 0;
+    this->log.write(isLoss ? EventPriority::Notable : EventPriority::Routine, "connection_closed",
+                    {{"caller", end.remote},
+                     {"reason", end.reason},
+                     {"age_ms", end.age},
+                     {"answered", end.answered},
+                     {"unanswered", end.unanswered},
+                     {"unhandled", end.unhandled}});
+}
+
 LocalStatus EdgeDaemon::Impl::localStatus() const
 {
     LocalStatus status;
@@ -634,6 +649,7 @@
     this->state.stop
             = planStop(this->settings.shutdownTimeout, this->settings.balancerDrainTime, now);
     this->ready = false;
+    this->callerServer->closeAfterResponses();
     this->log.write(EventPriority::Vital, "stopping", {{"requests", this->flows.running.size()}});
     this->updateEngines(now);
     this->peers.broadcastStatus();
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -298,9 +298,11 @@
         return;
     }
     this->cancelUnfinished();
-    this->context.edge.log.write(
-            EventPriority::Routine, "caller_gone",
-            {{"request", this->request.id.str()}, {"after_ms", monotonicNow() - this->arrivedAt}});
+    this->context.edge.log.write(EventPriority::Routine, "caller_gone",
+                                 {{"request", this->request.id.str()},
+                                  {"after_ms", monotonicNow() - this->arrivedAt},
+                                  {"sends", this->sendCount},
+                                  {"stream_started", this->streamStarted}});
     this->writer->abort();
     this->end();
 }
@@ -363,9 +365,6 @@
     if (isOwnError) {
         this->context.edge.metrics.counter(metric::edgeFailures, errorName(code)).add();
     }
-    if (this->context.state.stop) {
-        response.headers.push_back({"Connection", "close"});
-    }
     this->context.edge.log.write(isOwnError ? EventPriority::Notable : EventPriority::Routine,
                                  outcome,
                                  {{"request", this->request.id.str()},
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -44,7 +44,7 @@
 std::unique_ptr<ServerRunner> runPlainServer(const RunnerSettings &settings)
 {
     struct Traits
-        : ServerTraits<restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>>
+        : ServerTraits<restinio::traits_t<restinio::asio_timer_manager_t, CloseReasonLogger>>
     {
         using stream_socket_t = LingeringSocket;
     };
@@ -53,7 +53,7 @@
 
 struct HttpServer::Impl
 {
-    std::shared_ptr<ConnectionRegistry> registry = std::make_shared<ConnectionRegistry>();
+    std::shared_ptr<ConnectionRegistry> registry;
     std::unique_ptr<ServerRunner> runner;
 };
 
@@ -65,7 +65,9 @@
         return listen.error();
     }
     auto impl = std::make_unique<Impl>();
-    const RunnerSettings runner{settings, listen.value(), std::move(handler), impl->registry};
+    impl->registry = std::make_shared<ConnectionRegistry>(
+            std::move(handler), settings.onConnectionEnd, settings.readTimeout);
+    const RunnerSettings runner{settings, listen.value(), impl->registry};
     const bool tls = !settings.tlsCertificateFile.empty() || !settings.tlsKeyFile.empty();
     try {
         Result<std::unique_ptr<ServerRunner>> started
@@ -96,4 +98,9 @@
     return *this->impl->registry->unsentWrites() > 0;
 }
 
+void HttpServer::closeAfterResponses() noexcept
+{
+    this->impl->registry->closeAfterResponses();
+}
+
 } // namespace balsamport
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -37,14 +37,17 @@
 void addHeaders(Builder &builder, const HttpHeaders &headers)
 {
     for (const HttpHeader &header : headers) {
-        if (isConnectionClose(header)) {
-            builder.connection_close();
-        } else {
+        if (!isConnectionClose(header)) {
             builder.append_header(header.name, header.value);
         }
     }
 }
 
+bool wantsClose(const HttpHeaders &headers)
+{
+    return std::any_of(headers.begin(), headers.end(), isConnectionClose);
+}
+
 bool isForHeadAlone(const restinio::http_request_header_t &header)
 {
     return header.method() == restinio::http_method_head();
@@ -62,16 +65,17 @@
 } // namespace
 
 RestinioWriter::RestinioWriter(restinio::request_handle_t handle,
-                               std::shared_ptr<std::atomic<std::uint32_t>> unsentWriteCount)
-    : unsentWrites(std::move(unsentWriteCount))
+                               std::shared_ptr<ConnectionRegistry> connections)
+    : registry(std::move(connections))
     , request(std::move(handle))
 { }
 
 std::function<void(const asio::error_code &)>
 RestinioWriter::countWrite(std::function<void()> onWritten) const
 {
-    ++*this->unsentWrites;
-    return [count = this->unsentWrites,
+    std::shared_ptr<std::atomic<std::uint32_t>> count = this->registry->unsentWrites();
+    ++*count;
+    return [count = std::move(count),
             callback = std::move(onWritten)](const asio::error_code & /*failure*/) {
         --*count;
         if (callback) {
@@ -97,19 +101,29 @@
 void RestinioWriter::sendLocked(const HttpResponse &response)
 {
     this->responseStarted = true;
-    if (isForHeadAlone(this->request->header())) {
+    const restinio::http_request_header_t &header = this->request->header();
+    const bool closes = this->registry->completeResponse(this->request->connection_id(),
+                                                         !header.should_keep_alive(),
+                                                         wantsClose(response.headers));
+    if (isForHeadAlone(header)) {
         // The response has the length of the body, but not the body.
         auto builder = this->request->create_response<restinio::user_controlled_output_t>(
                 statusLine(response.status));
         addHeaders(builder, response.headers);
+        if (closes) {
+            builder.connection_close();
+        }
         builder.set_content_length(response.body.size());
         builder.done(this->countWrite({}));
-        return;
+    } else {
+        auto builder = this->request->create_response(statusLine(response.status));
+        addHeaders(builder, response.headers);
+        if (closes) {
+            builder.connection_close();
+        }
+        builder.set_body(response.body);
+        builder.done(this->countWrite({}));
     }
-    auto builder = this->request->create_response(statusLine(response.status));
-    addHeaders(builder, response.headers);
-    builder.set_body(response.body);
-    builder.done(this->countWrite({}));
 }
 
 void RestinioWriter::startStream(int status, const HttpHeaders &headers)
@@ -125,9 +139,7 @@
     }
     this->stream = std::make_unique<Stream>(
             this->request->create_response<StreamOutput>(statusLine(status)));
-    for (const HttpHeader &header : headers) {
-        this->stream->append_header(header.name, header.value);
-    }
+    addHeaders(*this->stream, headers);
     this->stream->start();
 }
 
@@ -154,7 +166,10 @@
 {
     const std::lock_guard lock(this->mutex);
     if (this->stream) {
-        this->stream->finish();
+        const bool closes = this->registry->completeResponse(
+                this->request->connection_id(), !this->request->header().should_keep_alive(),
+                false);
+        this->stream->finish(closes);
         this->stream.reset();
     } else if (this->collected) {
         this->sendLocked(*std::exchange(this->collected, std::nullopt));
@@ -175,6 +190,7 @@
 void RestinioWriter::breakLocked()
 {
     if (this->stream) {
+        this->registry->breakResponse(this->request->connection_id());
         this->stream->breakOff();
         this->stream.reset();
     } else if (this->collected) {
@@ -182,6 +198,7 @@
         this->sendLocked(HttpResponse{httpstatus::badGateway, {{"Connection", "close"}}, {}});
     } else if (!this->responseStarted && this->request) {
         this->responseStarted = true;
+        this->registry->breakResponse(this->request->connection_id());
         this->request->create_response(statusLine(httpstatus::internalError))
                 .connection_close()
                 .done();
@@ -224,17 +241,135 @@
     this->request.reset();
 }
 
-void ConnectionRegistry::add(restinio::connection_id_t id,
-                             const std::weak_ptr<RestinioWriter> &writer)
+std::string &CloseReasonLogger::reason()
+{
+    thread_local std::string lastReason;
+    return lastReason;
+}
+
+std::string CloseReasonLogger::takeReason()
+{
+    std::string taken = std::exchange(CloseReasonLogger::reason(), std::string());
+    // RESTinio begins its messages with "[connection:ID] ".
+    const std::size_t prefixEnd = taken.find("] ");
+    return prefixEnd == std::string::npos ? taken : taken.substr(prefixEnd + 2);
+}
+
+ConnectionRegistry::ConnectionRegistry(HttpHandler requestHandler,
+                                       std::function<void(const ConnectionEnd &)> endHandler,
+                                       Millis idleTimeLimit)
+    : handler(std::move(requestHandler))
+    , onEnd(std::move(endHandler))
+    , idleLimit(idleTimeLimit)
+{ }
+
+void ConnectionRegistry::attach(asio::io_context &serverLoop)
 {
     const std::lock_guard lock(this->mutex);
-    const auto found = this->writers.find(id);
-    if (found == this->writers.end()) {
-        this->addClosedWriters({writer});
-        return;
+    this->loop = &serverLoop;
+}
+
+void ConnectionRegistry::detach()
+{
+    std::vector<Requests> dropped; // Destroyed without the lock: they may own their connections.
+    const std::lock_guard lock(this->mutex);
+    this->loop = nullptr;
+    for (auto &[id, connection] : this->connections) {
+        dropped.push_back(std::exchange(connection.waiting, Requests()));
+    }
+}
+
+void ConnectionRegistry::accept(const restinio::request_handle_t &request)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->connections.find(request->connection_id());
+        if (found == this->connections.end() || this->loop == nullptr) {
+            return; // The connection has ended.
+        }
+        Connection &connection = found->second;
+        connection.activeAt = monotonicNow();
+        if (!connection.endReason.empty()) {
+            ++connection.unhandled;
+            return;
+        }
+        if (connection.busy) {
+            connection.waiting.push_back(request);
+            return;
+        }
+        connection.busy = true;
+    }
+    this->handOver(request);
+}
+
+void ConnectionRegistry::handOver(const restinio::request_handle_t &request)
+{
+    auto writer = std::make_shared<RestinioWriter>(request, this->shared_from_this());
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->connections.find(request->connection_id());
+        if (found == this->connections.end()) {
+            writer->detach();
+            return; // The connection has ended.
+        }
+        Writers &writers = found->second.writers;
+        std::erase_if(writers, [](const auto &old) { return old.expired(); });
+        writers.push_back(writer);
+    }
+    this->handler(readRequest(request), std::move(writer));
+}
+
+ConnectionRegistry::Requests ConnectionRegistry::endConnection(Connection &connection,
+                                                               std::string_view reason)
+{
+    connection.endReason = reason;
+    connection.unhandled += static_cast<std::uint32_t>(connection.waiting.size());
+    return std::exchange(connection.waiting, Requests());
+}
+
+bool ConnectionRegistry::completeResponse(restinio::connection_id_t id, bool mustClose,
+                                          bool mayClose)
+{
+    Requests dropped;
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->connections.find(id);
+    if (found == this->connections.end()) {
+        return true;
+    }
+    Connection &connection = found->second;
+    connection.activeAt = monotonicNow();
+    connection.busy = false;
+    ++connection.answered;
+    if (mustClose || ((mayClose || this->closing) && connection.waiting.empty())) {
+        dropped = endConnection(connection, "closed after its last response");
+        return true;
+    }
+    if (!connection.waiting.empty() && this->loop != nullptr) {
+        connection.busy = true;
+        // Posted, because the caller is a function of the previous request's writer.
+        asio::post(
+                *this->loop,
+                [self = this->shared_from_this(), request = std::move(connection.waiting.front())] {
+                    try {
+                        self->handOver(request);
+                    } catch (const std::exception &error) {
+                        // The writer has responded with an error when it was destroyed.
+                        LOG(ERROR) << logprefix::http << "A handler failed. error=" << error.what();
+                    }
+                });
+        connection.waiting.pop_front();
+    }
+    return false;
+}
+
+void ConnectionRegistry::breakResponse(restinio::connection_id_t id)
+{
+    Requests dropped;
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->connections.find(id);
+    if (found != this->connections.end()) {
+        dropped = endConnection(found->second, "closed because its last response was broken off");
     }
-    std::erase_if(found->second, [](const auto &old) { return old.expired(); });
-    found->second.push_back(writer);
 }
 
 void ConnectionRegistry::addClosedWriters(const Writers &closed)
@@ -253,8 +388,8 @@
     {
         const std::lock_guard lock(this->mutex);
         all.swap(this->closedWriters);
-        for (const auto &[id, connectionWriters] : this->writers) {
-            all.insert(all.end(), connectionWriters.begin(), connectionWriters.end());
+        for (const auto &[id, connection] : this->connections) {
+            all.insert(all.end(), connection.writers.begin(), connection.writers.end());
         }
     }
     for (const auto &weak : all) {
@@ -265,33 +400,56 @@
     }
 }
 
+void ConnectionRegistry::reportEnd(const Connection &connection, std::string reason) const
+{
+    if (!this->onEnd) {
+        return;
+    }
+    const Millis now = monotonicNow();
+    if (!connection.endReason.empty()) {
+        reason = connection.endReason;
+    } else if (reason.empty()) {
+        reason = now - connection.activeAt >= this->idleLimit ? "time limit"
+                                                              : "closed by the caller";
+    }
+    this->onEnd(ConnectionEnd{connection.remote, std::move(reason), now - connection.acceptedAt,
+                              connection.answered, connection.busy ? 1U : 0U,
+                              connection.unhandled
+                                      + static_cast<std::uint32_t>(connection.waiting.size())});
+}
+
 void ConnectionRegistry::state_changed(const restinio::connection_state::notice_t &notice) noexcept
 {
     using restinio::connection_state::accepted_t;
     using restinio::connection_state::closed_t;
-    std::vector<std::weak_ptr<RestinioWriter>> closed;
+    Connection closed;
     {
         const std::lock_guard lock(this->mutex);
         if (restinio::holds_alternative<accepted_t>(notice.cause())) {
-            this->writers[notice.connection_id()];
+            Connection &connection = this->connections[notice.connection_id()];
+            connection.remote = fmt::format("{}", fmt::streamed(notice.remote_endpoint()));
+            connection.acceptedAt = monotonicNow();
+            connection.activeAt = connection.acceptedAt;
             ++this->connectionCount;
-        } else if (restinio::holds_alternative<closed_t>(notice.cause())) {
-            const auto found = this->writers.find(notice.connection_id());
-            if (found == this->writers.end()) {
-                return; // RESTinio reports a connection twice whose read and write both fail.
-            }
-            closed.swap(found->second);
-            this->writers.erase(found);
-            this->addClosedWriters(closed);
-            --this->connectionCount;
+            return;
+        }
+        const auto found = this->connections.find(notice.connection_id());
+        if (!restinio::holds_alternative<closed_t>(notice.cause())
+            || found == this->connections.end()) {
+            return; // RESTinio reports a connection twice whose read and write both fail.
         }
+        closed = std::move(found->second);
+        this->connections.erase(found);
+        this->addClosedWriters(closed.writers);
+        --this->connectionCount;
     }
-    for (const auto &weak : closed) {
+    for (const auto &weak : closed.writers) {
         const std::shared_ptr<RestinioWriter> writer = weak.lock();
         if (writer) {
             writer->handleConnectionClosed();
         }
     }
+    this->reportEnd(closed, CloseReasonLogger::takeReason());
 }
 
 std::shared_ptr<const IncomingRequest> readRequest(const restinio::request_handle_t &handle)
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -8,6 +8,7 @@
 #include <restinio/all.hpp>
 
 #include <atomic>
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <unordered_map>
@@ -15,13 +16,15 @@
 
 namespace balsamport {
 
+class ConnectionRegistry;
+
 /// @brief Responds to one request on a RESTinio connection.
 class RestinioWriter : public ResponseWriter
 {
 public:
-    /// @param unsentWrites counts the writes that the connections' sockets have not taken yet
+    /// @param connections gets to know when the response is complete
     RestinioWriter(restinio::request_handle_t handle,
-                   std::shared_ptr<std::atomic<std::uint32_t>> unsentWrites);
+                   std::shared_ptr<ConnectionRegistry> connections);
     ~RestinioWriter() override;
     RestinioWriter(const RestinioWriter &) = delete;
     RestinioWriter &operator=(const RestinioWriter &) = delete;
@@ -57,7 +60,7 @@
     /// Recursive, because RESTinio may close the connection, and call handleConnectionClosed(),
     /// within a call that ends a response.
     std::recursive_mutex mutex;
-    std::shared_ptr<std::atomic<std::uint32_t>> unsentWrites;
+    std::shared_ptr<ConnectionRegistry> registry;
     restinio::request_handle_t request; ///< Guarded by mutex. Null once detached.
     std::unique_ptr<Stream> stream; ///< Guarded by mutex.
     /// A stream for a caller of HTTP/1.0, which knows no chunks, or for a HEAD request: sent with
@@ -68,12 +71,70 @@
     std::atomic<bool> disconnected{false};
 };
 
-/// @brief Notifies the writers of a connection when it closes.
-class ConnectionRegistry
+/// @brief Keeps RESTinio's reason for closing a connection until the registry, which is notified
+/// on the same thread, takes it.
+class CloseReasonLogger
+{
+public:
+    // NOLINTBEGIN(readability-identifier-naming): RESTinio requires these names.
+    template<typename MessageBuilder>
+    constexpr void trace(MessageBuilder && /*builder*/) const noexcept
+    { }
+    template<typename MessageBuilder>
+    constexpr void info(MessageBuilder && /*builder*/) const noexcept
+    { }
+    template<typename MessageBuilder>
+    constexpr void warn(MessageBuilder && /*builder*/) const noexcept
+    { }
+    template<typename MessageBuilder>
+    void error(MessageBuilder &&builder) const
+    {
+        CloseReasonLogger::reason() = builder();
+    }
+    // NOLINTEND(readability-identifier-naming)
+
+    /// @return the reason that was logged last on this thread; empty for none
+    [[nodiscard]] static std::string takeReason();
+
+private:
+    [[nodiscard]] static std::string &reason();
+};
+
+/// @brief Hands the requests of each connection to the handler, one after the other, and notifies
+/// the writers of a connection when it closes.
+///
+/// RESTinio reads on while a request is handled, to notice that its connection closes, and may read
+/// another request. That one waits here for the response before it, because the connection might
+/// end with it: a request that can't be answered must not be handled.
+class ConnectionRegistry : public std::enable_shared_from_this<ConnectionRegistry>
 {
 public:
-    /// @brief Adds a writer to an open connection.
-    void add(restinio::connection_id_t id, const std::weak_ptr<RestinioWriter> &writer);
+    /// @param idleLimit time after which RESTinio closes a connection without a request
+    ConnectionRegistry(HttpHandler handler, std::function<void(const ConnectionEnd &)> onEnd,
+                       Millis idleLimit);
+
+    /// @brief Starts to hand over requests on the threads of `loop`.
+    void attach(asio::io_context &loop);
+
+    /// @brief Drops the waiting requests and hands over no more of them.
+    void detach();
+
+    /// @brief Hands over a request, once the responses before it on its connection are complete.
+    void accept(const restinio::request_handle_t &request);
+
+    /// @brief Must be called when a response is complete, before its end is sent. Hands over the
+    /// next request if the connection stays open.
+    /// @param mustClose the caller does not keep the connection
+    /// @param mayClose the connection is to be closed unless another request was read from it
+    /// @return true if the connection closes after the response
+    [[nodiscard]] bool completeResponse(restinio::connection_id_t id, bool mustClose,
+                                        bool mayClose);
+
+    /// @brief Must be called when a response is broken off: its connection closes.
+    void breakResponse(restinio::connection_id_t id);
+
+    /// @brief From now on, a response closes its connection if no other request was read from it.
+    void closeAfterResponses() noexcept { this->closing = true; }
 
     // NOLINTNEXTLINE(readability-identifier-naming): RESTinio requires this name.
     void state_changed(const restinio::connection_state::notice_t &notice) noexcept;
@@ -91,12 +152,36 @@
 
 private:
     using Writers = std::vector<std::weak_ptr<RestinioWriter>>;
+    using Requests = std::deque<restinio::request_handle_t>;
 
+    struct Connection
+    {
+        Writers writers;
+        Requests waiting; ///< Read, but not handed over.
+        std::string remote;
+        Millis acceptedAt;
+        Millis activeAt; ///< When a request was read or a response was complete.
+        bool busy = false; ///< A request was handed over whose response is not complete.
+        std::string_view endReason; ///< Set once the connection is bound to close.
+        std::uint32_t answered = 0;
+        std::uint32_t unhandled = 0;
+    };
+
+    void handOver(const restinio::request_handle_t &request);
+    /// Marks a connection as ending.
+    /// @return the requests that wait, for the caller to destroy without the lock: they may own
+    /// their connection
+    [[nodiscard]] static Requests endConnection(Connection &connection, std::string_view reason);
     void addClosedWriters(const Writers &closed);
+    void reportEnd(const Connection &connection, std::string reason) const;
 
+    HttpHandler handler;
+    std::function<void(const ConnectionEnd &)> onEnd;
+    Millis idleLimit;
+    std::atomic<bool> closing{false};
     std::mutex mutex;
-    /// Writers of the open connections. Guarded by mutex.
-    std::unordered_map<restinio::connection_id_t, Writers> writers;
+    asio::io_context *loop = nullptr; ///< Null once detached. Guarded by mutex.
+    std::unordered_map<restinio::connection_id_t, Connection> connections; ///< Guarded by mutex.
     Writers closedWriters; ///< Of closed connections, expired ones included. Guarded by mutex.
     /// Size of closedWriters at which expired writers are removed. Guarded by mutex.
     std::size_t purgeThreshold = 0;
--- a/src/http/server_runner.h
+++ b/src/http/server_runner.h
@@ -28,7 +28,6 @@
 {
     HttpServerSettings http;
     ListenAddress listen;
-    HttpHandler handler;
     std::shared_ptr<ConnectionRegistry> registry;
 };
 
@@ -55,12 +54,13 @@
 {
 public:
     TypedRunner(restinio::server_settings_t<Traits> settings, const RunnerSettings &runner)
-        : registry(runner.registry)
+        : registry(attached(runner.registry, this->loop))
         , server(restinio::run_async<Traits>(restinio::external_io_context(this->loop),
                                              std::move(settings), runner.http.threads))
     { }
     ~TypedRunner() override
     {
+        this->registry->detach();
         // A writer that outlives the server would use connections of a destroyed loop. The writers
         // that are referenced elsewhere are detached first, so that they post nothing more; those
         // that were added until the server stopped are detached after that.
@@ -77,6 +77,13 @@
     TypedRunner &operator=(const TypedRunner &) = delete;
 
 private:
+    static std::shared_ptr<ConnectionRegistry>
+    attached(std::shared_ptr<ConnectionRegistry> connections, ServerLoop &serverLoop)
+    {
+        connections->attach(serverLoop);
+        return connections;
+    }
+
     ServerLoop loop;
     std::shared_ptr<ConnectionRegistry> registry;
     restinio::running_server_handle_t<Traits> server;
@@ -93,13 +100,11 @@
     // With 1, RESTinio would not read while a request is handled and miss that a connection closes.
     constexpr std::size_t pipelinedRequests = 2;
     constexpr std::chrono::seconds writeTimeout{60};
-    const auto onRequest = [registry = settings.registry,
-                            handler = settings.handler](const restinio::request_handle_t &handle) {
-        auto writer = std::make_shared<RestinioWriter>(handle, registry->unsentWrites());
-        registry->add(handle->connection_id(), writer);
-        handler(readRequest(handle), std::move(writer));
-        return restinio::request_accepted();
-    };
+    const auto onRequest
+            = [registry = settings.registry](const restinio::request_handle_t &request) {
+                  registry->accept(request);
+                  return restinio::request_accepted();
+              };
     restinio::server_settings_t<Traits> result;
     result.address(settings.listen.ip)
             .port(settings.listen.port)
--- a/src/http/tls_server.cpp
+++ b/src/http/tls_server.cpp
@@ -85,7 +85,7 @@
         return validity.error();
     }
     using Traits = ServerTraits<
-            restinio::tls_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>>;
+            restinio::tls_traits_t<restinio::asio_timer_manager_t, CloseReasonLogger>>;
     auto server = serverSettings<Traits>(settings);
     server.tls_context(context.value());
     return runServer<Traits>(std::move(server), settings);
--- a/src/programs/gateway/gateway_daemon.cpp
+++ b/src/programs/gateway/gateway_daemon.cpp
@@ -161,6 +161,7 @@
 {
     Gateway &gateway = *this->parts->gateway;
     gateway.startDraining(monotonicNow() + this->parts->settings.drainDelay);
+    this->parts->server->closeAfterResponses();
     LOG(INFO) << logprefix::daemon << "Stopping. in-progress=" << gateway.requestsInProgress();
     const Millis start = monotonicNow();
     sleepFor(this->parts->settings.drainDelay);
--- a/tests/src/unit-broken-response.cpp
+++ b/tests/src/unit-broken-response.cpp
@@ -174,21 +174,38 @@
 
     SECTION("but a stream that is finished is complete")
     {
-        const RawResponse response = callRaw(listenAddress, get("/whole"));
+        const RawResponse response = callRaw(
+                listenAddress, "GET /whole HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
         REQUIRE(response.complete);
         REQUIRE(response.body == "data: one\n\ndata: two\n\n");
         REQUIRE(response.surplus.empty());
         REQUIRE(response.end == RawResponse::End::Closed);
+
+        SECTION("and keeps its connection, if its caller does")
+        {
+            RawReading briefly;
+            briefly.afterComplete = Millis(300);
+            RawCaller caller(listenAddress);
+            for (int i = 0; i < 3; ++i) {
+                caller.send(get("/whole"));
+                const RawResponse next = caller.read(briefly);
+                REQUIRE(next.complete);
+                REQUIRE(next.body == "data: one\n\ndata: two\n\n");
+                REQUIRE(next.surplus.empty());
+                REQUIRE(next.end == RawResponse::End::StillOpen);
+            }
+        }
     }
 }
 
 // Guards against a deadlock: RESTinio closes the connection within the call that ends the response.
-TEST_CASE("a stream that the handler of a later request on its connection gives up ends")
+TEST_CASE("a stream that is given up on the thread of its connection ends")
 {
     std::mutex mutex;
     std::shared_ptr<ResponseWriter> held;
     HttpServerSettings settings;
     settings.address = listenAddress;
+    settings.threads = 1; // A handler runs on the thread of all connections.
     const auto server = HttpServer::start(settings, [&](const auto &request, const auto &writer) {
                             const std::lock_guard lock(mutex);
                             if (request->path == "/hold") {
@@ -202,7 +219,8 @@
     RawCaller caller(listenAddress);
     caller.send(get("/hold"));
     std::this_thread::sleep_for(std::chrono::milliseconds(200)); // Its bytes are written by then.
-    caller.send(get("/abort"));
+    RawCaller other(listenAddress);
+    other.send(get("/abort"));
     RawReading briefly;
     briefly.limit = Millis(3'000);
     const RawResponse response = caller.read(briefly);
