Relay completions of suspects together

A delegate now collects completions for 50 ms, as it does with statuses, and keeps the newest of each suspect. A crash and a conviction go out at once as before.

--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -13,9 +13,10 @@
 constexpr std::uint64_t roundsPerSeedContact = 4;
 /// Remote owners that a daemon connects to in one round; in a large fleet all take seconds.
 constexpr std::size_t maxOwnerContactsPerRound = 6;
-/// Time for which a delegate collects statuses of remote daemons before it relays them. Without it,
-/// a burst of changes in a large fleet exceeds what its VM can send.
-constexpr Millis relayDelay{100};
+/// Time for which a delegate collects what it relays from other data centres. Without it, a burst
+/// of changes in a large fleet exceeds what its VM can send. Completions must arrive within
+/// CrashLimits::settleTime of a crash, after their publication and the way between the regions.
+constexpr Millis relayDelay{50};
 
 std::string endpointOf(const std::string &address)
 {
@@ -45,6 +46,19 @@
     return status;
 }
 
+/// Merges completions of the same suspect that were received `later` than those held.
+void mergeCompletions(wire::SuspectEvidence &held, const wire::SuspectEvidence &received,
+                      Millis later)
+{
+    const auto ageOf = [later](std::uint32_t age) {
+        return std::max(static_cast<std::int64_t>(age) - later.count(), std::int64_t{0});
+    };
+    const auto sentAge = static_cast<std::uint32_t>(ageOf(received.completed_sent_age_ms()));
+    const auto age = static_cast<std::uint32_t>(ageOf(received.completed_age_ms()));
+    held.set_completed_sent_age_ms(std::min(held.completed_sent_age_ms(), sentAge));
+    held.set_completed_age_ms(std::min(held.completed_age_ms(), age));
+}
+
 } // namespace
 
 PeerController::PeerController(EdgeContext &owner, MessageClient &client,
@@ -260,7 +274,6 @@
 void PeerController::relayGossip(const wire::EdgeGossip &gossip, std::uint64_t incarnation)
 {
     const Millis now = monotonicNow();
-    const bool isScheduled = !this->relays.empty();
     if (gossip.speaks_for_members()) {
         for (const wire::EdgeMember &member : gossip.members()) {
             this->relays.insert_or_assign(VmId(member.vm()), Relay{member, now});
@@ -269,14 +282,36 @@
     Relay sender{gossip.self(), now};
     sender.member.set_incarnation(incarnation);
     this->relays.insert_or_assign(VmId(gossip.self().vm()), std::move(sender));
-    if (!isScheduled) {
+    this->scheduleRelays();
+}
+
+void PeerController::scheduleRelays()
+{
+    if (!this->relaysScheduled) {
+        this->relaysScheduled = true;
         this->relayTimer->set(relayDelay, [this] { this->flushRelays(); });
     }
 }
 
 void PeerController::flushRelays()
 {
+    this->relaysScheduled = false;
     const Millis now = monotonicNow();
+    if (!this->completionsRelays.empty()) {
+        wire::Envelope notes;
+        for (auto &[suspect, relay] : this->completionsRelays) {
+            const auto delay = static_cast<std::uint32_t>((now - relay.receivedAt).count());
+            wire::SuspectEvidence &completions = relay.completions;
+            completions.set_completed_sent_age_ms(completions.completed_sent_age_ms() + delay);
+            completions.set_completed_age_ms(completions.completed_age_ms() + delay);
+            *notes.mutable_crash_note()->add_completions() = std::move(completions);
+        }
+        this->completionsRelays.clear();
+        this->sendToDataCentre(std::move(notes));
+    }
+    if (this->relays.empty()) {
+        return;
+    }
     wire::Envelope message = this->statusMessage();
     wire::EdgeGossip &gossip = *message.mutable_edge_gossip();
     gossip.set_speaks_for_members(true);
@@ -313,10 +348,27 @@
     if (!note.relay() || !this->isDelegate()) {
         return;
     }
-    wire::Envelope message;
-    *message.mutable_crash_note() = note;
-    message.mutable_crash_note()->set_relay(false);
-    this->sendToDataCentre(message);
+    const Millis now = monotonicNow();
+    for (const wire::SuspectEvidence &completions : note.completions()) {
+        if (!completions.completed()) {
+            continue;
+        }
+        const SuspectId suspect(completions.prompt_part(), completions.id());
+        const auto [relay, isNew]
+                = this->completionsRelays.try_emplace(suspect, CompletionsRelay{completions, now});
+        if (!isNew) {
+            mergeCompletions(relay->second.completions, completions,
+                             now - relay->second.receivedAt);
+        }
+        this->scheduleRelays();
+    }
+    if (note.has_report() || note.suspects_size() > 0) {
+        wire::Envelope message;
+        *message.mutable_crash_note() = note;
+        message.mutable_crash_note()->set_relay(false);
+        message.mutable_crash_note()->clear_completions();
+        this->sendToDataCentre(std::move(message));
+    }
 }
 
 void PeerController::broadcastRateLimit(const wire::ServerRateLimit &rateLimit)
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace balsamport {
@@ -53,8 +54,9 @@
     /// @brief Sends the crash count of a request to all peers.
     void broadcastCrashes(const wire::CrashNote &note);
 
-    /// @brief Relays a crash count to the own data centre if its sender requested that and this
-    /// daemon is the delegate.
+    /// @brief Relays a crash note to the own data centre if its sender requested that and this
+    /// daemon is the delegate: a crash and suspects at once, completions with others that arrive
+    /// soon after.
     void relayCrashes(const wire::CrashNote &note);
 
     /// @brief Sends a change of a server's rate limit to all peers.
@@ -102,6 +104,7 @@
     /// Relays the statuses in the gossip of another data centre to the own one, together with
     /// others that arrive soon after.
     void relayGossip(const wire::EdgeGossip &gossip, std::uint64_t incarnation);
+    void scheduleRelays();
     void flushRelays();
     /// Replies to the first gossip of a peer.
     void introduceTo(const Peer &peer, std::size_t knownPeers, Millis now);
@@ -121,7 +124,16 @@
         wire::EdgeMember member;
         Millis receivedAt;
     };
+    /// Completions of a suspect that wait to be relayed.
+    struct CompletionsRelay
+    {
+        wire::SuspectEvidence completions;
+        Millis receivedAt;
+    };
+    using SuspectId = std::pair<bool, std::uint64_t>; ///< Whether it is a prompt part, and its id.
     std::map<VmId, Relay> relays; ///< The latest status of each daemon.
+    std::map<SuspectId, CompletionsRelay> completionsRelays; ///< The latest of each suspect.
+    bool relaysScheduled = false;
     std::unique_ptr<LoopTimer> relayTimer;
     /// Incarnations of the remote owners that this daemon has sent its gossip to.
     std::map<VmId, std::uint64_t> contactedOwners;
