Ask for the end of the connection where a test waits for it

Since a whole stream keeps its connection, the callers of e2e-broken-streams that read to the end of a whole stream's connection waited 15 s for it: each section took 15.3 s. They now send `Connection: close` with the streams that become whole, and the section on one checks that the connection is closed after the stream, which it did not check before. The callers of streams that break off don't ask: that the connection ends with them is checked as before.

The readers of raw responses can split what comes after a response into responses, and a world can have two scripted services.

--- a/tests/e2e/e2e-broken-streams.cpp
+++ b/tests/e2e/e2e-broken-streams.cpp
@@ -153,7 +153,7 @@
                                            ++this->world.configVersion, routeTimeout.count(),
                                            routeTimeout.count()));
         REQUIRE(eventually(startTimeout, [&] {
-            return this->world.allReady() && this->call("/again/continues").complete;
+            return this->world.allReady() && this->callWhole("/again/continues").complete;
         }));
     }
 
@@ -172,16 +172,23 @@
     }
 
     RawResponse call(const std::string &path, const RawReading &reading = {},
-                     const std::string &version = "HTTP/1.1")
+                     const std::string &version = "HTTP/1.1", const std::string &headers = {})
     {
         this->lastId = "q" + std::to_string(++this->requestCount);
         return callRaw(this->world.edges[0].front,
-                       "POST " + path + " " + version
-                               + "\r\nHost: h\r\nX-Request-Id: " + this->lastId
-                               + "\r\nX-Deadline-Ms: 15000\r\nContent-Length: 2\r\n\r\nhi",
+                       "POST " + path + " " + version + "\r\nHost: h\r\nX-Request-Id: "
+                               + this->lastId + "\r\nX-Deadline-Ms: 15000\r\n" + headers
+                               + "Content-Length: 2\r\n\r\nhi",
                        reading);
     }
 
+    /// Calls a stream that becomes whole, and reads to the end of the connection, which is kept
+    /// unless the caller asks for its end.
+    RawResponse callWhole(const std::string &path)
+    {
+        return this->call(path, {}, "HTTP/1.1", "Connection: close\r\n");
+    }
+
     int runsOf(const std::string &id)
     {
         const std::lock_guard lock(this->mutex);
@@ -282,8 +289,9 @@
 
     SECTION("it is completed by a server that continues after the last event")
     {
-        const RawResponse response = world.call("/again/continues");
+        const RawResponse response = world.callWhole("/again/continues");
         CHECK(response.complete);
+        CHECK(response.end == RawResponse::End::Closed);
         CHECK(response.body == eventsOf(world.lastId, 1, eventCount));
         CHECK(response.surplus.empty());
     }
--- a/tests/e2e/scripted_service.h
+++ b/tests/e2e/scripted_service.h
@@ -33,12 +33,13 @@
 class ScriptedService
 {
 public:
+    /// @param idPrefix begins the replicas' ids, which are unique in a world
     ScriptedService(EdgeWorld &world, const std::string &service,
-                    const SocketServer::Handler &handler)
+                    const SocketServer::Handler &handler, const std::string &idPrefix = "r")
     {
-        for (const char *id : {"r1", "r2"}) {
+        for (const char *number : {"1", "2"}) {
             standins::ReplicaOptions options;
-            options.id = id;
+            options.id = idPrefix + number;
             options.service = service;
             options.dataCentre = "a";
             options.address = freeAddress(); // Of the stand-in; it gets no requests.
--- a/tests/include/raw_caller.h
+++ b/tests/include/raw_caller.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 namespace balsamport::testing {
 
@@ -93,6 +94,8 @@
     Millis limit{15'000}; ///< After which the caller stops reading.
     Millis afterComplete{15'000}; ///< Further time in which it reads after a complete response.
     const std::atomic<bool> *stop = nullptr; ///< Ends the reading after a complete response.
+    /// Complete responses after the first one, with which the reading ends; 0 to ignore them.
+    std::size_t furtherResponses = 0;
 };
 
 /// @brief A response as it came over the wire.
@@ -131,6 +134,56 @@
     return status;
 }
 
+/// @brief Takes status and coding from the head of a response.
+/// @return the length that the head states, if any
+inline std::optional<std::size_t> readHead(RawResponse &response)
+{
+    response.status = statusOf(response.head);
+    response.malformed = response.status == 0;
+    response.chunked = response.head.find("Transfer-Encoding: chunked") != std::string::npos;
+    const std::string name = "Content-Length: ";
+    const std::size_t at = response.head.find(name);
+    return at == std::string::npos
+            ? std::nullopt
+            : std::optional<std::size_t>(std::stoul(response.head.substr(at + name.size())));
+}
+
+/// @return the responses of which `bytes` consists, in order; the last one may be incomplete
+inline std::vector<RawResponse> splitResponses(std::string bytes)
+{
+    std::vector<RawResponse> responses;
+    while (!bytes.empty() && (responses.empty() || responses.back().complete)) {
+        RawResponse &response = responses.emplace_back();
+        const std::size_t end = bytes.find("\r\n\r\n");
+        response.head = bytes.substr(0, end == std::string::npos ? end : end + 2);
+        bytes.erase(0, end == std::string::npos ? end : end + 4);
+        if (end == std::string::npos) {
+            break;
+        }
+        const std::optional<std::size_t> length = readHead(response);
+        if (response.chunked) {
+            ChunkReader chunks;
+            chunks.feed(bytes);
+            response.body = chunks.body;
+            response.complete = chunks.complete;
+            response.malformed = response.malformed || chunks.malformed;
+            bytes = chunks.surplus;
+        } else {
+            response.body = bytes.substr(0, length.value_or(bytes.size()));
+            response.complete = length && response.body.size() == *length;
+            bytes.erase(0, response.body.size());
+        }
+    }
+    return responses;
+}
+
+/// @return true where `bytes` begins with that many complete responses
+inline bool hasResponses(const std::string &bytes, std::size_t count)
+{
+    const std::vector<RawResponse> responses = splitResponses(bytes);
+    return responses.size() >= count && responses[count - 1].complete;
+}
+
 /// @brief Reads a response until the connection ends or the time is over.
 /// @param stream a connected socket or TLS stream on which the request was written
 template<typename Stream>
@@ -141,12 +194,12 @@
     ChunkReader chunks;
     std::string received;
     std::array<char, 65'536> buffer{};
-    std::size_t length = 0;
-    bool hasLength = false;
+    std::optional<std::size_t> length;
     std::optional<Millis> completeAt;
+    std::optional<Millis> furtherAt;
     while (monotonicNow() - begin < reading.limit) {
         const bool complete
-                = response.chunked ? chunks.complete : hasLength && response.body.size() >= length;
+                = response.chunked ? chunks.complete : length && response.body.size() >= *length;
         if (complete && !completeAt) {
             completeAt = monotonicNow();
         }
@@ -154,6 +207,15 @@
         if (completeAt && (stopped || monotonicNow() - *completeAt >= reading.afterComplete)) {
             break;
         }
+        if (completeAt && !furtherAt && reading.furtherResponses > 0
+            && hasResponses(response.chunked ? chunks.surplus : response.body.substr(*length),
+                            reading.furtherResponses)) {
+            furtherAt = monotonicNow();
+        }
+        constexpr Millis afterFurther{100}; // In which bytes after the last response show.
+        if (furtherAt && monotonicNow() - *furtherAt >= afterFurther) {
+            break;
+        }
         pollfd readable{stream.lowest_layer().native_handle(), POLLIN, 0};
         constexpr int pollMs = 20;
         if (poll(&readable, 1, pollMs) == 0) {
@@ -169,14 +231,7 @@
             if (end != std::string::npos) {
                 response.head = received.substr(0, end + 2);
                 received.erase(0, end + 4);
-                response.status = statusOf(response.head);
-                response.malformed = response.status == 0;
-                response.chunked
-                        = response.head.find("Transfer-Encoding: chunked") != std::string::npos;
-                const std::string name = "Content-Length: ";
-                const std::size_t at = response.head.find(name);
-                hasLength = at != std::string::npos;
-                length = hasLength ? std::stoul(response.head.substr(at + name.size())) : 0;
+                length = readHead(response);
                 bytes = received;
             } else {
                 bytes = {};
@@ -203,10 +258,10 @@
         response.complete = chunks.complete;
         response.malformed = response.malformed || chunks.malformed;
         response.surplus = chunks.surplus;
-    } else if (hasLength) {
-        response.complete = response.body.size() >= length;
-        response.surplus = response.body.substr(std::min(length, response.body.size()));
-        response.body.resize(std::min(length, response.body.size()));
+    } else if (length) {
+        response.complete = response.body.size() >= *length;
+        response.surplus = response.body.substr(std::min(*length, response.body.size()));
+        response.body.resize(std::min(*length, response.body.size()));
     }
     response.took = monotonicNow() - begin;
     return response;
@@ -231,6 +286,12 @@
 
     void send(const std::string &bytes) { asio::write(this->socket, asio::buffer(bytes)); }
 
+    /// @return IP:PORT of the caller
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->socket.local_endpoint().port());
+    }
+
     [[nodiscard]] RawResponse read(const RawReading &reading = {})
     {
         return readRawResponse(this->socket, reading);
