Send bookings behind streams in the soak

The soak's callers waited for each answer, so no request was ever read behind a stream, and the loss that ends could not show. Behind every fourth stream that is read by its bytes, its caller now sends a booking on the same connection, at once or up to 120 ms later. A booking that ran must have an answer, whole or an honest failure; one that has none ran nowhere, and a line connection_closed names its connection. Only bookings whose daemon was killed meanwhile may lack both.

Callers that read until the daemon closes the connection ask for that, since whole streams keep theirs; the check of each stream is unchanged.

--- a/tests/soak/soak_edge.cpp
+++ b/tests/soak/soak_edge.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t edgeCount = 4;
 constexpr std::uint64_t callerThreads = 6;
 constexpr int streamCallersOfEachKind = 2;
+/// One of so many streams has a booking sent behind it on its connection, while it is in progress.
+constexpr std::uint64_t streamsPerFurtherRequest = 4;
 /// Of the pauses that may come while a daemon stops.
 constexpr Millis maxShortPause{600};
 
@@ -66,6 +68,8 @@
     std::vector<std::pair<std::string, Millis>> resumes; ///< Ends of process pauses.
     std::vector<std::string> violations;
     std::size_t streamsCutByKills = 0; ///< Inside an event.
+    std::size_t furtherSent = 0; ///< Requests behind a stream on its connection.
+    std::size_t furtherAnswered = 0;
 
     void addViolation(const std::string &text)
     {
@@ -114,7 +118,15 @@
                 = random() % 2 == 0 ? "m" : "m/a" + std::to_string(random() % adapters);
         RawReading reading = readingOf(kind, random());
         reading.stop = &stop;
-        callStream(world, sent, model, reading);
+        if (number % streamsPerFurtherRequest == 0) {
+            // By the number, so that the seeds keep their random numbers.
+            constexpr std::uint64_t pauses = 4;
+            constexpr std::int64_t pauseStepMs = 40;
+            sent.furtherId = sent.id + "-next";
+            sent.furtherPause = Millis(static_cast<std::int64_t>(number / streamsPerFurtherRequest
+                                                                 % pauses * pauseStepMs));
+        }
+        callStream(world, sent, model, reading, kind == StreamReading::UntilClosed);
         {
             const std::lock_guard lock(record.mutex);
             record.streams.push_back(std::move(sent));
@@ -460,6 +472,45 @@
     }
 }
 
+/// A request behind a stream is answered, or reached no server; the log explains its connection's
+/// end.
+void checkFurtherRequests(const EdgeWorld &world, Record &record)
+{
+    const std::map<std::string, std::uint32_t> runs = world.runs();
+    std::vector<std::string> logs;
+    for (std::size_t i = 0; i < edgeCount; ++i) {
+        logs.push_back(world.logText(i));
+    }
+    for (const SentStream &sent : record.streams) {
+        if (!sent.furtherSent) {
+            continue;
+        }
+        const auto found = runs.find(sent.furtherId);
+        const std::uint32_t count = found == runs.end() ? 0 : found->second;
+        if (count > 1) {
+            record.addViolation(fmt::format("{} ran {} times", sent.furtherId, count));
+        }
+        const bool wasKilled
+                = std::any_of(record.kills.begin(), record.kills.end(), [&](const Span &kill) {
+                      return kill.edge == sent.edge && kill.from >= sent.at
+                              && kill.from <= sent.endedAt;
+                  });
+        record.furtherAnswered += sent.further.complete ? 1 : 0;
+        ++record.furtherSent;
+        if (wasKilled) {
+            continue;
+        }
+        if (const auto fault = findFurtherFault(sent, count)) {
+            record.addViolation(sent.furtherId + " " + *fault);
+        }
+        const std::string line = "\"connection_closed\",\"caller\":\"" + sent.caller + "\"";
+        if (!sent.further.complete && sent.response.status != 0
+            && logs[sent.edge].find(line) == std::string::npos) {
+            record.addViolation(sent.furtherId + " was not answered, and no log line says why");
+        }
+    }
+}
+
 /// A planned stop aborts no request, unless another fault occurred at about the same time.
 void checkStops(Record &record)
 {
@@ -642,7 +693,8 @@
               << std::count_if(record.streams.begin(), record.streams.end(), isWhole) << " whole, "
               << std::count_if(record.streams.begin(), record.streams.end(), isBroken)
               << " broken (" << record.streamsCutByKills << " inside an event by a kill), "
-              << record.violations.size() << " violations\n";
+              << record.furtherSent << " requests behind a stream, " << record.furtherAnswered
+              << " answered, " << record.violations.size() << " violations\n";
     for (const std::string &violation : record.violations) {
         std::cout << "  " << violation << '\n';
     }
@@ -688,6 +740,7 @@
     }
     checkResponses(world, record);
     checkStreams(world, record);
+    checkFurtherRequests(world, record);
     checkStops(record);
     checkCommands(world, record);
     checkLimits(world, record, seed, limitsFrom, faultsEndedAt);
--- a/tests/soak/stream_callers.h
+++ b/tests/soak/stream_callers.h
@@ -36,6 +36,11 @@
     Millis endedAt{0};
     bool connected = false;
     RawResponse response;
+    std::string furtherId; ///< Of a booking that is sent on the same connection; empty for none.
+    Millis furtherPause{0}; ///< From the request for the stream to the booking.
+    bool furtherSent = false;
+    RawResponse further; ///< Status 0 if none was received.
+    std::string caller; ///< IP:PORT
 };
 
 /// @return how a caller reads
@@ -69,24 +74,64 @@
     return random % 2 == 0 ? longEventBytes : longestEventBytes;
 }
 
-/// @brief Requests a stream on a connection of its own and reads it.
+/// @brief Takes the answer to the booking from the bytes that came after the stream.
+inline void takeFurtherResponse(SentStream &sent)
+{
+    const std::vector<RawResponse> responses = splitResponses(sent.response.surplus);
+    sent.response.surplus.clear();
+    if (!responses.empty()) {
+        sent.further = responses.front();
+    }
+    if (responses.size() > 1) {
+        sent.response.surplus = responses[1].head + responses[1].body;
+    }
+}
+
+/// @brief Requests a stream on a connection of its own and reads it, and sends a booking while the
+/// stream is in progress where `sent` names one.
+/// @param asksForClose the last request asks for the end of the connection
 inline void callStream(const EdgeWorld &world, SentStream &sent, const std::string &model,
-                       const RawReading &reading)
+                       RawReading reading, bool asksForClose)
 {
     const std::string body = "body of " + sent.id;
+    const bool hasFurther = !sent.furtherId.empty();
+    const std::string close = asksForClose ? "Connection: close\r\n" : "";
+    if (hasFurther) {
+        constexpr Millis furtherLimit{8'000}; // Longer than any time-out and pause of a daemon.
+        reading.furtherResponses = 1;
+        reading.afterComplete = furtherLimit;
+        reading.stop = nullptr;
+    }
     sent.at = monotonicNow();
     try {
         RawCaller caller(world.edges[sent.edge].front, reading.receiveBufferBytes);
         sent.connected = true;
+        sent.caller = caller.address();
         caller.send(fmt::format("POST {} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {}\r\n"
                                 "X-Deadline-Ms: 4000\r\nX-Model: {}\r\nX-Token-Usage: 400,24\r\n"
                                 "X-Prompt-Prefix: a1:150,b2:250\r\nEvent-Fill-Bytes: {}\r\n"
-                                "Content-Length: {}\r\n\r\n{}",
-                                sent.path, sent.id, model, sent.fillBytes, body.size(), body));
+                                "{}Content-Length: {}\r\n\r\n{}",
+                                sent.path, sent.id, model, sent.fillBytes, hasFurther ? "" : close,
+                                body.size(), body));
+        if (hasFurther) {
+            sleepFor(sent.furtherPause);
+            sent.furtherSent = true;
+            try {
+                caller.send(
+                        fmt::format("POST /book/{0} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {0}\r\n"
+                                    "X-Deadline-Ms: 4000\r\n{1}Content-Length: 4\r\n\r\nbody",
+                                    sent.furtherId, close));
+            } catch (const asio::system_error &) {
+                // The connection has ended. What it brought before is read.
+            }
+        }
         sent.response = caller.read(reading);
     } catch (const asio::system_error &) {
         sent.response = RawResponse{}; // The daemon is not there.
     }
+    if (hasFurther) {
+        takeFurtherResponse(sent);
+    }
     sent.endedAt = monotonicNow();
 }
 
@@ -146,6 +191,34 @@
     return std::nullopt;
 }
 
+/// @brief Checks what became of the booking behind a stream.
+/// @param runs how often it ran
+/// @return what is wrong; nothing for a booking that was answered, or that no server got
+inline std::optional<std::string> findFurtherFault(const SentStream &sent, std::uint32_t runs)
+{
+    constexpr int okStatus = 200;
+    constexpr int notRunStatus = 503;
+    const RawResponse &further = sent.further;
+    if (further.malformed && further.status != 0) {
+        return "got bytes that are no response";
+    }
+    if (!further.complete) {
+        if (runs > 0) {
+            return "ran, and its connection ended without an answer";
+        }
+        return sent.response.end == RawResponse::End::StillOpen
+                ? std::optional<std::string>("got neither an answer nor the end of its connection")
+                : std::nullopt;
+    }
+    if (further.status == notRunStatus && runs > 0) {
+        return "was refused although it ran";
+    }
+    if (further.status == okStatus && further.body != "done " + sent.furtherId) {
+        return "got a wrong response";
+    }
+    return std::nullopt;
+}
+
 } // namespace balsamport::testing
 
 #endif
