--- a/tests/src/unit-message-queues.cpp
+++ b/tests/src/unit-message-queues.cpp
@@ -35,6 +35,7 @@
 constexpr std::size_t stalledPeerCount = 32; ///< Local peers of a delegate in a large fleet.
 /// Bytes that may wait in messages, the limit of the edge daemon.
 constexpr std::size_t queueLimitBytes = 16 * mebibyte;
+constexpr MessageQueueLimits edgeLimits{1'000, queueLimitBytes};
 /// For the entries of the queues: 16 MiB are some 1,600 messages of 10 KB, each with 33 entries of
 /// at most 200 bytes.
 constexpr std::size_t queueMarginBytes = 12 * mebibyte;
@@ -159,14 +160,6 @@
     return used > start ? used - start : 0;
 }
 
-void notifyPeers(MessageClient &client, const std::vector<std::string> &endpoints,
-                 const wire::Envelope &message)
-{
-    for (const std::string &endpoint : endpoints) {
-        client.notify(endpoint, message);
-    }
-}
-
 /// @return true once the reader has the message with the number
 bool arrives(ReadingPeer &reader, std::uint64_t number)
 {
@@ -187,8 +180,8 @@
     for (const StalledPeer &peer : stalled) {
         endpoints.push_back(peer.endpoint());
     }
-    MessageClient client({"vm1", 7}, {});
-    notifyPeers(client, endpoints, numberedGossip(0));
+    MessageClient client({"vm1", 7}, {}, edgeLimits);
+    client.notifyAll(endpoints, numberedGossip(0));
     REQUIRE(arrives(reader, 0));
     static_cast<void>(reader.take());
     const std::uint64_t start = memoryUse().heapUsedBytes;
@@ -203,7 +196,7 @@
         while (number < messageCount && growth < maxGrowthBytes) {
             for (int i = 0; i < paceMessages; ++i) {
                 ++number;
-                notifyPeers(client, endpoints, numberedGossip(static_cast<std::uint64_t>(number)));
+                client.notifyAll(endpoints, numberedGossip(static_cast<std::uint64_t>(number)));
             }
             const bool isComplete = arrives(reader, static_cast<std::uint64_t>(number));
             arrived += static_cast<int>(reader.take().size());
@@ -234,7 +227,7 @@
         int number = 0;
         while (number < messageCount && growth < maxGrowthBytes) {
             ++number;
-            notifyPeers(client, endpoints, numberedGossip(static_cast<std::uint64_t>(number)));
+            client.notifyAll(endpoints, numberedGossip(static_cast<std::uint64_t>(number)));
             growth = std::max(growth, growthSince(start));
         }
         const std::uint64_t counted = client.bytesQueued();
@@ -244,6 +237,99 @@
         CHECK(number == messageCount);
         CHECK(arrives(reader, 1));
     }
+
+    // Messages of 100 bytes cost more in the queue's entries than in their bytes.
+    SECTION("the memory stays bounded while many short messages wait for the client's thread")
+    {
+        constexpr int messageCount = 100'000;
+        std::promise<void> held;
+        std::promise<void> released;
+        client.request(endpoints.back(), numberedGossip(0), Millis(1),
+                       [&held, &released](const Result<wire::Envelope> & /*reply*/) {
+                           held.set_value();
+                           released.get_future().wait();
+                           return false;
+                       });
+        held.get_future().wait();
+        wire::Envelope message;
+        message.mutable_edge_gossip()->mutable_self()->set_vm(std::string(100, 'x'));
+        int number = 0;
+        while (number < messageCount && growth < maxGrowthBytes) {
+            ++number;
+            message.mutable_edge_gossip()->set_content_revision(static_cast<std::uint64_t>(number));
+            client.notifyAll(endpoints, message);
+            if (number % 100 == 0) {
+                growth = std::max(growth, growthSince(start));
+            }
+        }
+        const std::uint64_t counted = client.bytesQueued();
+        released.set_value();
+        CAPTURE(number, growth, counted);
+        CHECK(growth <= queueLimitBytes + queueMarginBytes);
+        CHECK(number == messageCount);
+        CHECK(arrives(reader, 1));
+    }
+
+    // Each of the messages to a few stalled peers has bytes of its own, so that they reach the
+    // limit for all peers.
+    SECTION("a peer that reads gets messages while others hold the limit in bytes")
+    {
+        constexpr int messageCount = 2'000;
+        for (std::uint64_t number = 1; number <= messageCount; ++number) {
+            client.notify(endpoints[1 + number % stalledPeerCount], numberedGossip(number));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        CAPTURE(client.bytesQueued(), client.messagesDropped());
+        client.notify(readerEndpoint, numberedGossip(messageCount + 1));
+        CHECK(arrives(reader, messageCount + 1));
+    }
+
+    // Copies for many peers were counted and kept one by one.
+    SECTION("the bytes of a message to many peers are counted once")
+    {
+        const std::uint64_t before = client.bytesQueued();
+        const wire::Envelope message = numberedGossip(1);
+        client.notifyAll(endpoints, message);
+        REQUIRE(arrives(reader, 1));
+        const std::uint64_t counted = client.bytesQueued() - before;
+        // The sender's name is added to the message.
+        constexpr std::size_t maxSenderBytes = 32;
+        CHECK(counted >= message.ByteSizeLong());
+        CHECK(counted <= message.ByteSizeLong() + maxSenderBytes);
+    }
+}
+
+// A request that could not be sent waited for its time-out, although another daemon could have
+// been asked.
+TEST_CASE("a request beyond the limit in bytes")
+{
+    const StalledPeer peer;
+    MessageClient client({"vm1", 7}, {}, MessageQueueLimits{1'000, mebibyte});
+    const auto requestTime = [&](Millis timeout) {
+        const Millis start = monotonicNow();
+        const auto reply = client.call(peer.endpoint(), numberedGossip(0), timeout);
+        REQUIRE(reply.has_error());
+        REQUIRE(reply.error().code == ErrorCode::Timeout);
+        return monotonicNow() - start;
+    };
+
+    SECTION("fails at once")
+    {
+        for (std::uint64_t number = 1; client.messagesDropped() == 0; ++number) {
+            REQUIRE(number < 1'000);
+            client.notify(peer.endpoint(), numberedGossip(number));
+        }
+        REQUIRE(client.bytesQueued() > mebibyte);
+        REQUIRE(requestTime(arrivalTimeout) < Millis(1'000));
+        REQUIRE(client.messagesDropped() == 2);
+    }
+
+    SECTION("waits for its reply below the limit")
+    {
+        constexpr Millis timeout{300};
+        REQUIRE(requestTime(timeout) >= timeout);
+        REQUIRE(client.messagesDropped() == 0);
+    }
 }
 
 namespace {
