Let the owner of the event log wait until its lines are written

A process that ends without the log's destructor loses the lines that the log's thread has not written yet.

Change: EventLog::flush() waits until the queue is empty and the thread writes nothing, for at most a limit, and returns false if lines are left.

Evidence: unit-event-log: 50 times 100 lines are in the pipe when flush() returns; with a reader that doesn't read it gives up after its limit of 100 ms, and the lines are written once the reader reads again.

--- a/include/balsamport/core/event_log.h
+++ b/include/balsamport/core/event_log.h
@@ -93,6 +93,11 @@
     void write(EventPriority priority, std::string_view event,
                std::initializer_list<EventField> fields);
 
+    /// @brief Waits until the queued lines are written.
+    /// @param limit longest wait
+    /// @return false if lines are left
+    bool flush(Millis limit);
+
     /// @return number of lines dropped since the start
     [[nodiscard]] std::uint64_t droppedLines() const noexcept;
 
--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -115,9 +115,12 @@
             }
             std::string batch;
             batch.swap(this->queue);
+            this->writing = true;
             lock.unlock();
             this->writeAll(batch);
             lock.lock();
+            this->writing = false;
+            this->written.notify_all();
         }
     }
 
@@ -151,7 +154,9 @@
     EventLogLimits limits;
     std::mutex mutex;
     std::condition_variable wake;
+    std::condition_variable written;
     std::string queue; ///< Guarded by `mutex`.
+    bool writing = false; ///< The thread writes lines that it took. Guarded by `mutex`.
     Millis intervalStart{0}; ///< Guarded by `mutex`.
     std::uint32_t routineLines = 0; ///< Guarded by `mutex`.
     std::uint32_t notableLines = 0; ///< Guarded by `mutex`.
@@ -197,6 +202,14 @@
     }
 }
 
+bool EventLog::flush(Millis limit)
+{
+    std::unique_lock lock(this->impl->mutex);
+    return this->impl->written.wait_for(lock, std::chrono::milliseconds(limit.count()), [this] {
+        return this->impl->queue.empty() && !this->impl->writing;
+    });
+}
+
 std::uint64_t EventLog::droppedLines() const noexcept
 {
     return this->impl->droppedLines;
--- a/tests/src/unit-event-log.cpp
+++ b/tests/src/unit-event-log.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
 
@@ -118,3 +119,64 @@
         REQUIRE(monotonicNow() - before < Millis(5'000));
     }
 }
+
+// Guards against a process that ends before its last lines are written, or that waits for a reader
+// longer than the platform waits for the process.
+TEST_CASE("the log is flushed before the process ends")
+{
+    const Pipe pipe;
+    EventLogLimits limits;
+    limits.notablePerSecond = 1'000'000;
+    EventLog log(pipe.ends[1], "vm-1", limits);
+    constexpr Millis longLimit{5'000};
+    constexpr Millis shortLimit{100};
+
+    SECTION("an empty log is flushed at once")
+    {
+        REQUIRE(log.flush(Millis(0)));
+    }
+
+    SECTION("all queued lines are written when flush returns")
+    {
+        constexpr int lineCount = 100; // Fits into the pipe.
+        for (int round = 0; round < 50; ++round) {
+            for (int i = 0; i < lineCount; ++i) {
+                log.write(EventPriority::Notable, "refused", {{"number", i}});
+            }
+            REQUIRE(log.flush(longLimit));
+            // The log is still open: the lines were written before flush returned.
+            const std::string text = pipe.readAll();
+            REQUIRE(std::count(text.begin(), text.end(), '\n') == lineCount);
+            REQUIRE(text.find(R"("number":99})") != std::string::npos);
+        }
+    }
+
+    SECTION("a reader that doesn't read")
+    {
+        constexpr int lineCount = 2'000; // More than the pipe takes.
+        const std::string filler(150, 'x');
+        for (int i = 0; i < lineCount; ++i) {
+            log.write(EventPriority::Notable, "refused", {{"text", filler}});
+        }
+        REQUIRE(log.droppedLines() == 0);
+        const Millis before = monotonicNow();
+        REQUIRE_FALSE(log.flush(shortLimit));
+        const Millis took = monotonicNow() - before;
+        REQUIRE(took >= shortLimit);
+        REQUIRE(took < longLimit);
+
+        SECTION("the rest is written when the reader reads again")
+        {
+            std::string text;
+            bool flushed = false;
+            const Millis end = monotonicNow() + longLimit;
+            while (!flushed && monotonicNow() < end) {
+                text += pipe.readAll();
+                flushed = log.flush(Millis(1));
+            }
+            REQUIRE(flushed);
+            text += pipe.readAll();
+            REQUIRE(std::count(text.begin(), text.end(), '\n') == lineCount);
+        }
+    }
+}
