--- a/tests/e2e/e2e-planned-stop.cpp
+++ b/tests/e2e/e2e-planned-stop.cpp
@@ -11,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <list>
 #include <optional>
 #include <set>
 
@@ -182,6 +183,22 @@
         CHECK(this->runsOf(id) == 1);
     }
 
+    /// Runs the daemon on an eighth of a core: 5 ms of every 40 ms.
+    /// @return the time from SIGTERM to the end; nothing if it wasn't in the grace or not orderly
+    std::optional<Millis> waitForEndOnSlowMachine()
+    {
+        constexpr Millis running{5};
+        constexpr Millis paused{35};
+        const Millis graceEnd = this->stoppedAt + Millis(this->world.graceSeconds * 1'000);
+        while (!this->edge().hasEnded() && monotonicNow() < graceEnd) {
+            this->edge().pause();
+            sleepFor(paused);
+            this->edge().resume();
+            sleepFor(running);
+        }
+        return this->waitForEnd();
+    }
+
     [[nodiscard]] Process &edge() { return *this->world.edges[0].process; }
 
     EdgeWorld world{1};
@@ -234,6 +251,25 @@
     RawResponse response;
 };
 
+/// Connections of callers that send nothing.
+class IdleCallers
+{
+public:
+    IdleCallers(const std::string &address, int count)
+    {
+        const auto port
+                = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+        for (int i = 0; i < count; ++i) {
+            this->sockets.emplace_back(this->context)
+                    .connect({asio::ip::address_v4::loopback(), port});
+        }
+    }
+
+private:
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> sockets;
+};
+
 /// Calls on kept connections until no connection is accepted any more.
 std::vector<KeptCall> callUntilGone(StopWorld &world, const std::string &name)
 {
@@ -393,6 +429,51 @@
     }
 }
 
+// Guards against a daemon that is killed at the end of its grace while it still ends its threads
+// and frees its state: what its sockets hold then is cut.
+TEST_CASE(
+        "a daemon on an eighth of a core is gone within its grace, and all callers know how their "
+        "requests ended")
+{
+    StopWorld world;
+    constexpr int idleCount = 3'800;
+    const IdleCallers idle(world.world.edges[0].front, idleCount);
+    constexpr int lastingCount = 180; // The two replicas take 220 at once.
+    std::list<RawCaller> lasting;
+    for (int i = 0; i < lastingCount; ++i) {
+        lasting.emplace_back(world.world.edges[0].front)
+                .send(StopWorld::requestText("/pay/12000", "lasting" + std::to_string(i)));
+    }
+    REQUIRE(eventually(Millis(5'000), [&] {
+        return world.runsOf("lasting" + std::to_string(lastingCount - 1)) == 1;
+    }));
+    std::vector<std::future<std::vector<KeptCall>>> callers;
+    for (const char *name : {"a", "b"}) {
+        callers.push_back(std::async(std::launch::async,
+                                     [&world, name] { return callUntilGone(world, name); }));
+    }
+
+    world.stop();
+    CHECK(world.waitForEndOnSlowMachine());
+    world.edge().killNow(); // As the platform does at the end of the grace.
+
+    int passedOn = 0;
+    RawReading reading;
+    reading.afterComplete = Millis(0);
+    int number = 0;
+    for (RawCaller &caller : lasting) {
+        const std::string id = "lasting" + std::to_string(number++);
+        world.requireHonest(id, caller.read(reading));
+        passedOn += world.runsOf(id);
+    }
+    CHECK(passedOn == lastingCount);
+    for (auto &caller : callers) {
+        for (const KeptCall &call : caller.get()) {
+            world.requireHonest(call.id, call.response);
+        }
+    }
+}
+
 TEST_CASE("the times of a stop follow the grace")
 {
     SECTION("3 s: a slow request is answered before the end, a quick one is served")
