Drop what waits for peers that take nothing, not what others take

The client now keeps what a socket does not take in queues of its own, one for each peer, and drops the oldest messages of the longest one while too much waits; requests to such a peer fail at once until it takes a message. Entries count. Messages are only refused where the client's own thread cannot keep up. A delegate relays the newest status of a daemon by the time at which it was last seen.

--- a/include/balsamport/wire/message_client.h
+++ b/include/balsamport/wire/message_client.h
@@ -33,8 +33,10 @@
 /// Owns a thread that calls all handlers; handlers must not block. All functions may be called from
 /// any thread. A request to an unreachable peer ends with a timeout; only call() blocks.
 ///
-/// Beyond its limits of waiting messages, it drops messages, and requests end with a timeout at
-/// once. What waits for a peer that got nothing new for a minute is dropped with its connection.
+/// Beyond its limits of waiting messages, it drops the oldest ones for the peers that accept the
+/// fewest, and requests to these end with a timeout at once until they accept messages again. The
+/// same holds for all messages while the client's thread cannot keep up. What waits for a peer that
+/// accepted nothing for a minute is dropped with its connection.
 class MessageClient
 {
 public:
@@ -67,7 +69,7 @@
 
     [[nodiscard]] std::uint64_t bytesReceived() const noexcept;
     [[nodiscard]] std::uint64_t bytesSent() const noexcept;
-    /// @return bytes of the serialized messages that were neither sent nor dropped yet
+    /// @return bytes of the messages that were neither sent nor dropped yet
     [[nodiscard]] std::uint64_t bytesQueued() const noexcept;
     /// @return the number of messages and requests that were dropped because too many bytes waited
     [[nodiscard]] std::uint64_t messagesDropped() const noexcept;
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -276,15 +276,27 @@
     const Millis now = monotonicNow();
     if (gossip.speaks_for_members()) {
         for (const wire::EdgeMember &member : gossip.members()) {
-            this->relays.insert_or_assign(VmId(member.vm()), Relay{member, now});
+            this->addRelay(member, now);
         }
     }
-    Relay sender{gossip.self(), now};
-    sender.member.set_incarnation(incarnation);
-    this->relays.insert_or_assign(VmId(gossip.self().vm()), std::move(sender));
+    wire::EdgeMember sender = gossip.self();
+    sender.set_incarnation(incarnation);
+    this->addRelay(sender, now);
     this->scheduleRelays();
 }
 
+void PeerController::addRelay(const wire::EdgeMember &member, Millis now)
+{
+    const auto [relay, isNew] = this->relays.try_emplace(VmId(member.vm()), Relay{member, now});
+    const auto seenAt = [](const Relay &status) {
+        return status.receivedAt - Millis(status.member.silent_ms());
+    };
+    Relay received{member, now};
+    if (!isNew && seenAt(received) >= seenAt(relay->second)) {
+        relay->second = std::move(received);
+    }
+}
+
 void PeerController::scheduleRelays()
 {
     if (!this->relaysScheduled) {
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -104,6 +104,8 @@
     /// Relays the statuses in the gossip of another data centre to the own one, together with
     /// others that arrive soon after.
     void relayGossip(const wire::EdgeGossip &gossip, std::uint64_t incarnation);
+    /// Keeps a status to relay, unless a newer one of its daemon waits already.
+    void addRelay(const wire::EdgeMember &member, Millis now);
     void scheduleRelays();
     void flushRelays();
     /// Replies to the first gossip of a peer.
--- a/src/wire/message_client.cpp
+++ b/src/wire/message_client.cpp
@@ -10,9 +10,11 @@
 #include <atomic>
 #include <deque>
 #include <future>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -37,8 +39,16 @@
 {
     std::string endpoint;
     zmq::message_t body; ///< Shares its bytes with the copies for other endpoints.
+    std::size_t countedBytes = 0; ///< Of the body, in one of its copies.
 };
 
+/// Memory of a message in a queue, in addition to its body.
+constexpr std::size_t entryBytes = 200;
+/// Messages that a socket takes before its peer accepts them. The client keeps further ones, so
+/// that it can drop them.
+constexpr int maxSocketMessages = 625;
+constexpr int socketMessagesDivisor = 16;
+
 /// Adds a leading zero to the port. ZeroMQ ignores a second connection to an endpoint that is
 /// spelled the same way.
 std::string withPaddedPort(std::string endpoint)
@@ -55,7 +65,8 @@
     struct Connection
     {
         zmq::socket_t socket;
-        Millis usedAt; ///< When a message was last sent or received.
+        Millis usedAt; ///< When its socket last took a message, or received one.
+        bool stalled = false; ///< Messages were dropped, because the peer accepted none.
     };
 
     Loop(MessageSender name, CurveKeys curveKeys, MessageQueueLimits queueLimits)
@@ -110,14 +121,16 @@
             batch.swap(this->outgoing);
         }
         for (OutgoingMessage &message : batch) {
-            this->sendTo(message.endpoint, std::move(message.body));
+            this->outgoingBytes -= message.countedBytes + entryBytes;
+            this->send(message.endpoint, std::move(message.body));
         }
+        this->dropExcess();
     }
 
-    /// @return the serialized message; nothing if too many bytes wait to be sent
+    /// @return the serialized message; nothing if the thread of the client cannot keep up
     std::optional<zmq::message_t> prepare(wire::Envelope &envelope)
     {
-        if (*this->queuedBytes > this->limits.bytes) {
+        if (this->outgoingBytes > this->limits.bytes / 2) {
             ++this->dropped;
             return std::nullopt;
         }
@@ -126,36 +139,96 @@
         return serialize(envelope, this->queuedBytes);
     }
 
-    /// Sends the messages that wait for a connection. Used only during a key rotation.
+    /// Queues a message for the thread. Requires the mutex.
+    void queue(const std::string &endpoint, zmq::message_t body, std::size_t countedBytes)
+    {
+        ++this->entries;
+        this->outgoingBytes += countedBytes + entryBytes;
+        this->outgoing.push_back(OutgoingMessage{endpoint, std::move(body), countedBytes});
+    }
+
+    /// Sends what peers accept of the messages that wait for them.
     void sendUnsent()
     {
-        std::map<std::string, std::deque<zmq::message_t>> messages;
-        messages.swap(this->unsent);
-        for (auto &[endpoint, bodies] : messages) {
-            for (zmq::message_t &body : bodies) {
-                this->sendTo(endpoint, std::move(body));
+        for (auto entry = this->unsent.begin(); entry != this->unsent.end();) {
+            std::deque<zmq::message_t> &messages = entry->second;
+            while (!messages.empty() && this->trySend(entry->first, messages.front())) {
+                messages.pop_front();
             }
+            entry = messages.empty() ? this->unsent.erase(entry) : std::next(entry);
+        }
+    }
+
+    void send(const std::string &endpoint, zmq::message_t body)
+    {
+        const auto waiting = this->unsent.find(endpoint);
+        if (waiting == this->unsent.end() && this->trySend(endpoint, body)) {
+            return;
+        }
+        std::deque<zmq::message_t> &messages = this->unsent[endpoint];
+        messages.push_back(std::move(body));
+        if (messages.size() > static_cast<std::size_t>(this->limits.messagesPerPeer)) {
+            this->dropOldest(endpoint, messages, messages.size() - 1);
         }
     }
 
-    void sendTo(const std::string &endpoint, zmq::message_t body)
+    /// @return false if the peer accepts no message now
+    bool trySend(const std::string &endpoint, zmq::message_t &body)
     {
         const std::size_t bytes = body.size();
         try {
-            if (this->socketFor(endpoint).send(body, zmq::send_flags::dontwait)) {
-                this->sent += bytes;
-                return;
+            Connection &connection = this->connectionTo(endpoint);
+            if (!connection.socket.send(body, zmq::send_flags::dontwait)) {
+                return false;
             }
-            // A message is dropped if the queue is full; a request then ends with its timeout.
-            if (this->isRotating()
-                && this->unsent[endpoint].size()
-                        < static_cast<std::size_t>(this->limits.messagesPerPeer)) {
-                this->unsent[endpoint].push_back(std::move(body));
+            connection.usedAt = monotonicNow();
+            this->sent += bytes;
+            if (connection.stalled) {
+                connection.stalled = false;
+                const std::lock_guard lock(this->mutex);
+                this->stalledEndpoints.erase(endpoint);
             }
         } catch (const zmq::error_t &error) {
             LOG(WARNING) << logprefix::wire << "Failed to send. endpoint=" << endpoint
                          << " reason=" << error.what();
         }
+        --this->entries;
+        return true;
+    }
+
+    /// Drops the oldest messages for a peer, down to `kept`.
+    void dropOldest(const std::string &endpoint, std::deque<zmq::message_t> &messages,
+                    std::size_t kept)
+    {
+        this->dropped += messages.size() - kept;
+        this->entries -= messages.size() - kept;
+        messages.erase(messages.begin(), messages.end() - static_cast<std::ptrdiff_t>(kept));
+        Connection &connection = this->connectionTo(endpoint);
+        if (!connection.stalled) {
+            connection.stalled = true;
+            const std::lock_guard lock(this->mutex);
+            this->stalledEndpoints.insert(endpoint);
+        }
+    }
+
+    /// Drops the messages for the peers that have accepted the fewest, while too many bytes wait.
+    /// The last message for each stays: once the peer accepts it, it counts as stalled no longer.
+    void dropExcess()
+    {
+        while (this->bytesQueued() > this->limits.bytes) {
+            const auto longest = std::max_element(
+                    this->unsent.begin(), this->unsent.end(),
+                    [](const auto &a, const auto &b) { return a.second.size() < b.second.size(); });
+            if (longest == this->unsent.end() || longest->second.size() < 2) {
+                return;
+            }
+            this->dropOldest(longest->first, longest->second, 1);
+        }
+    }
+
+    [[nodiscard]] std::uint64_t bytesQueued() const noexcept
+    {
+        return *this->queuedBytes + this->entries * entryBytes;
     }
 
     [[nodiscard]] bool isRotating() const
@@ -163,16 +236,17 @@
         return this->keys.isEnabled() && !this->keys.acceptedPublicKeys.empty();
     }
 
-    zmq::socket_t &socketFor(const std::string &endpoint)
+    Connection &connectionTo(const std::string &endpoint)
     {
         const auto found = this->connections.find(endpoint);
         if (found != this->connections.end()) {
-            found->second.usedAt = monotonicNow();
-            return found->second.socket;
+            return found->second;
         }
         zmq::socket_t socket(this->context, zmq::socket_type::dealer);
         socket.set(zmq::sockopt::linger, 200);
-        socket.set(zmq::sockopt::sndhwm, this->limits.messagesPerPeer);
+        socket.set(zmq::sockopt::sndhwm,
+                   std::clamp(this->limits.messagesPerPeer / socketMessagesDivisor, 1,
+                              maxSocketMessages));
         socket.set(zmq::sockopt::maxmsgsize, MessageServer::maxMessageBytes);
         socket.set(zmq::sockopt::reconnect_ivl, 50);
         socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
@@ -191,7 +265,7 @@
         }
         socket.connect(endpoint);
         Connection connection{std::move(socket), monotonicNow()};
-        return this->connections.emplace(endpoint, std::move(connection)).first->second.socket;
+        return this->connections.emplace(endpoint, std::move(connection)).first->second;
     }
 
     /// Closes connections that are not used, with the messages that their peers have not taken.
@@ -202,9 +276,22 @@
             return;
         }
         this->idleCheckedAt = now;
-        std::erase_if(this->connections, [now](const auto &entry) {
-            return now - entry.second.usedAt > maxConnectionIdleTime;
-        });
+        for (auto entry = this->connections.begin(); entry != this->connections.end();) {
+            if (now - entry->second.usedAt <= maxConnectionIdleTime) {
+                ++entry;
+                continue;
+            }
+            const auto waiting = this->unsent.find(entry->first);
+            if (waiting != this->unsent.end()) {
+                this->entries -= waiting->second.size();
+                this->unsent.erase(waiting);
+            }
+            {
+                const std::lock_guard lock(this->mutex);
+                this->stalledEndpoints.erase(entry->first);
+            }
+            entry = this->connections.erase(entry);
+        }
     }
 
     void receiveAll(Connection &connection)
@@ -299,10 +386,14 @@
     /// By endpoint. Used by the client's thread only.
     std::map<std::string, Connection> connections;
     Millis idleCheckedAt{0}; ///< Used by the client's thread only.
-    /// Messages that wait for a connection, by endpoint. Used by the client's thread only.
+    /// Messages that sockets did not take, by endpoint. Used by the client's thread only.
     std::map<std::string, std::deque<zmq::message_t>> unsent;
     std::mutex mutex;
     std::deque<OutgoingMessage> outgoing; ///< Guarded by `mutex`.
+    /// Of `outgoing`, and of what the thread took of it and has not handled.
+    std::atomic<std::uint64_t> outgoingBytes{0};
+    std::atomic<std::uint64_t> entries{0}; ///< Of `outgoing` and `unsent`.
+    std::set<std::string> stalledEndpoints; ///< Requests to them fail at once. Guarded by `mutex`.
     std::unordered_map<std::uint64_t, PendingRequest> pending; ///< Guarded by `mutex`.
     std::multimap<Millis, std::uint64_t> deadlines; ///< Guarded by `mutex`.
     std::atomic<std::uint64_t> nextNumber{1};
@@ -333,14 +424,19 @@
     const std::uint64_t number = this->loop->nextNumber++;
     message.set_correlation(number);
     std::optional<zmq::message_t> body = this->loop->prepare(message);
-    // A request that is not sent fails at once.
-    const Millis deadline = monotonicNow() + (body ? timeout : Millis(0));
     {
         const std::lock_guard lock(this->loop->mutex);
+        if (body && this->loop->stalledEndpoints.count(endpoint) != 0) {
+            ++this->loop->dropped;
+            body.reset();
+        }
+        // A request that is not sent fails at once.
+        const Millis deadline = monotonicNow() + (body ? timeout : Millis(0));
         this->loop->pending.emplace(number, PendingRequest{deadline, timeout, std::move(handler)});
         this->loop->deadlines.emplace(deadline, number);
         if (body) {
-            this->loop->outgoing.push_back(OutgoingMessage{endpoint, std::move(*body)});
+            const std::size_t bytes = body->size();
+            this->loop->queue(endpoint, std::move(*body), bytes);
         }
     }
     this->loop->wakeup.signal();
@@ -371,10 +467,11 @@
     }
     {
         const std::lock_guard lock(this->loop->mutex);
+        std::size_t countedBytes = body->size();
         for (const std::string &endpoint : endpoints) {
-            OutgoingMessage copy{endpoint, zmq::message_t()};
-            copy.body.copy(*body);
-            this->loop->outgoing.push_back(std::move(copy));
+            zmq::message_t copy;
+            copy.copy(*body);
+            this->loop->queue(endpoint, std::move(copy), std::exchange(countedBytes, 0));
         }
     }
     this->loop->wakeup.signal();
@@ -405,7 +502,7 @@
 
 std::uint64_t MessageClient::bytesQueued() const noexcept
 {
-    return *this->loop->queuedBytes;
+    return this->loop->bytesQueued();
 }
 
 std::uint64_t MessageClient::messagesDropped() const noexcept
