Notice that a caller leaves while its next request waits

RESTinio now reads on while one request is handled and one waits.

A caller of HTTP/1.0 that asks for a kept connection got chunks on a connection that stayed open for a minute, and reads to its end: a stream for a caller that sends a Connection field ends its connection again. The reason of a closed connection is taken on each notice, so that it is not logged for the next one.

--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -62,6 +62,13 @@
     return header.should_keep_alive() || header.has_field("Connection");
 }
 
+/// @return false if a stream must end with its connection: a caller of HTTP/1.0 that asks for a
+/// kept connection gets chunks, and reads them to the end of the connection
+bool mayKeepAfterStream(const restinio::http_request_header_t &header)
+{
+    return header.should_keep_alive() && !header.has_field("Connection");
+}
+
 } // namespace
 
 RestinioWriter::RestinioWriter(restinio::request_handle_t handle,
@@ -140,6 +147,9 @@
     this->stream = std::make_unique<Stream>(
             this->request->create_response<StreamOutput>(statusLine(status)));
     addHeaders(*this->stream, headers);
+    if (!mayKeepAfterStream(this->request->header())) {
+        this->stream->connection_close();
+    }
     this->stream->start();
 }
 
@@ -167,7 +177,7 @@
     const std::lock_guard lock(this->mutex);
     if (this->stream) {
         const bool closes = this->registry->completeResponse(
-                this->request->connection_id(), !this->request->header().should_keep_alive(),
+                this->request->connection_id(), !mayKeepAfterStream(this->request->header()),
                 false);
         this->stream->finish(closes);
         this->stream.reset();
@@ -423,6 +433,7 @@
     using restinio::connection_state::accepted_t;
     using restinio::connection_state::closed_t;
     Connection closed;
+    const std::string reason = CloseReasonLogger::takeReason();
     {
         const std::lock_guard lock(this->mutex);
         if (restinio::holds_alternative<accepted_t>(notice.cause())) {
@@ -449,7 +460,7 @@
             writer->handleConnectionClosed();
         }
     }
-    this->reportEnd(closed, CloseReasonLogger::takeReason());
+    this->reportEnd(closed, reason);
 }
 
 std::shared_ptr<const IncomingRequest> readRequest(const restinio::request_handle_t &handle)
--- a/src/http/server_runner.h
+++ b/src/http/server_runner.h
@@ -97,8 +97,9 @@
 template<typename Traits>
 [[nodiscard]] restinio::server_settings_t<Traits> serverSettings(const RunnerSettings &settings)
 {
-    // With 1, RESTinio would not read while a request is handled and miss that a connection closes.
-    constexpr std::size_t pipelinedRequests = 2;
+    // One request that is handled and one that waits. RESTinio stops reading at this number of
+    // requests, and would then miss that a connection closes.
+    constexpr std::size_t pipelinedRequests = 3;
     constexpr std::chrono::seconds writeTimeout{60};
     const auto onRequest
             = [registry = settings.registry](const restinio::request_handle_t &request) {
--- a/tests/src/unit-broken-response.cpp
+++ b/tests/src/unit-broken-response.cpp
@@ -181,6 +181,16 @@
         REQUIRE(response.surplus.empty());
         REQUIRE(response.end == RawResponse::End::Closed);
 
+        SECTION("and ends its connection for a caller of HTTP/1.0 that keeps others")
+        {
+            const RawResponse old
+                    = callRaw(listenAddress,
+                              "GET /whole HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n");
+            REQUIRE(old.body == "data: one\n\ndata: two\n\n");
+            REQUIRE(old.surplus.empty());
+            REQUIRE(old.end == RawResponse::End::Closed);
+        }
+
         SECTION("and keeps its connection, if its caller does")
         {
             RawReading briefly;
--- a/tests/src/unit-pipelined-requests.cpp
+++ b/tests/src/unit-pipelined-requests.cpp
@@ -279,6 +279,25 @@
         REQUIRE(end.unhandled == 1);
     }
 
+    SECTION("its caller leaves before, and nothing is written to it: nobody handles it")
+    {
+        {
+            RawCaller leaving(listenAddress);
+            leaving.send(post("/first") + post("/booking"));
+            (void)world.writerOf("/first");
+            letArrive();
+        }
+        letArrive();
+        REQUIRE(world.writerOf("/first")->isDisconnected());
+        const ConnectionEnd end = world.onlyEnd();
+        REQUIRE(end.reason == "closed by the caller");
+        REQUIRE(end.unanswered == 1);
+        REQUIRE(end.unhandled == 1);
+        world.respond("/first");
+        letArrive();
+        REQUIRE(world.handledPaths() == Paths{"/first"});
+    }
+
     SECTION("the server ends while it waits: nobody handles it")
     {
         caller.send(post("/first") + post("/second"));
