--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -12,6 +12,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -256,16 +258,31 @@
     return {address.substr(0, colon), std::atoi(address.c_str() + colon + 1)};
 }
 
-/// Connects to IP:PORT. Returns nothing if that fails.
+/// Connects to IP:PORT. Returns nothing if that fails or takes a second, which is as long as clients
+/// of the platform allow.
 inline std::shared_ptr<Socket> connectTo(const std::string &address)
 {
+    constexpr int connectMs = 1'000;
     const auto [ip, port] = split(address);
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (fd < 0) {
+        return nullptr;
+    }
     const sockaddr_in to = addressOf(ip, port);
+    int failure = 0;
     if (::connect(fd, reinterpret_cast<const sockaddr *>(&to), sizeof to) != 0) {
+        pollfd wait{fd, POLLOUT, 0};
+        socklen_t size = sizeof failure;
+        if (errno != EINPROGRESS || ::poll(&wait, 1, connectMs) <= 0
+            || getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size) != 0) {
+            failure = ETIMEDOUT;
+        }
+    }
+    if (failure != 0) {
         ::close(fd);
         return nullptr;
     }
+    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
     return std::make_shared<Socket>(fd);
 }
 
@@ -319,6 +336,10 @@
         std::thread([this] {
             while (true) {
                 const int client = ::accept4(this->fd, nullptr, nullptr, SOCK_CLOEXEC);
+                if (client < 0 && this->stopped) {
+                    ::close(this->fd);
+                    return;
+                }
                 if (client < 0) {
                     continue;
                 }
@@ -328,8 +349,16 @@
         }).detach();
     }
 
+    /// Ends listening: from now on connections are refused.
+    void stop()
+    {
+        this->stopped = true;
+        ::shutdown(this->fd, SHUT_RDWR);
+    }
+
 private:
     int fd = -1;
+    std::atomic<bool> stopped{false};
     Handler serve;
 };
 
