--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -8,14 +8,14 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <cerrno>
-
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <cstdarg>
@@ -558,6 +558,7 @@
     {
         this->pid = fork();
         if (this->pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // No daemon outlives the script.
             const int log = ::open(this->logFile.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
             dup2(log, 1);
             dup2(log, 2);
