Tests: let all daemons load the same adapters of the engine

Each daemon of the world had adapters of its own, so that two could never send the same load. Callers on all sides of a cut ask for the same popular ones.

--- a/tests/include/command_world.h
+++ b/tests/include/command_world.h
@@ -203,9 +203,7 @@
         EngineGrantRequest request;
         request.key = GrantKey{daemon.vm, daemon.incarnation, daemon.nextRequest++};
         request.base = daemon.scheduler.base;
-        // Adapters of its own: two daemons that begin within the lag of a report and load the same
-        // adapter are not told apart by the engine. See docs/design/platform.md.
-        request.adapter = AdapterId("a" + std::to_string(index) + "-" + std::to_string(adapter));
+        request.adapter = AdapterId("a" + std::to_string(adapter));
         request.objectiveAt = this->now + Millis(6'000);
         request.deadlineAt = this->now + Millis(12'000);
         request.maxWaitUntil = request.deadlineAt;
