Tests: let an unload wait for the requests that run

Whether an unload waited was drawn by lot, for 3 s at most. Now the engine knows the requests of all daemons, which last up to 12 s, doesn't begin any on an adapter that it unloads, and an unload waits until they have ended.

--- a/tests/include/command_world.h
+++ b/tests/include/command_world.h
@@ -130,6 +130,7 @@
         std::uint64_t count = 0;
         std::map<AdapterId, Millis> loads; ///< With their ends.
         std::map<AdapterId, Millis> unloads;
+        std::multimap<AdapterId, Millis> runs; ///< Requests of all daemons, with their ends.
         std::set<AdapterId> held;
         std::deque<std::pair<Millis, EngineReport>> reports; ///< By the time they became true.
     };
@@ -152,7 +153,7 @@
         Millis frozenUntil;
         Millis cutUntil;
         bool losesReply = false;
-        std::map<Millis, GrantKey> streams; ///< With their ends.
+        std::multimap<Millis, GrantKey> streams; ///< With their ends.
         std::uint64_t nextRequest = 1;
     };
 
@@ -243,9 +244,7 @@
         for (const SchedulerAction &action :
              nextSchedulerActions(daemon.scheduler, daemon.limits, AdapterVersions(), this->now)) {
             if (const auto *grant = std::get_if<GrantAction>(&action)) {
-                recordGrantStarted(daemon.scheduler, daemon.limits, grant->key, Millis(0),
-                                   this->now);
-                daemon.streams.emplace(this->now + this->between(50, 4'000), grant->key);
+                this->startRun(index, grant->key);
             } else if (const auto *command = std::get_if<EngineCommand>(&action)) {
                 this->send(index, *command);
             } else if (const auto *needed = std::get_if<ReportAction>(&action)) {
@@ -255,6 +254,25 @@
         }
     }
 
+    /// Sends a granted request. The engine runs it unless it unloads the adapter.
+    void startRun(std::size_t index, const GrantKey &key)
+    {
+        Daemon &daemon = this->daemons[index];
+        const AdapterId adapter = daemon.scheduler.running.at(key).adapter;
+        if (this->now < daemon.cutUntil || this->now < this->engine.startedAt) {
+            recordGrantEnded(daemon.scheduler, key, this->now);
+            return;
+        }
+        if (this->engine.held.count(adapter) == 0 || this->engine.unloads.count(adapter) != 0) {
+            recordAdapterNotReady(daemon.scheduler, key, this->now);
+            return;
+        }
+        const Millis end = this->now + this->between(50, this->chance(8) ? 12'000 : 2'000);
+        this->engine.runs.emplace(adapter, end);
+        recordGrantStarted(daemon.scheduler, daemon.limits, key, Millis(0), this->now);
+        daemon.streams.emplace(end, key);
+    }
+
     [[nodiscard]] CommandLeaseTimings timings(const Daemon &daemon) const
     {
         CommandLeaseTimings result;
@@ -466,9 +484,13 @@
             target.loads[adapter] = this->now + this->between(20, this->chance(4) ? 8'000 : 400);
             return CommandOutcome::Accepted;
         }
-        // An unload that waits longer than a lease isn't covered: see docs/design/platform.md.
-        const bool inUse = this->chance(3);
-        target.unloads[adapter] = inUse ? this->now + this->between(50, 3'000) : this->now;
+        Millis end = this->now;
+        const auto [first, last] = target.runs.equal_range(adapter);
+        for (auto run = first; run != last; ++run) {
+            end = std::max(end, run->second);
+        }
+        const bool inUse = end > this->now;
+        target.unloads[adapter] = end;
         this->updateEngine();
         return inUse ? CommandOutcome::Accepted : CommandOutcome::AlreadyHolds;
     }
@@ -476,7 +498,9 @@
     void updateEngine()
     {
         Engine &target = this->engine;
-        bool changed = false;
+        const auto runs = std::erase_if(
+                target.runs, [this](const auto &run) { return run.second <= this->now; });
+        bool changed = runs != 0;
         for (auto load = target.loads.begin(); load != target.loads.end();) {
             const bool ended = load->second <= this->now;
             changed |= ended;
