Tests: let engines restart empty, at any count, under their id or a new one

Engines of the world restarted only after 20 commands, with down time, under their id, and with their base model in place. They restart empty, so that the load of the base model is the first command of every daemon.

--- a/tests/include/command_world.h
+++ b/tests/include/command_world.h
@@ -39,7 +39,7 @@
         LoseReply, ///< The connection goes silent: the next command runs without a response.
         Freeze, ///< The process pauses for `value` x 100 ms.
         Restart, ///< The process is killed and starts again under its id.
-        RestartEngine, ///< The engine restarts under its id.
+        RestartEngine, ///< The engine restarts, under its id or a new one, with or without a pause.
         StepClock, ///< The engine's time of day, which dates its next start, steps.
         Count,
     };
@@ -66,7 +66,7 @@
         for (std::size_t i = 0; i < size; ++i) {
             this->start(i);
         }
-        this->startEngine();
+        this->startEngine(true);
     }
 
     void apply(const CommandStep &step)
@@ -94,11 +94,9 @@
             this->start(index);
             break;
         case CommandStep::Kind::RestartEngine:
-            // Commands bear no run. An engine that has counted few could reach the same count again
-            // before a holder of its earlier run notices: see docs/design/platform.md.
-            if (this->engine.count >= 20) {
-                this->startEngine();
-                this->engine.startedAt += Millis(1'000) + duration / 4;
+            this->startEngine(step.value % 4 < 2);
+            if (step.value % 2 == 0) {
+                this->engine.startedAt += Millis(200) + duration / 4;
             }
             break;
         case CommandStep::Kind::StepClock:
@@ -127,7 +125,10 @@
         std::int64_t startedAtWallMs = 0;
         Millis startedAt;
         Millis clockOffset;
+        std::uint64_t id = 0;
         std::uint64_t count = 0;
+        bool modelLoaded = false;
+        Millis modelLoadEndsAt{-1}; ///< -1 while none is in progress.
         std::map<AdapterId, Millis> loads; ///< With their ends.
         std::map<AdapterId, Millis> unloads;
         std::multimap<AdapterId, Millis> runs; ///< Requests of all daemons, with their ends.
@@ -139,6 +140,7 @@
     {
         VmId vm;
         std::uint64_t incarnation = 0;
+        std::uint64_t engineId = 0; ///< Of the store's last entry.
         CommandLease lease;
         EngineScheduler scheduler;
         SchedulerLimits limits;
@@ -170,6 +172,7 @@
         Daemon fresh;
         fresh.vm = VmId("v" + std::to_string(index));
         fresh.incarnation = daemon.incarnation + 1;
+        fresh.engineId = this->engine.id;
         // Messages of the earlier process stay on their way.
         fresh.commandNumber = daemon.commandNumber + 1;
         fresh.reportNumber = daemon.reportNumber + 1;
@@ -183,16 +186,41 @@
         daemon = std::move(fresh);
     }
 
-    void startEngine()
+    /// Engines restart empty. Daemons see the entry of a new id in the store at different times.
+    void startEngine(bool keepsId)
     {
         const Millis offset = this->engine.clockOffset;
+        const std::uint64_t id = this->engine.id + (keepsId ? 0 : 1);
+        const bool first = this->engine.reports.empty(); // Its model is in place.
         this->engine = Engine();
+        this->engine.modelLoaded = first;
+        this->engine.id = id;
         this->engine.clockOffset = offset;
         this->engine.startedAt = this->now;
         this->engine.startedAtWallMs = firstStartWallMs + (this->now + offset).count();
         this->accepted.clear();
         this->numbers.clear();
         this->saveReport();
+        for (std::size_t i = 0; i < this->daemons.size() && !keepsId; ++i) {
+            this->events.emplace(this->now + this->between(0, 600), [this, i, id] {
+                this->whenAwake(i, [this, i, id] { this->discoverEngine(i, id); });
+            });
+        }
+    }
+
+    /// Begins an ownership term for the engine of a new entry.
+    void discoverEngine(std::size_t index, std::uint64_t id)
+    {
+        if (this->daemons[index].engineId >= id) {
+            return;
+        }
+        const Millis frozenUntil = this->daemons[index].frozenUntil;
+        const std::uint64_t incarnation = this->daemons[index].incarnation;
+        this->start(index);
+        Daemon &daemon = this->daemons[index];
+        daemon.engineId = id;
+        daemon.incarnation = incarnation;
+        daemon.frozenUntil = frozenUntil;
     }
 
     void submit(std::size_t index, std::uint16_t adapter)
@@ -259,7 +287,7 @@
     {
         Daemon &daemon = this->daemons[index];
         const AdapterId adapter = daemon.scheduler.running.at(key).adapter;
-        if (this->now < daemon.cutUntil || this->now < this->engine.startedAt) {
+        if (this->now < daemon.cutUntil || !this->isEngineOf(index)) {
             recordGrantEnded(daemon.scheduler, key, this->now);
             return;
         }
@@ -293,6 +321,13 @@
                 : repeatsUntil(daemon.lease, CommandLeaseTimings());
     }
 
+    /// @return true where the engine runs under the id that the daemon knows
+    [[nodiscard]] bool isEngineOf(std::size_t index) const
+    {
+        return this->now >= this->engine.startedAt
+                && this->daemons[index].engineId == this->engine.id;
+    }
+
     void requestReportAt(Daemon &daemon, Millis at)
     {
         if (daemon.reportDueAt < Millis(0) || at < daemon.reportDueAt) {
@@ -312,7 +347,7 @@
         const Millis arrival = this->now + this->between(1, 60);
         if (this->now >= daemon.cutUntil) {
             this->events.emplace(arrival, [this, index, number] {
-                if (this->now < this->engine.startedAt) {
+                if (!this->isEngineOf(index)) {
                     this->reply(index, [this, index, number] {
                         this->handleReport(index, number, std::nullopt);
                     });
@@ -381,9 +416,9 @@
                 ? 100 - index
                 : fencingNumberFor(daemon.lease, daemon.vm).number();
         const auto arrive = [this, index, serial, command, expected, number] {
-            const CommandOutcome outcome = this->now < this->engine.startedAt
-                    ? CommandOutcome::Unknown
-                    : this->receive(index, command, expected, number);
+            const CommandOutcome outcome = this->isEngineOf(index)
+                    ? this->receive(index, command, expected, number)
+                    : CommandOutcome::Unknown;
             Daemon &sender = this->daemons[index];
             const bool lost = std::exchange(sender.losesReply, false);
             if (!lost && this->now >= sender.cutUntil) {
@@ -465,12 +500,15 @@
     CommandOutcome carryOut(const EngineCommand &command, std::uint64_t expected)
     {
         Engine &target = this->engine;
+        if (command.kind == CommandKind::LoadModel) {
+            return this->loadModel(expected);
+        }
         const bool isLoad = command.kind == CommandKind::LoadAdapter;
         const AdapterId &adapter = command.adapter;
         if (isLoad ? target.loads.count(adapter) != 0 : target.unloads.count(adapter) != 0) {
             return CommandOutcome::Accepted;
         }
-        if (expected != target.count) {
+        if (expected != target.count || !target.modelLoaded) {
             return CommandOutcome::Conflict;
         }
         const bool holds = target.held.count(adapter) != 0;
@@ -495,12 +533,35 @@
         return inUse ? CommandOutcome::Accepted : CommandOutcome::AlreadyHolds;
     }
 
+    CommandOutcome loadModel(std::uint64_t expected)
+    {
+        Engine &target = this->engine;
+        if (target.modelLoadEndsAt >= Millis(0)) {
+            return CommandOutcome::Accepted;
+        }
+        if (expected != target.count) {
+            return CommandOutcome::Conflict;
+        }
+        if (target.modelLoaded) {
+            return CommandOutcome::AlreadyHolds;
+        }
+        ++target.count;
+        ++this->counted;
+        target.modelLoadEndsAt = this->now + this->between(200, this->chance(4) ? 8'000 : 3'000);
+        return CommandOutcome::Accepted;
+    }
+
     void updateEngine()
     {
         Engine &target = this->engine;
         const auto runs = std::erase_if(
                 target.runs, [this](const auto &run) { return run.second <= this->now; });
         bool changed = runs != 0;
+        if (target.modelLoadEndsAt >= Millis(0) && target.modelLoadEndsAt <= this->now) {
+            target.modelLoadEndsAt = Millis(-1);
+            target.modelLoaded = true;
+            changed = true;
+        }
         for (auto load = target.loads.begin(); load != target.loads.end();) {
             const bool ended = load->second <= this->now;
             changed |= ended;
@@ -527,7 +588,8 @@
         EngineReport report;
         report.startedAtWallMs = this->engine.startedAtWallMs;
         report.commandCount = this->engine.count;
-        report.modelLoaded = true;
+        report.modelLoaded = this->engine.modelLoaded;
+        report.modelBusy = this->engine.modelLoadEndsAt >= Millis(0);
         for (const AdapterId &adapter : this->engine.held) {
             report.adapters[adapter] = AdapterVersion(1);
         }
