Send no command that another daemon may have in progress

Cause: a count of 0 let every daemon command an engine at once, and two daemons can qualify within the lag of a report. An engine accepts a command that equals one in progress without comparing the expected count, so that the second daemon wasn't refused: the load of the base model, of the same adapter, or an unload that waits for requests.

Change: where another daemon may have qualified, only commands are sent that no other can have in progress. The base model is loaded in turns, or at once by the first daemon by rank if it knows all others; a holder of the earlier run goes first within its lease only. Gossip says who knows all daemons, so that a restarted daemon needn't wait.

--- a/include/balsamport/edge/command_lease.h
+++ b/include/balsamport/edge/command_lease.h
@@ -13,14 +13,14 @@
 ///
 /// The engine arbitrates: it counts the commands that it accepts, and refuses one that expects
 /// another count. A daemon holds the lease once it has seen the count unchanged for longer than a
-/// lease. A count of 0 qualifies at once, because nobody has commanded that run of the engine,
-/// unless another daemon may still command its earlier run. From then on each counted command
-/// proves that nobody else sent one before it. What peers say about ownership plays no part, so
-/// that the rule holds across cut links and silent connections.
+/// lease. A count of 0 qualifies at once where no other daemon can command that run of the engine
+/// before. From then on each counted command proves that nobody else sent one before it.
 ///
-/// Repeated commands need more care, because an engine answers them without counting them: they are
-/// sent only while no other daemon can have qualified. All times are monotonic and include the time
-/// in which the process or the VM was suspended.
+/// An engine accepts a command that equals one in progress without comparing the count. So until
+/// repeatsUntil(), while no other daemon can have qualified, any command may be sent. Later only
+/// those are that no other daemon can have in progress, see comparedCommand(); the load of a base
+/// model, which all daemons begin with, only until uncomparedUntil. All times are monotonic and
+/// include the time in which the process or the VM was suspended.
 struct CommandLease
 {
     std::int64_t engineStartedAtWallMs = 0; ///< Identifies the run of the engine; 0 if unknown.
@@ -37,6 +37,8 @@
     Millis confirmedAt{-1}; ///< When the last report that showed the count was received.
     Millis unconfirmedAt{-1}; ///< When a command was sent that got no response; -1 for none.
     std::uint64_t refusedNumbers = 0; ///< Commands that the engine refused as outdated.
+    bool needsModel = false; ///< The engine neither holds nor loads its base model.
+    Millis uncomparedUntil{-1}; ///< End of this daemon's turn to load it.
 
     bool operator==(const CommandLease &) const = default;
 };
@@ -50,6 +52,19 @@
     /// Added before the lease is acquired. Differs between daemons, so that those that have waited
     /// for the same engine see in its report which of them was first.
     Millis acquisitionDelay{0};
+    /// No other daemon commands a run of the engine that this daemon sees for the first time, with
+    /// a count of 0, before this one has.
+    bool actsFirst = true;
+    /// Of an engine without its base model, whose load all daemons begin with: when the first turn
+    /// to load it begins, and this daemon's turn.
+    Millis turnsFrom{0};
+    std::uint32_t turn = 0;
+
+    static constexpr std::uint32_t turns = 4;
+    static constexpr Millis turnLength{300};
+    /// From the start of a turn to that of the next: its length, the lag of a report, and the time
+    /// between two daemons' sightings of the engine's entry.
+    static constexpr Millis turnDistance{1'400};
     /// A report shows the count for this long; the expected count covers the rest. Counted from its
     /// receipt, so that an owner that gets reports slowly can send commands.
     Millis confirmationLifetime{500};
@@ -65,6 +80,7 @@
 {
     std::int64_t engineStartedAtWallMs = 0;
     std::uint64_t commandCount = 0;
+    bool needsModel = false; ///< The engine neither holds nor loads its base model.
 
     bool operator==(const ObservedCommandCount &) const = default;
 };
@@ -88,10 +104,10 @@
 /// @return the time until which a command may be repeated
 [[nodiscard]] Millis repeatsUntil(const CommandLease &lease, const CommandLeaseTimings &timings);
 
-/// @return the time from which the lease can be held, unless the count changes before; -1 where the
-/// count isn't known
+/// @return the first time from `now` on at which the lease can be acquired, unless the count
+/// changes before; -1 where the count isn't known
 [[nodiscard]] Millis expectedAcquisition(const CommandLease &lease,
-                                         const CommandLeaseTimings &timings);
+                                         const CommandLeaseTimings &timings, Millis now);
 
 /// @brief Records that the engine accepted a command that it counts.
 /// @param mayRepeatAnother an engine answers such a command without counting it if it is carrying
--- a/include/balsamport/edge/dialect.h
+++ b/include/balsamport/edge/dialect.h
@@ -140,6 +140,8 @@
     std::function<CommandOutcome(const HttpResponse &)> readCommandOutcome;
     std::function<OutgoingRequest(const ServerEntry &)> writeReportRequest;
     std::function<Result<EngineReport>(const HttpResponse &, const BaseModelId &)> readReport;
+    /// Names the adapter of a base model by its index, below EngineLimits::adapters.
+    std::function<AdapterId(std::uint64_t)> adapterAt;
 };
 
 } // namespace balsamport
--- a/include/balsamport/edge/edge_settings.h
+++ b/include/balsamport/edge/edge_settings.h
@@ -26,6 +26,7 @@
     RetryBudgetLimits retryBudget;
     /// A new owner of an engine waits longer than this before its first command.
     Millis leaseDuration{3'000};
+    bool fleetStarts = false; ///< All daemons start now, for the first time.
     Millis shutdownTimeout{8'000}; ///< Longest time from the stop signal to the end.
     Millis balancerDrainTime{2'500}; ///< The load balancer stops sending callers by then.
 
--- a/include/balsamport/edge/engine_scheduler.h
+++ b/include/balsamport/edge/engine_scheduler.h
@@ -96,6 +96,8 @@
     Millis deliveryJitter{60};
     /// A request past its objective waits for its remaining maximum wait divided by this.
     std::int64_t pastObjectiveWaitDivisor = 2;
+    /// Adapters that other daemons don't load first, see comparedCommand().
+    std::vector<AdapterId> claimAdapters;
     /// The engine runs four loads at once; one is left for the replacement of a version.
     std::uint32_t maxConcurrentLoads = 3;
 
@@ -119,6 +121,9 @@
     std::uint32_t polls = 0; ///< Queries since the load began.
     Millis loadStartedAt;
     bool unloadAccepted = false; ///< The engine unloads the adapter once its requests have ended.
+    /// When this daemon last loaded the adapter or granted a request that began with it: the engine
+    /// wasn't unloading it then. -1 for never.
+    Millis provenAt{-1};
     bool loadStartKnown = false; ///< Commanded at loadStartedAt; false if the load began earlier.
     Millis lastUsedAt;
     std::set<std::uint64_t> cachedParts; ///< Ids of prompt parts in this adapter's prefix cache.
@@ -180,6 +185,7 @@
     std::uint64_t commandCount = 0; ///< Commands that the engine has accepted in this run.
     bool modelLoaded = false;
     bool modelBusy = false; ///< A base model is being loaded.
+    std::optional<std::uint32_t> running; ///< Requests of all daemons; nothing if not reported.
     std::map<AdapterId, AdapterVersion> adapters;
     std::set<AdapterId> pending; ///< Being loaded.
 
@@ -207,7 +213,13 @@
     bool commandsAllowed = false; ///< This daemon holds the engine's command lease.
     /// A new command is sent before this time only; after it, a report must show the command count.
     Millis commandsUntil{unlimited};
-    Millis repeatsUntil{unlimited}; ///< The same for a repeated command.
+    /// The same for a repeated command, and for a new one that may equal another daemon's.
+    Millis repeatsUntil{unlimited};
+    Millis uncomparedUntil{unlimited}; ///< The same for the load of the base model.
+    Millis countKnownSince{-1}; ///< Since then only this daemon has changed the command count.
+    /// The last report showed no requests but those that this daemon had granted.
+    bool onlyOwnRequests = false;
+    bool mayHaveRivals = true; ///< Another daemon may command the engine at the same time.
     Millis commandsFrom{-1}; ///< Expected time of that; -1 before a report has been received.
     bool suspected = false; ///< A request didn't reach the engine; a report is being requested.
     bool unreachable = false; ///< A report failed. No request waits before one succeeds again.
--- a/src/edge/command_lease.cpp
+++ b/src/edge/command_lease.cpp
@@ -16,6 +16,15 @@
             && now < lease.countedAt + timings.lease + timings.margin;
 }
 
+/// @return the start of the first turn that ends after `from`
+Millis nextTurn(const CommandLeaseTimings &timings, Millis from)
+{
+    constexpr Millis period = CommandLeaseTimings::turnDistance * CommandLeaseTimings::turns;
+    const Millis first = timings.turnsFrom + CommandLeaseTimings::turnDistance * timings.turn;
+    const Millis past = from - first - CommandLeaseTimings::turnLength;
+    return past < Millis(0) ? first : first + period * (past.count() / period.count() + 1);
+}
+
 } // namespace
 
 Millis acquisitionDelayOf(const VmId &vm, const BackendServerId &engine)
@@ -46,9 +55,12 @@
         lease.commandCount = observed.commandCount;
         lease.countedAt = Millis(-1);
     }
-    // The holder of the earlier run knows that its own commands there have ended.
-    const bool firstCommand
-            = observed.commandCount == 0 && (lease.held || lease.unchangedSince < Millis(0));
+    // The holder of the earlier run knows that its own commands there have ended, and all others
+    // wait for a lease from now on.
+    const bool succeeds = !sameRun && isExclusive(lease, timings, now);
+    const Millis successionEnd = repeatsUntil(lease, timings);
+    const bool firstCommand = observed.commandCount == 0
+            && (succeeds || (lease.unchangedSince < Millis(0) && timings.actsFirst));
     CountObservation result = CountObservation::Unchanged;
     if (!sameRun || lease.commandCount != observed.commandCount) {
         lease = CommandLease{};
@@ -59,9 +71,17 @@
     }
     lease.reportedCount = observed.commandCount;
     lease.confirmedAt = now;
-    if (!lease.held && (firstCommand || now >= expectedAcquisition(lease, timings))) {
+    lease.needsModel = observed.needsModel;
+    if (lease.needsModel && now >= lease.uncomparedUntil) {
+        lease.held = false; // Other daemons take the next turns.
+    }
+    if (!lease.held && (firstCommand || now >= expectedAcquisition(lease, timings, now))) {
         lease.held = true;
         lease.acquiredCount = lease.commandCount;
+        const Millis turnStart = firstCommand ? now : expectedAcquisition(lease, timings, now);
+        lease.uncomparedUntil = firstCommand && succeeds
+                ? successionEnd
+                : turnStart + CommandLeaseTimings::turnLength;
         result = CountObservation::Acquired;
     } else if (lease.held && lease.countedAt >= Millis(0) && now >= repeatsUntil(lease, timings)) {
         lease.acquiredCount = lease.commandCount;
@@ -88,11 +108,15 @@
             : Millis(-1);
 }
 
-Millis expectedAcquisition(const CommandLease &lease, const CommandLeaseTimings &timings)
+Millis expectedAcquisition(const CommandLease &lease, const CommandLeaseTimings &timings,
+                           Millis now)
 {
-    return lease.unchangedSince < Millis(0)
-            ? Millis(-1)
-            : lease.unchangedSince + timings.lease + timings.margin + timings.acquisitionDelay;
+    if (lease.unchangedSince < Millis(0)) {
+        return Millis(-1);
+    }
+    const Millis unchanged = lease.unchangedSince + timings.lease + timings.margin;
+    return lease.needsModel ? std::max(nextTurn(timings, std::max(unchanged, now)), unchanged)
+                            : unchanged + timings.acquisitionDelay;
 }
 
 void recordCounted(CommandLease &lease, const CommandLeaseTimings &timings, bool mayRepeatAnother,
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -1,5 +1,6 @@
 #include "engine_controller.h"
 
+#include <balsamport/core/hash.h>
 #include <balsamport/core/metric_names.h>
 
 #include <algorithm>
@@ -23,6 +24,12 @@
 /// Longer than any command is on its way, and than an engine is mostly missing from the list.
 constexpr Millis commandStateRetention{600'000};
 constexpr std::size_t maxCommandStates = 4'096;
+/// After this time without a pause a daemon sees new entries about when the others do.
+constexpr Millis promptSightingAfter{20'000};
+/// Daemons in touch receive a new entry within this time of each other.
+constexpr Millis entrySpread{1'000};
+/// Adapters to choose from for a command that no other daemon sends.
+constexpr std::uint64_t claimAdapterCount = 3;
 /// Samples of a service between two estimates of its profile.
 constexpr std::uint64_t samplesPerEstimate = 4;
 /// Most loads that count for a daemon's weight: its estimate reflects about as many.
@@ -102,23 +109,47 @@
     return "unknown";
 }
 
-CommandLeaseTimings leaseTimingsOf(const EdgeSettings &settings, const BackendServerId &engine)
-{
-    CommandLeaseTimings timings;
-    timings.lease = settings.leaseDuration;
-    timings.acquisitionDelay = acquisitionDelayOf(settings.vm, engine);
-    return timings;
-}
-
 } // namespace
 
 EngineController::EngineController(EdgeContext &owner, VerdictHandler handler,
-                                   QuarantineCheck quarantineCheck)
+                                   QuarantineCheck quarantineCheck, SuccessionQuery successionQuery)
     : context(owner)
     , onVerdict(std::move(handler))
     , isQuarantined(std::move(quarantineCheck))
+    , successionOf(std::move(successionQuery))
+    , undisturbedSince(monotonicNow())
 { }
 
+void EngineController::recordSighting(const ServerEntry &server)
+{
+    CommandState &state = this->commandStateOf(server.id);
+    if (state.seenStartWallMs == server.startedAtWallMs) {
+        return;
+    }
+    state.seenStartWallMs = server.startedAtWallMs;
+    state.seenAt = monotonicNow();
+    state.seenInTouch = this->successionOf(server).knowsAllPeers;
+    state.seenPromptly
+            = state.seenInTouch || state.seenAt - this->undisturbedSince >= promptSightingAfter;
+}
+
+CommandLeaseTimings EngineController::leaseTimingsOf(const ServerEntry &server)
+{
+    const CommandState &state = this->commandStateOf(server.id);
+    const std::size_t rank = this->successionOf(server).rank;
+    CommandLeaseTimings timings;
+    timings.lease = this->context.settings.leaseDuration;
+    timings.acquisitionDelay = acquisitionDelayOf(this->context.settings.vm, server.id);
+    timings.actsFirst
+            = rank == 0 && state.seenInTouch && monotonicNow() - state.seenAt < entrySpread;
+    timings.turn = static_cast<std::uint32_t>(rank % CommandLeaseTimings::turns);
+    // Turns of daemons that saw the engine's start late are in no order with those of the others.
+    timings.turnsFrom = state.seenAt + timings.lease + timings.margin
+            + (state.seenPromptly ? Millis(0)
+                                  : CommandLeaseTimings::turnDistance * CommandLeaseTimings::turns);
+    return timings;
+}
+
 EngineController::Term *EngineController::find(const BackendServerId &server)
 {
     const auto found = this->terms.find(server);
@@ -131,9 +162,12 @@
     if (this->commandStates.size() >= maxCommandStates) {
         this->forgetUnusedCommandStates(now);
     }
-    CommandState &state = this->commandStates[server];
-    state.usedAt = now;
-    return state;
+    const auto [state, created] = this->commandStates.try_emplace(server);
+    state->second.usedAt = now;
+    if (created) {
+        state->second.seenAt = now;
+    }
+    return state->second;
 }
 
 void EngineController::forgetUnusedCommandStates(Millis now)
@@ -178,14 +212,15 @@
                                  {"detail", report.error().detail}});
         return;
     }
-    this->observe(server, report.value(), monotonicNow());
+    constexpr bool needsModel = false; // Not known; a report of the term will say.
+    this->observe(server, report.value(), needsModel, monotonicNow());
     this->context.log.write(
             EventPriority::Notable, "engine_watched",
             {{"server", server.id.str()}, {"order_count", report.value().commandCount}});
 }
 
 CountObservation EngineController::observe(const ServerEntry &server, const EngineReport &report,
-                                           Millis now)
+                                           bool needsModel, Millis now)
 {
     CommandLease &lease = this->commandStateOf(server.id).lease;
     const std::uint64_t believed = lease.commandCount;
@@ -193,8 +228,8 @@
             = report.startedAtWallMs != 0 ? report.startedAtWallMs : server.startedAtWallMs;
     const bool held = lease.held;
     const CountObservation result = balsamport::observeCommandCount(
-            lease, leaseTimingsOf(this->context.settings, server.id),
-            ObservedCommandCount{startedAtWallMs, report.commandCount}, now);
+            lease, this->leaseTimingsOf(server),
+            ObservedCommandCount{startedAtWallMs, report.commandCount, needsModel}, now);
     if (result != CountObservation::Unchanged && believed != report.commandCount) {
         this->context.log.write(EventPriority::Notable, "engine_order_count",
                                 {{"server", server.id.str()},
@@ -209,6 +244,7 @@
                  {"number", fencingNumberFor(lease, this->context.settings.vm).number()},
                  {"unchanged_ms", now - lease.unchangedSince},
                  {"started_at_wall_ms", startedAtWallMs},
+                 {"needs_model", needsModel},
                  {"order_count", lease.commandCount}});
     }
     return result;
@@ -217,11 +253,24 @@
 void EngineController::applyLease(Term &term)
 {
     const CommandLease &lease = this->commandStateOf(term.server.id).lease;
-    const CommandLeaseTimings timings = leaseTimingsOf(this->context.settings, term.server.id);
+    const CommandLeaseTimings timings = this->leaseTimingsOf(term.server);
     term.scheduler.commandsAllowed = lease.held;
-    term.scheduler.commandsFrom = expectedAcquisition(lease, timings);
+    term.scheduler.commandsFrom = expectedAcquisition(lease, timings, monotonicNow());
     term.scheduler.commandsUntil = commandsUntil(lease, timings);
     term.scheduler.repeatsUntil = repeatsUntil(lease, timings);
+    term.scheduler.uncomparedUntil = lease.uncomparedUntil;
+    term.scheduler.countKnownSince = lease.unchangedSince;
+    term.scheduler.mayHaveRivals = !this->successionOf(term.server).knowsAllPeers;
+}
+
+std::vector<AdapterId> EngineController::claimAdapters(const EngineLimits &limits) const
+{
+    std::vector<AdapterId> adapters;
+    const std::uint64_t first = hash64(this->context.settings.vm.str());
+    for (std::uint64_t i = 0; i < std::min(claimAdapterCount, limits.adapters); ++i) {
+        adapters.push_back(this->context.dialect.adapterAt((first + i) % limits.adapters));
+    }
+    return adapters;
 }
 
 void EngineController::acquire(const ServerEntry &server, const EngineLimits &limits)
@@ -233,6 +282,7 @@
     term->limits.profile = this->services[server.service].profile;
     term->scheduler.server = server.id;
     term->scheduler.self = this->context.settings.vm;
+    term->limits.claimAdapters = this->claimAdapters(limits);
     if (!limits.models.empty()) {
         term->scheduler.base = limits.models.front();
     }
@@ -565,7 +615,10 @@
 
 void EngineController::confirmLeases(std::string_view reason)
 {
+    this->undisturbedSince = monotonicNow();
     for (auto &[id, state] : this->commandStates) {
+        state.seenPromptly = false;
+        state.seenInTouch = false;
         expireConfirmation(state.lease);
     }
     for (const auto &[id, term] : this->terms) {
@@ -763,7 +816,9 @@
 void EngineController::applyCommandCount(Term &term, const EngineReport &report, Millis now)
 {
     term.reportNeeded = false;
-    if (this->observe(term.server, report, now) != CountObservation::Unchanged) {
+    const bool needsModel
+            = !term.scheduler.base.empty() && !report.modelLoaded && !report.modelBusy;
+    if (this->observe(term.server, report, needsModel, now) != CountObservation::Unchanged) {
         forgetCommandsInProgress(term.scheduler);
     }
     applyReport(term.scheduler, report, now);
@@ -784,8 +839,12 @@
     const Millis now = monotonicNow();
     state.commandInProgress = ++this->lastCommandNumber;
     state.sentAt = now;
-    const Millis permitted
-            = command.repeated ? term.scheduler.repeatsUntil : term.scheduler.commandsUntil;
+    Millis permitted = command.repeated || now < term.scheduler.repeatsUntil
+            ? term.scheduler.repeatsUntil
+            : term.scheduler.commandsUntil;
+    if (command.kind == CommandKind::LoadModel && now >= term.scheduler.repeatsUntil) {
+        permitted = std::min(permitted, term.scheduler.uncomparedUntil);
+    }
     const Millis until = std::min(permitted, now + maxCommandAge);
     fetchOnLoop(
             this->context, std::move(request),
@@ -806,9 +865,13 @@
                 || (outcome == CommandOutcome::AlreadyHolds
                     && command.kind == CommandKind::UnloadAdapter));
     if (counted) {
-        const bool unloads = command.kind == CommandKind::UnloadAdapter;
-        recordCounted(state.lease, leaseTimingsOf(this->context.settings, server),
-                      unloads && outcome == CommandOutcome::Accepted, state.sentAt);
+        // The engine may have accepted it as equal to one of another daemon.
+        const bool uncompared = command.kind == CommandKind::LoadModel
+                || (command.kind == CommandKind::UnloadAdapter
+                    && outcome == CommandOutcome::Accepted);
+        CommandLeaseTimings timings;
+        timings.lease = this->context.settings.leaseDuration;
+        recordCounted(state.lease, timings, uncompared, state.sentAt);
     } else if (outcome == CommandOutcome::Unknown) {
         recordUnconfirmed(state.lease, state.sentAt);
     } else if (outcome == CommandOutcome::Fenced) {
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -67,8 +67,20 @@
                                               const GrantVerdict &verdict)>;
     using QuarantineCheck = std::function<bool(const EngineGrantRequest &request)>;
 
+    /// @brief What the other daemons may do with an engine.
+    struct Succession
+    {
+        std::size_t rank = 0; ///< Number of daemons that go before this one; see successionRank().
+        bool knowsAllPeers = false; ///< See knowsAllPeers().
+    };
+    using SuccessionQuery = std::function<Succession(const ServerEntry &server)>;
+
     /// @param isQuarantined returns true for a request that must not be granted
-    EngineController(EdgeContext &context, VerdictHandler onVerdict, QuarantineCheck isQuarantined);
+    EngineController(EdgeContext &context, VerdictHandler onVerdict, QuarantineCheck isQuarantined,
+                     SuccessionQuery successionQuery);
+
+    /// @brief Records that the entry of a new engine, or of a new run of one, was received.
+    void recordSighting(const ServerEntry &server);
 
     /// @brief Requests the command count of an engine that this daemon may soon own, so that the
     /// time for which it hasn't changed is known when the ownership term begins.
@@ -156,15 +168,23 @@
         Millis sentAt; ///< Of the command in progress, at the earliest.
         Millis answeredAt{-1}; ///< Time of the last command's response.
         Millis usedAt; ///< When a term or an observation last used this.
+        Millis seenAt; ///< When the entry of the engine's run was received.
+        std::optional<std::int64_t> seenStartWallMs; ///< Identifies that run.
+        bool seenPromptly = false; ///< The process ran for some time before `seenAt`.
+        bool seenInTouch = false; ///< This daemon knew all others then.
         bool observing = false; ///< A report is in progress that was requested before the term.
     };
 
     [[nodiscard]] Term *find(const BackendServerId &server);
     CommandState &commandStateOf(const BackendServerId &server);
+    [[nodiscard]] CommandLeaseTimings leaseTimingsOf(const ServerEntry &server);
     void forgetUnusedCommandStates(Millis now);
     void handleObservedReport(const ServerEntry &server, const Result<HttpResponse> &response);
     /// Applies the count of a report to the lease, and logs what changes.
-    CountObservation observe(const ServerEntry &server, const EngineReport &report, Millis now);
+    CountObservation observe(const ServerEntry &server, const EngineReport &report, bool needsModel,
+                             Millis now);
+    /// @return adapters that this daemon alone loads where it must not equal another's command
+    [[nodiscard]] std::vector<AdapterId> claimAdapters(const EngineLimits &limits) const;
     /// Tells the scheduler until when it may send commands.
     void applyLease(Term &term);
     void rejectWaiting(Term &term);
@@ -196,6 +216,8 @@
     EdgeContext &context;
     VerdictHandler onVerdict;
     QuarantineCheck isQuarantined;
+    SuccessionQuery successionOf;
+    Millis undisturbedSince; ///< The start of the process, or the end of its last pause.
     AdapterVersions versions;
     std::map<ServiceId, ServiceMeasurements> services;
     std::map<BackendServerId, std::unique_ptr<Term>> terms;
--- a/src/edge/engine_scheduler.cpp
+++ b/src/edge/engine_scheduler.cpp
@@ -424,6 +424,13 @@
             command = loadCommand(state, limits, versions);
         }
     }
+    if (command && !command->repeated && now >= state.repeatsUntil && now < state.commandsUntil) {
+        command = comparedCommand(state, limits, *command, now);
+        if (!command) {
+            actions.emplace_back(ReportAction{false});
+            return actions;
+        }
+    }
     if (command && now < (command->repeated ? state.repeatsUntil : state.commandsUntil)) {
         beginCommand(state, limits, *command, now);
         actions.emplace_back(*command);
@@ -514,6 +521,10 @@
     RunningRequest &request = found->second;
     request.started = true;
     request.startedAt = now;
+    const auto slot = state.slots.find(request.adapter);
+    if (slot != state.slots.end()) {
+        slot->second.provenAt = std::max(slot->second.provenAt, request.grantedAt);
+    }
     const Millis prefill = enginePrefillTime(state, request.prefillTokens, limits);
     for (auto &[other, running] : state.running) {
         if (running.started && running.startedAt < request.grantedAt) {
--- a/src/edge/scheduler/adapter_loads.cpp
+++ b/src/edge/scheduler/adapter_loads.cpp
@@ -19,6 +19,11 @@
 constexpr double firstPollShare = 0.6;
 /// Interval between queries whether a base model has been loaded.
 constexpr Millis modelPollInterval{400};
+/// Time without commands after which a daemon that may have rivals unloads an adapter although the
+/// engine runs requests that others granted.
+constexpr Millis rivalUnloadDelay{12'000};
+/// A report is out of date by less.
+constexpr Millis reportLag{350};
 /// Adapters assumed in host memory while the size of the engine's host cache isn't known.
 constexpr std::size_t maxHostCached = 256;
 
@@ -49,6 +54,26 @@
     return *candidate;
 }
 
+/// @return an adapter whose unload by another daemon isn't in progress; its unload may wait for
+/// requests that an earlier owner granted
+std::optional<AdapterId> claimCandidate(const EngineScheduler &state)
+{
+    const AdapterId *candidate = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto &[adapter, slot] : state.slots) {
+        // The count would show an unload that was commanded since countKnownSince.
+        const bool held = slot.provenAt >= Millis(0) && slot.provenAt >= state.countKnownSince;
+        const std::uint64_t score
+                = rendezvousScore(hash64(adapter.str()), hash64(state.self.str()));
+        if (held && slot.phase == AdapterSlotPhase::Ready && slot.activeGrants == 0
+            && !hasWaitingRequest(state, adapter) && (candidate == nullptr || score > highest)) {
+            candidate = &adapter;
+            highest = score;
+        }
+    }
+    return candidate == nullptr ? std::nullopt : std::optional(*candidate);
+}
+
 /// @return unused slots and slots whose adapter can be evicted
 std::size_t availableSlots(const EngineScheduler &state, const SchedulerLimits &limits)
 {
@@ -187,6 +212,44 @@
     return std::nullopt;
 }
 
+std::optional<EngineCommand> comparedCommand(const EngineScheduler &state,
+                                             const SchedulerLimits &limits,
+                                             const EngineCommand &wanted, Millis now)
+{
+    if (wanted.kind == CommandKind::LoadModel) {
+        return now < state.uncomparedUntil ? std::optional(wanted) : std::nullopt;
+    }
+    if (wanted.kind == CommandKind::UnloadAdapter && state.onlyOwnRequests) {
+        return wanted; // No unload waits for requests that this daemon doesn't know of.
+    }
+    if (state.slots.size() < limits.engine.adapterSlots
+        && loadsInProgress(state) < limits.maxConcurrentLoads) {
+        if (limits.claimAdapters.empty()) {
+            return wanted; // The deployment doesn't name its adapters.
+        }
+        for (const AdapterId &adapter : limits.claimAdapters) {
+            if (state.slots.count(adapter) == 0) {
+                return EngineCommand{CommandKind::LoadAdapter, state.base, adapter,
+                                     AdapterVersion(), false};
+            }
+        }
+    }
+    if (unloadInProgress(state)) {
+        return std::nullopt;
+    }
+    // A rival could begin to unload the same adapter after the report. Mostly the requests that an
+    // earlier owner granted end before.
+    const bool mayWait = !state.mayHaveRivals || now >= state.countKnownSince + rivalUnloadDelay;
+    const std::optional<AdapterId> candidate = state.onlyOwnRequests ? evictionCandidate(state)
+            : mayWait                                                ? claimCandidate(state)
+                                                                     : std::nullopt;
+    if (!candidate) {
+        return std::nullopt;
+    }
+    return EngineCommand{CommandKind::UnloadAdapter, state.base, *candidate, AdapterVersion(),
+                         false};
+}
+
 void beginCommand(EngineScheduler &state, const SchedulerLimits &limits,
                   const EngineCommand &command, Millis now)
 {
@@ -248,6 +311,7 @@
         }
         return std::nullopt;
     }
+    slot->second.provenAt = now;
     if (outcome != CommandOutcome::AlreadyHolds) {
         if (slot->second.pollAt <= now) {
             slot->second.pollAt = now + loadPollInterval;
@@ -275,6 +339,12 @@
 {
     state.synced = true;
     state.resyncNeeded = false;
+    const auto granted
+            = std::count_if(state.running.begin(), state.running.end(), [now](const auto &entry) {
+                  return entry.second.started && entry.second.startedAt + reportLag <= now;
+              });
+    state.onlyOwnRequests
+            = report.running && *report.running <= static_cast<std::uint32_t>(granted);
     state.modelRequested = report.modelBusy;
     if (state.modelLoaded != report.modelLoaded) {
         state.modelLoaded = report.modelLoaded;
--- a/tests/fuzz/commands.cpp
+++ b/tests/fuzz/commands.cpp
@@ -18,7 +18,8 @@
     options.add_options()("help", "print this help")(
             "seed", po::value<std::uint64_t>()->default_value(1), "first seed")(
             "histories", po::value<std::uint64_t>()->default_value(2'000), "number of histories")(
-            "steps", po::value<std::size_t>()->default_value(200), "events in each history");
+            "steps", po::value<std::size_t>()->default_value(200), "events in each history")(
+            "keep-models", "engines restart with their base model in place");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
     if (values.count("help") != 0) {
@@ -33,7 +34,8 @@
     for (std::uint64_t seed = first; seed < first + histories; ++seed) {
         std::mt19937_64 random(seed);
         const CommandHistory history
-                = playCommands(seed, drawCommandSteps(random, steps), CommandDefect::None);
+                = playCommands(seed, drawCommandSteps(random, steps), CommandDefect::None,
+                               values.count("keep-models") != 0);
         if (!history.violation.empty()) {
             ++violations;
             std::cout << history.violation << ": seed=" << seed << " steps=" << steps << "\n";
--- a/tests/include/command_world.h
+++ b/tests/include/command_world.h
@@ -58,8 +58,11 @@
 class CommandWorld
 {
 public:
-    CommandWorld(std::size_t size, std::uint64_t seed, CommandDefect seededDefect)
+    /// @param restartsLoaded engines restart with their base model in place
+    CommandWorld(std::size_t size, std::uint64_t seed, CommandDefect seededDefect,
+                 bool restartsLoaded)
         : defect(seededDefect)
+        , keepsModel(restartsLoaded)
         , random(seed)
         , daemons(size)
     {
@@ -119,6 +122,7 @@
     static constexpr Millis commandTimeout{1'500};
     static constexpr Millis reportTimeout{1'000};
     static constexpr Millis reportLag{350};
+    static constexpr Millis peersKnownAfter{20'000};
 
     struct Engine
     {
@@ -141,6 +145,9 @@
         VmId vm;
         std::uint64_t incarnation = 0;
         std::uint64_t engineId = 0; ///< Of the store's last entry.
+        Millis undisturbedSince; ///< Its start, or the end of its last pause.
+        Millis silentPeerAt{-100'000}; ///< When peers were last silent.
+        Millis engineSeenAt;
         CommandLease lease;
         EngineScheduler scheduler;
         SchedulerLimits limits;
@@ -183,6 +190,9 @@
         fresh.limits.engine.batchSlots = 64;
         fresh.limits.engine.kvTokens = 100'000;
         fresh.limits.engine.adapterSlots = 3;
+        fresh.limits.claimAdapters = {AdapterId("claim-" + std::to_string(index))};
+        fresh.undisturbedSince = this->now;
+        fresh.engineSeenAt = this->now;
         daemon = std::move(fresh);
     }
 
@@ -193,7 +203,7 @@
         const std::uint64_t id = this->engine.id + (keepsId ? 0 : 1);
         const bool first = this->engine.reports.empty(); // Its model is in place.
         this->engine = Engine();
-        this->engine.modelLoaded = first;
+        this->engine.modelLoaded = first || this->keepsModel;
         this->engine.id = id;
         this->engine.clockOffset = offset;
         this->engine.startedAt = this->now;
@@ -201,26 +211,39 @@
         this->accepted.clear();
         this->numbers.clear();
         this->saveReport();
-        for (std::size_t i = 0; i < this->daemons.size() && !keepsId; ++i) {
-            this->events.emplace(this->now + this->between(0, 600), [this, i, id] {
-                this->whenAwake(i, [this, i, id] { this->discoverEngine(i, id); });
-            });
+        for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+            // Behind a cut link it takes longer; the daemon notices that its peers are silent.
+            const bool isLate = this->chance(8);
+            this->events.emplace(this->now + this->between(0, isLate ? 6'000 : 600),
+                                 [this, i, id, isLate] {
+                                     this->whenAwake(i, [this, i, id, isLate] {
+                                         this->discoverEngine(i, id, isLate);
+                                     });
+                                 });
         }
     }
 
     /// Begins an ownership term for the engine of a new entry.
-    void discoverEngine(std::size_t index, std::uint64_t id)
+    void discoverEngine(std::size_t index, std::uint64_t id, bool isLate)
     {
+        if (isLate) {
+            this->daemons[index].silentPeerAt = this->now;
+        }
+        this->daemons[index].engineSeenAt = this->now;
         if (this->daemons[index].engineId >= id) {
             return;
         }
         const Millis frozenUntil = this->daemons[index].frozenUntil;
+        const Millis undisturbedSince = this->daemons[index].undisturbedSince;
+        const Millis silentPeerAt = this->daemons[index].silentPeerAt;
         const std::uint64_t incarnation = this->daemons[index].incarnation;
         this->start(index);
         Daemon &daemon = this->daemons[index];
         daemon.engineId = id;
         daemon.incarnation = incarnation;
         daemon.frozenUntil = frozenUntil;
+        daemon.undisturbedSince = undisturbedSince;
+        daemon.silentPeerAt = silentPeerAt;
     }
 
     void submit(std::size_t index, std::uint16_t adapter)
@@ -297,14 +320,38 @@
         }
         const Millis end = this->now + this->between(50, this->chance(8) ? 12'000 : 2'000);
         this->engine.runs.emplace(adapter, end);
+        this->saveReport();
         recordGrantStarted(daemon.scheduler, daemon.limits, key, Millis(0), this->now);
         daemon.streams.emplace(end, key);
     }
 
+    static Millis undisturbedSince(const Daemon &daemon)
+    {
+        return std::max(daemon.undisturbedSince, daemon.frozenUntil);
+    }
+
+    /// @return false for the daemon that goes first, while it knows all others
+    [[nodiscard]] bool mayHaveRivals(const Daemon &daemon) const
+    {
+        return &daemon != this->daemons.data()
+                || this->now - std::max(undisturbedSince(daemon), daemon.silentPeerAt)
+                < peersKnownAfter;
+    }
+
     [[nodiscard]] CommandLeaseTimings timings(const Daemon &daemon) const
     {
+        constexpr Millis newEngine{1'000};
+        const auto rank = static_cast<std::size_t>(&daemon - this->daemons.data());
         CommandLeaseTimings result;
         result.acquisitionDelay = acquisitionDelayOf(daemon.vm, BackendServerId("e"));
+        const bool established = daemon.engineSeenAt - undisturbedSince(daemon) >= peersKnownAfter;
+        result.actsFirst = !this->mayHaveRivals(daemon) && established
+                && daemon.engineSeenAt - daemon.silentPeerAt >= peersKnownAfter
+                && this->now - daemon.engineSeenAt < newEngine;
+        result.turn = static_cast<std::uint32_t>(rank) % CommandLeaseTimings::turns;
+        result.turnsFrom = daemon.engineSeenAt + result.lease + result.margin
+                + (established ? Millis(0)
+                               : CommandLeaseTimings::turnDistance * CommandLeaseTimings::turns);
         if (this->defect == CommandDefect::NoWait) {
             result.lease = Millis(0);
         }
@@ -314,11 +361,15 @@
     void applyLease(Daemon &daemon)
     {
         daemon.scheduler.commandsAllowed = daemon.lease.held;
-        daemon.scheduler.commandsFrom = expectedAcquisition(daemon.lease, this->timings(daemon));
+        daemon.scheduler.commandsFrom
+                = expectedAcquisition(daemon.lease, this->timings(daemon), this->now);
         daemon.scheduler.commandsUntil = commandsUntil(daemon.lease, CommandLeaseTimings());
         daemon.scheduler.repeatsUntil = this->defect == CommandDefect::EndlessRepeats
                 ? EngineScheduler::unlimited
                 : repeatsUntil(daemon.lease, CommandLeaseTimings());
+        daemon.scheduler.uncomparedUntil = daemon.lease.uncomparedUntil;
+        daemon.scheduler.countKnownSince = daemon.lease.unchangedSince;
+        daemon.scheduler.mayHaveRivals = true; // All take themselves for the owner.
     }
 
     /// @return true where the engine runs under the id that the daemon knows
@@ -392,7 +443,8 @@
         }
         daemon.reportNeeded = false;
         if (observeCommandCount(daemon.lease, this->timings(daemon),
-                                ObservedCommandCount{report->startedAtWallMs, report->commandCount},
+                                ObservedCommandCount{report->startedAtWallMs, report->commandCount,
+                                                     !report->modelLoaded && !report->modelBusy},
                                 this->now)
             != CountObservation::Unchanged) {
             forgetCommandsInProgress(daemon.scheduler);
@@ -452,9 +504,10 @@
                     || (outcome == CommandOutcome::AlreadyHolds
                         && command.kind == CommandKind::UnloadAdapter));
         if (counts) {
-            recordCounted(daemon.lease, this->timings(daemon),
-                          command.kind == CommandKind::UnloadAdapter
-                                  && outcome == CommandOutcome::Accepted,
+            recordCounted(daemon.lease, CommandLeaseTimings(),
+                          command.kind == CommandKind::LoadModel
+                                  || (command.kind == CommandKind::UnloadAdapter
+                                      && outcome == CommandOutcome::Accepted),
                           daemon.sentAt);
         } else if (outcome == CommandOutcome::Unknown) {
             recordUnconfirmed(daemon.lease, daemon.sentAt);
@@ -589,6 +642,7 @@
         report.startedAtWallMs = this->engine.startedAtWallMs;
         report.commandCount = this->engine.count;
         report.modelLoaded = this->engine.modelLoaded;
+        report.running = static_cast<std::uint32_t>(this->engine.runs.size());
         report.modelBusy = this->engine.modelLoadEndsAt >= Millis(0);
         for (const AdapterId &adapter : this->engine.held) {
             report.adapters[adapter] = AdapterVersion(1);
@@ -664,6 +718,7 @@
     static constexpr std::int64_t firstStartWallMs = 1'796'400'000'000;
 
     CommandDefect defect;
+    bool keepsModel;
     std::mt19937_64 random;
     Millis now{1'000};
     Engine engine;
@@ -684,10 +739,10 @@
 
 /// @brief Plays steps on a world in which callers ask all daemons all the time.
 inline CommandHistory playCommands(std::uint64_t seed, const std::vector<CommandStep> &steps,
-                                   CommandDefect defect)
+                                   CommandDefect defect, bool keepsModel = false)
 {
     std::mt19937_64 random(seed);
-    CommandWorld world(3, seed, defect);
+    CommandWorld world(3, seed, defect, keepsModel);
     for (const CommandStep &step : steps) {
         if (!world.violation().empty()) {
             break;
--- a/tests/src/unit-command-lease.cpp
+++ b/tests/src/unit-command-lease.cpp
@@ -140,10 +140,34 @@
         }
     }
 
+    SECTION("an engine that nobody has commanded is left to the daemon that acts first")
+    {
+        CommandLeaseTimings other;
+        other.actsFirst = false;
+        const ObservedCommandCount unused{startedAt, 0};
+        REQUIRE(observeCommandCount(lease, other, unused, Millis(10)) == CountObservation::Changed);
+        REQUIRE(observeCommandCount(lease, other, unused, Millis(10) + wait)
+                == CountObservation::Acquired);
+    }
+
     SECTION("the holder of the earlier run of an engine may command the new one at once")
     {
         lease = acquired();
-        REQUIRE(observe(lease, 0, Millis(8'000), startedAt + 9'000) == CountObservation::Acquired);
+        recordCounted(lease, timings, false, Millis(6'000));
+
+        SECTION("while no other daemon can have become the holder")
+        {
+            REQUIRE(observe(lease, 0, Millis(8'000), startedAt + 9'000)
+                    == CountObservation::Acquired);
+            // The others wait from when they see the new run.
+            REQUIRE(lease.uncomparedUntil == Millis(8'700));
+        }
+        SECTION("later it waits like the others, as one of them may be the holder")
+        {
+            REQUIRE(observe(lease, 0, Millis(9'400), startedAt + 9'000)
+                    == CountObservation::Changed);
+            REQUIRE_FALSE(lease.held);
+        }
     }
 
     SECTION("any other daemon waits, as that holder may not know yet that the engine restarted")
@@ -155,6 +179,44 @@
     }
 }
 
+// Guards against two daemons that load the base model of an empty engine at the same time: it
+// accepts the second command as equal to the first, whatever count that expects.
+TEST_CASE("daemons take turns to load the base model of an empty engine")
+{
+    const ObservedCommandCount empty{startedAt, 0, true};
+    CommandLease lease;
+    CommandLeaseTimings turns;
+    turns.actsFirst = false;
+    turns.turnsFrom = wait;
+    turns.turn = 1;
+    (void)observeCommandCount(lease, turns, empty, Millis(0));
+    const Millis turn = wait + CommandLeaseTimings::turnDistance;
+
+    SECTION("none begins in the turn of another daemon")
+    {
+        REQUIRE(expectedAcquisition(lease, turns, Millis(0)) == turn);
+        (void)observeCommandCount(lease, turns, empty, turn - Millis(1));
+        REQUIRE_FALSE(lease.held);
+    }
+    SECTION("one that misses the end of its turn waits for the next round")
+    {
+        REQUIRE(observeCommandCount(lease, turns, empty, turn) == CountObservation::Acquired);
+        const Millis end = turn + CommandLeaseTimings::turnLength;
+        REQUIRE(lease.uncomparedUntil == end);
+        (void)observeCommandCount(lease, turns, empty, end);
+        REQUIRE_FALSE(lease.held);
+        REQUIRE(expectedAcquisition(lease, turns, end)
+                == turn + CommandLeaseTimings::turnDistance * CommandLeaseTimings::turns);
+    }
+    SECTION("the daemon that acts first needs no turn")
+    {
+        CommandLease first;
+        turns.actsFirst = true;
+        REQUIRE(observeCommandCount(first, turns, empty, Millis(10)) == CountObservation::Acquired);
+        REQUIRE(first.uncomparedUntil == Millis(10) + CommandLeaseTimings::turnLength);
+    }
+}
+
 // Guards against a lower fencing number after a higher one, which an owner with an old view of the
 // published state sent.
 TEST_CASE("fencing numbers follow the engine's own count")
@@ -206,7 +268,8 @@
 }
 
 // Guards against two holders of an engine in histories of cut links, silent connections, pauses and
-// restarts. Judged are the commands that the engine receives. Longer: fuzz-commands.
+// restarts. Judged are the commands that the engine receives. Longer: fuzz-commands. Engines that
+// lose their base model: unit-command-histories.
 TEST_CASE("an engine has one holder in any history")
 {
     SECTION("random histories")
@@ -227,7 +290,7 @@
         for (std::uint64_t seed = 1; seed <= 30; ++seed) {
             std::mt19937_64 random(seed);
             const CommandHistory history
-                    = playCommands(seed, drawCommandSteps(random, 400), CommandDefect::None);
+                    = playCommands(seed, drawCommandSteps(random, 400), CommandDefect::None, true);
             INFO("seed " << seed);
             REQUIRE(history.violation.empty());
             counted += history.counted;
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -460,6 +460,76 @@
     }
 }
 
+// Guards against a daemon that commands a new engine at once, because it doesn't know the daemons
+// behind a cut link or those that were there before it started.
+TEST_CASE("a daemon knows all others only if none was silent for some time")
+{
+    PeerTable peers = tableOf("v1", "a");
+    PeerViewHistory history;
+    const Millis retention = peers.timings.silentPeerRetention;
+    updatePeer(peers, statusOf("v2", "a"), retention);
+    recordSilentPeers(history, peers, retention);
+
+    SECTION("not soon after its start")
+    {
+        REQUIRE_FALSE(knowsAllPeers(history, peers, retention - Millis(1)));
+        REQUIRE(knowsAllPeers(history, peers, retention));
+    }
+    SECTION("unless all daemons start together")
+    {
+        history.fleetStarts = true;
+        REQUIRE(knowsAllPeers(history, peers, Millis(5'000)));
+    }
+    SECTION("unless a peer that knows all has introduced it")
+    {
+        PeerStatus introducer = statusOf("v3", "a");
+        introducer.knowsAll = true;
+        updatePeer(peers, introducer, Millis(1'000));
+        REQUIRE(knowsAllPeers(history, peers, Millis(1'500)));
+    }
+    SECTION("not while a peer is silent, nor soon after")
+    {
+        const Millis silent = retention + Millis(3'000);
+        recordSilentPeers(history, peers, silent);
+        updatePeer(peers, statusOf("v2", "a"), silent);
+        recordSilentPeers(history, peers, silent + Millis(100));
+        REQUIRE_FALSE(knowsAllPeers(history, peers, silent + Millis(100)));
+        REQUIRE(knowsAllPeers(history, peers, silent + retention));
+    }
+    SECTION("a peer that has announced its stop may be silent")
+    {
+        PeerStatus stopping = statusOf("v2", "a");
+        stopping.draining = true;
+        updatePeer(peers, stopping, retention + Millis(100));
+        recordSilentPeers(history, peers, retention * 2);
+        REQUIRE(knowsAllPeers(history, peers, retention * 2));
+    }
+}
+
+// Guards against two daemons that both go first at an engine while a link between them is cut.
+TEST_CASE("the rank of a daemon for an engine counts silent daemons")
+{
+    const EngineSite engine{BackendServerId("e1"), DataCentreId("a")};
+    std::vector<std::size_t> ranks;
+    for (const char *self : {"v1", "v2", "v3"}) {
+        PeerTable peers = tableOf(self, "a");
+        for (const char *other : {"v1", "v2", "v3"}) {
+            (void)discoverPeer(peers, statusOf(other, "a"), Millis(0));
+        }
+        (void)discoverPeer(peers, statusOf("v4", "b"), Millis(0));
+        ranks.push_back(successionRank(peers, engine));
+    }
+    std::sort(ranks.begin(), ranks.end());
+    REQUIRE(ranks == std::vector<std::size_t>{0, 1, 2});
+
+    SECTION("daemons of other data centres come after those of the engine's")
+    {
+        PeerTable peers = tableOf("v4", "b");
+        (void)discoverPeer(peers, statusOf("v1", "a"), Millis(0));
+        REQUIRE(successionRank(peers, engine) == 1);
+    }
+}
+
 TEST_CASE("each engine has one owner")
 {
     const std::vector<EngineSite> engines{{BackendServerId("e1"), DataCentreId("a")}};
--- a/tests/src/unit-engine-scheduler.cpp
+++ b/tests/src/unit-engine-scheduler.cpp
@@ -365,6 +365,66 @@
     }
 }
 
+// Guards against a command that equals another daemon's command in progress, which an engine
+// accepts without comparing the count, whatever fencing number it has.
+TEST_CASE("a command that another daemon may have in progress is replaced by one that is counted")
+{
+    Engine engine(2);
+    engine.limits.claimAdapters = {AdapterId("own")};
+    engine.scheduler.repeatsUntil = Millis(-1);
+    engine.scheduler.countKnownSince = start - Millis(1'000);
+    const auto nextCommand = [&engine] {
+        const auto commands = actionsOf<EngineCommand>(engine.decide());
+        REQUIRE(commands.size() == 1);
+        return commands.front();
+    };
+
+    SECTION("a load by the load of an adapter that other daemons don't load first")
+    {
+        engine.submit("a1");
+        REQUIRE(nextCommand().adapter == AdapterId("own"));
+    }
+    SECTION("nothing is replaced while no other daemon can have qualified")
+    {
+        engine.scheduler.repeatsUntil = start + Millis(1'000);
+        engine.submit("a1");
+        REQUIRE(nextCommand().adapter == AdapterId("a1"));
+    }
+    SECTION("in a full engine by an unload that can't wait for requests of other daemons")
+    {
+        engine.addReadyAdapter("a1");
+        engine.addReadyAdapter("a2");
+        engine.submit("a3");
+
+        SECTION("none, if any adapter may be in use or waiting to be unloaded")
+        {
+            REQUIRE(actionsOf<EngineCommand>(engine.decide()).empty());
+            REQUIRE(actionsOf<ReportAction>(engine.decide()).size() == 1);
+        }
+        SECTION("any, if the engine runs only requests that this daemon granted")
+        {
+            engine.scheduler.onlyOwnRequests = true;
+            REQUIRE(nextCommand().kind == CommandKind::UnloadAdapter);
+        }
+        SECTION("without rivals, one that was used since the count last changed")
+        {
+            engine.scheduler.mayHaveRivals = false;
+            engine.scheduler.slots.at(AdapterId("a2")).provenAt = start;
+            engine.scheduler.slots.at(AdapterId("a1")).provenAt = start - Millis(2'000);
+            REQUIRE(nextCommand().adapter == AdapterId("a2"));
+        }
+    }
+    SECTION("the load of the base model is sent in this daemon's turn only")
+    {
+        engine.scheduler.modelLoaded = false;
+        engine.scheduler.uncomparedUntil = start;
+        REQUIRE(actionsOf<EngineCommand>(engine.decide()).empty());
+        engine.now += Millis(1'000);
+        engine.scheduler.uncomparedUntil = engine.now + Millis(100);
+        REQUIRE(nextCommand().kind == CommandKind::LoadModel);
+    }
+}
+
 // Guards against long token gaps in running streams, requests refused too late or too early, and
 // the wrong order of waiting requests. All come about when many prompts for one adapter arrive
 // together.
