Let a pause void what a daemon knows of the engine's requests

Cause: their own requests had ended in the pause, or those of daemons behind a cut without notice, and stood for other requests in the engine's report, so that an unload seemed safe. The time after which a daemon dares an unload although others' requests run, 12 s, went on in the pause.

Change: only requests of the daemon's own callers that began after the last pause count, and the 12 s begin after it.

--- a/include/balsamport/edge/engine_scheduler.h
+++ b/include/balsamport/edge/engine_scheduler.h
@@ -216,8 +216,9 @@
     /// The same for a repeated command, and for a new one that may equal another daemon's.
     Millis repeatsUntil{unlimited};
     Millis uncomparedUntil{unlimited}; ///< The same for the load of the base model.
+    Millis undisturbedSince{-1}; ///< The start of the process, or the end of its last pause.
     Millis countKnownSince{-1}; ///< Since then only this daemon has changed the command count.
-    /// The last report showed no requests but those that this daemon had granted.
+    /// The last report showed no requests but callers' of this daemon, granted by itself.
     bool onlyOwnRequests = false;
     bool mayHaveRivals = true; ///< Another daemon may command the engine at the same time.
     Millis commandsFrom{-1}; ///< Expected time of that; -1 before a report has been received.
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -260,6 +260,7 @@
     term.scheduler.repeatsUntil = repeatsUntil(lease, timings);
     term.scheduler.uncomparedUntil = lease.uncomparedUntil;
     term.scheduler.countKnownSince = lease.unchangedSince;
+    term.scheduler.undisturbedSince = this->undisturbedSince;
     term.scheduler.mayHaveRivals = !this->successionOf(term.server).knowsAllPeers;
 }
 
--- a/src/edge/scheduler/adapter_loads.cpp
+++ b/src/edge/scheduler/adapter_loads.cpp
@@ -239,7 +239,8 @@
     }
     // A rival could begin to unload the same adapter after the report. Mostly the requests that an
     // earlier owner granted end before.
-    const bool mayWait = !state.mayHaveRivals || now >= state.countKnownSince + rivalUnloadDelay;
+    const bool mayWait = !state.mayHaveRivals
+            || now >= std::max(state.countKnownSince, state.undisturbedSince) + rivalUnloadDelay;
     const std::optional<AdapterId> candidate = state.onlyOwnRequests ? evictionCandidate(state)
             : mayWait                                                ? claimCandidate(state)
                                                                      : std::nullopt;
@@ -339,10 +340,14 @@
 {
     state.synced = true;
     state.resyncNeeded = false;
-    const auto granted
-            = std::count_if(state.running.begin(), state.running.end(), [now](const auto &entry) {
-                  return entry.second.started && entry.second.startedAt + reportLag <= now;
-              });
+    // Ends of requests are missed in a pause, and those of other daemons while a link is cut.
+    const auto granted = std::count_if(state.running.begin(), state.running.end(),
+                                       [&state, now](const auto &entry) {
+                                           const RunningRequest &request = entry.second;
+                                           return entry.first.vm == state.self && request.started
+                                                   && request.startedAt >= state.undisturbedSince
+                                                   && request.startedAt + reportLag <= now;
+                                       });
     state.onlyOwnRequests
             = report.running && *report.running <= static_cast<std::uint32_t>(granted);
     state.modelRequested = report.modelBusy;
--- a/tests/include/command_world.h
+++ b/tests/include/command_world.h
@@ -369,6 +369,7 @@
                 : repeatsUntil(daemon.lease, CommandLeaseTimings());
         daemon.scheduler.uncomparedUntil = daemon.lease.uncomparedUntil;
         daemon.scheduler.countKnownSince = daemon.lease.unchangedSince;
+        daemon.scheduler.undisturbedSince = undisturbedSince(daemon);
         daemon.scheduler.mayHaveRivals = true; // All take themselves for the owner.
     }
 
--- a/tests/src/unit-engine-scheduler.cpp
+++ b/tests/src/unit-engine-scheduler.cpp
@@ -406,6 +406,26 @@
             engine.scheduler.onlyOwnRequests = true;
             REQUIRE(nextCommand().kind == CommandKind::UnloadAdapter);
         }
+        SECTION("a request that may have ended in a pause doesn't stand for one in the report")
+        {
+            // Guards against two daemons that wake together and unload the same adapter.
+            const GrantKey own = engine.submit("a1");
+            REQUIRE(actionsOf<GrantAction>(engine.decide()).size() == 1);
+            recordGrantStarted(engine.scheduler, engine.limits, own, Millis(0), engine.now);
+            engine.scheduler.self = VmId("vm");
+            engine.now += Millis(1'000);
+            EngineReport report;
+            report.modelLoaded = true;
+            report.adapters
+                    = {{AdapterId("a1"), AdapterVersion(0)}, {AdapterId("a2"), AdapterVersion(0)}};
+            report.running = 1;
+            applyReport(engine.scheduler, report, engine.now);
+            REQUIRE(engine.scheduler.onlyOwnRequests);
+
+            engine.scheduler.undisturbedSince = engine.now;
+            applyReport(engine.scheduler, report, engine.now);
+            REQUIRE_FALSE(engine.scheduler.onlyOwnRequests);
+        }
         SECTION("without rivals, one that was used since the count last changed")
         {
             engine.scheduler.mayHaveRivals = false;
