Let daemons far down the ranks not share the first daemon's turn

Ranks were taken modulo four, so that rank 4 had the turn of rank 0, and the sightings were 5.5 s apart, which is a whole round.

Ranks from three on now share the last turn. unit-command-lease checks the turns; the function is new, so that its section can't be built on the code before.

--- a/include/balsamport/edge/command_lease.h
+++ b/include/balsamport/edge/command_lease.h
@@ -75,6 +75,11 @@
 /// @return the delay of a daemon's turn to acquire the lease of an engine
 [[nodiscard]] Millis acquisitionDelayOf(const VmId &vm, const BackendServerId &engine);
 
+/// @brief Returns a daemon's turn to load a base model. Daemons of higher ranks share the last
+/// turn, as lower ranks own the engine more often.
+/// @param rank number of daemons that go before this one
+[[nodiscard]] std::uint32_t modelLoadTurn(std::size_t rank) noexcept;
+
 /// @brief What a report says about the commands that an engine accepted.
 struct ObservedCommandCount
 {
--- a/src/edge/command_lease.cpp
+++ b/src/edge/command_lease.cpp
@@ -36,6 +36,11 @@
                                         % turns);
 }
 
+std::uint32_t modelLoadTurn(std::size_t rank) noexcept
+{
+    return static_cast<std::uint32_t>(std::min<std::size_t>(rank, CommandLeaseTimings::turns - 1));
+}
+
 CountObservation observeCommandCount(CommandLease &lease, const CommandLeaseTimings &timings,
                                      const ObservedCommandCount &observed, Millis now)
 {
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -142,7 +142,7 @@
     timings.acquisitionDelay = acquisitionDelayOf(this->context.settings.vm, server.id);
     timings.actsFirst
             = rank == 0 && state.seenInTouch && monotonicNow() - state.seenAt < entrySpread;
-    timings.turn = static_cast<std::uint32_t>(rank % CommandLeaseTimings::turns);
+    timings.turn = modelLoadTurn(rank);
     // Turns of daemons that saw the engine's start late are in no order with those of the others.
     timings.turnsFrom = state.seenAt + timings.lease + timings.margin
             + (state.seenPromptly ? Millis(0)
--- a/tests/include/command_world.h
+++ b/tests/include/command_world.h
@@ -348,7 +348,7 @@
         result.actsFirst = !this->mayHaveRivals(daemon) && established
                 && daemon.engineSeenAt - daemon.silentPeerAt >= peersKnownAfter
                 && this->now - daemon.engineSeenAt < newEngine;
-        result.turn = static_cast<std::uint32_t>(rank) % CommandLeaseTimings::turns;
+        result.turn = modelLoadTurn(rank);
         result.turnsFrom = daemon.engineSeenAt + result.lease + result.margin
                 + (established ? Millis(0)
                                : CommandLeaseTimings::turnDistance * CommandLeaseTimings::turns);
--- a/tests/src/unit-command-lease.cpp
+++ b/tests/src/unit-command-lease.cpp
@@ -208,6 +208,13 @@
         REQUIRE(expectedAcquisition(lease, turns, end)
                 == turn + CommandLeaseTimings::turnDistance * CommandLeaseTimings::turns);
     }
+    SECTION("a daemon of another data centre doesn't share the turn of the first local one")
+    {
+        REQUIRE(modelLoadTurn(0) == 0);
+        REQUIRE(modelLoadTurn(1) == 1);
+        REQUIRE(modelLoadTurn(4) == CommandLeaseTimings::turns - 1);
+        REQUIRE(modelLoadTurn(70) == CommandLeaseTimings::turns - 1);
+    }
     SECTION("the daemon that acts first needs no turn")
     {
         CommandLease first;
