--- a/include/balsamport/edge/engine_scheduler.h
+++ b/include/balsamport/edge/engine_scheduler.h
@@ -218,7 +218,7 @@
     Millis uncomparedUntil{unlimited}; ///< The same for the load of the base model.
     Millis undisturbedSince{-1}; ///< The start of the process, or the end of its last pause.
     Millis countKnownSince{-1}; ///< Since then only this daemon has changed the command count.
-    /// The last report showed no requests but callers' of this daemon, granted by itself.
+    /// All requests in the last report were sent and granted by this daemon.
     bool onlyOwnRequests = false;
     bool mayHaveRivals = true; ///< Another daemon may command the engine at the same time.
     Millis commandsFrom{-1}; ///< Expected time of that; -1 before a report has been received.
