--- a/include/balsamport/edge/edge_settings.h
+++ b/include/balsamport/edge/edge_settings.h
@@ -21,6 +21,7 @@
     std::string healthPath = "/health";
     std::string metricsAddress; ///< Empty for no metrics server.
     std::string peerAddress; ///< Listens for messages of the other daemons.
+    std::string advertisedPeerAddress; ///< Where they reach it; differs behind a proxy.
     std::vector<std::string> seeds; ///< Seed nodes: peer addresses of daemons that may be running.
     std::string storeAddress;
     RetryBudgetLimits retryBudget;
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -152,7 +152,7 @@
         const bool known = std::any_of(
                 this->peers.peers.begin(), this->peers.peers.end(),
                 [&endpoint](const auto &entry) { return entry.second.endpoint == endpoint; });
-        if (!known && seed != this->context.settings.peerAddress) {
+        if (!known && seed != this->context.settings.advertisedPeerAddress) {
             this->sendGossip(endpoint);
         }
     }
@@ -173,7 +173,7 @@
     wire::EdgeMember &own = *gossip.mutable_self();
     own.set_vm(this->context.settings.vm.str());
     own.set_incarnation(this->context.incarnation);
-    own.set_endpoint(endpointOf(this->context.settings.peerAddress));
+    own.set_endpoint(endpointOf(this->context.settings.advertisedPeerAddress));
     own.set_data_centre(this->peers.dataCentre.str());
     own.set_leaving(status.draining);
     own.set_settling(status.inStartupGrace);
--- a/tests/src/unit-message-queues.cpp
+++ b/tests/src/unit-message-queues.cpp
@@ -410,6 +410,7 @@
     settings.vm = VmId("delegate");
     settings.location.dataCentre = DataCentreId("own");
     settings.peerAddress = "127.0.0.1:18476"; // Nothing listens there.
+    settings.advertisedPeerAddress = settings.peerAddress;
     const Dialect dialect;
     Loop loop;
     const int logFile = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
