Let the engine stand-in answer commands as engines do

It compared the expected count before everything, held its base model for good, knew no unload that waits for requests, and its reports had no age. Now it accepts a command that equals one in progress without comparing it, loads its base model where it restarts empty, lets an unload wait, and grants reservations of its memory (hold-take, hold-drop), with reports of the state of some time ago where a test asks for it.

--- a/standins/platform/replica_standin.cpp
+++ b/standins/platform/replica_standin.cpp
@@ -4,6 +4,8 @@
 #include <rapidjson/document.h>
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace balsamport::standins {
@@ -19,6 +21,7 @@
 constexpr int unavailable = 503;
 constexpr int decimalBase = 10;
 constexpr const char *modelName = "m";
+constexpr const char *holdDropPath = "/v1/hold-drop/";
 
 std::string headerOf(const IncomingRequest &request, const char *name)
 {
@@ -102,9 +105,15 @@
     this->commandCount = 0;
     this->adapters.clear();
     this->pending.clear();
+    this->unloading.clear();
+    this->reservations.clear();
+    this->modelLoaded = !this->options.restartsEmpty;
+    this->modelLoading = false;
+    this->kvUsed = 0;
+    this->reports.clear();
     this->runningRequests.clear();
-    this->receivedCommands.clear();
     this->startedAt = std::max(this->startedAt + 1, wallNow().count());
+    this->saveReport();
 }
 
 std::map<std::string, std::uint32_t> ReplicaStandin::runs() const
@@ -114,11 +123,28 @@
 }
 
 std::vector<ReceivedCommand> ReplicaStandin::commands() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<ReceivedCommand> result;
+    std::copy_if(this->receivedCommands.begin(), this->receivedCommands.end(),
+                 std::back_inserter(result), [this](const ReceivedCommand &command) {
+                     return command.run == this->generation;
+                 });
+    return result;
+}
+
+std::vector<ReceivedCommand> ReplicaStandin::allCommands() const
 {
     const std::lock_guard lock(this->mutex);
     return this->receivedCommands;
 }
 
+std::pair<std::size_t, std::size_t> ReplicaStandin::reservationCounts() const
+{
+    const std::lock_guard lock(this->mutex);
+    return {this->reservationsGranted, this->reservationsRefused};
+}
+
 bool ReplicaStandin::wasOverfilled() const
 {
     const std::lock_guard lock(this->mutex);
@@ -153,12 +179,19 @@
         this->serveReport(writer);
     } else if (request->path == "/v1/order") {
         this->serveCommand(*request, writer);
+    } else if (request->path == "/v1/hold-take") {
+        this->takeReservation(*request, writer);
+    } else if (request->path.rfind(holdDropPath, 0) == 0) {
+        this->reservations.erase(
+                std::strtoull(request->path.c_str() + std::string_view(holdDropPath).size(),
+                              nullptr, decimalBase));
+        writer->send(HttpResponse{okStatus, {}, ""});
     } else {
         this->serveRequest(*request, writer);
     }
 }
 
-void ReplicaStandin::serveReport(const std::shared_ptr<ResponseWriter> &writer)
+std::string ReplicaStandin::reportText() const
 {
     std::string held;
     for (const auto &[name, version] : this->adapters) {
@@ -168,13 +201,33 @@
     for (const auto &[name, ready] : this->pending) {
         loading += (loading.empty() ? "\"" : ",\"") + std::string(modelName) + "/" + name + "@1\"";
     }
+    const std::string models = this->modelLoaded
+            ? fmt::format(R"({{"name":"{}","version":1,"adapters":[{}]}})", modelName, held)
+            : std::string();
+    std::size_t running = 0;
+    for (const auto &[adapter, count] : this->runningRequests) {
+        running += count;
+    }
+    return fmt::format(R"({{"stage":"both","models":[{}],"busy":{},"sequence":{},"waiting":0,)"
+                       R"("running":{},"kv_used":{},"kv_total":{},"born":{},"pending":[{}]}})",
+                       models, this->modelLoading, this->commandCount, running, this->kvUsed,
+                       this->options.kvTokens, this->startedAt, loading);
+}
+
+void ReplicaStandin::saveReport()
+{
+    const Millis now = monotonicNow();
+    this->reports.emplace_back(now, this->reportText());
+    while (this->reports.size() > 1 && this->reports[1].first <= now - this->options.reportAge) {
+        this->reports.pop_front();
+    }
+}
+
+void ReplicaStandin::serveReport(const std::shared_ptr<ResponseWriter> &writer)
+{
+    this->saveReport();
     writer->send(HttpResponse{
-            okStatus,
-            {{"Content-Type", "application/json"}},
-            fmt::format(
-                    R"({{"stage":"both","models":[{{"name":"{}","version":1,"adapters":[{}]}}],)"
-                    R"("busy":false,"sequence":{},"waiting":0,"running":0,"pending":[{}]}})",
-                    modelName, held, this->commandCount, loading)});
+            okStatus, {{"Content-Type", "application/json"}}, this->reports.front().second});
 }
 
 void ReplicaStandin::serveCommand(const IncomingRequest &request,
@@ -191,36 +244,83 @@
     command.holder = commandBody["holder"].GetString();
     command.fencingNumber = commandBody["fencing_token"].GetUint64();
     command.at = monotonicNow();
-    const bool isExpectedCount = !commandBody.HasMember("expect")
-            || commandBody["expect"].GetUint64() == this->commandCount;
-    const std::string adapter
-            = commandBody.HasMember("adapter") ? commandBody["adapter"].GetString() : "";
-    const std::uint64_t version
-            = commandBody.HasMember("version") ? commandBody["version"].GetUint64() : 1;
-    command.status = !isExpectedCount
-            ? conflict
-            : this->applyCommand(commandBody["operation"].GetString(), adapter, version);
+    command.operation = commandBody["operation"].GetString();
+    command.countBefore = this->commandCount;
+    command.run = this->generation;
+    if (commandBody.HasMember("expect")) {
+        command.expectedCount = commandBody["expect"].GetUint64();
+    }
+    if (commandBody.HasMember("adapter")) {
+        command.adapter = commandBody["adapter"].GetString();
+    }
+    command.status = this->applyCommand(
+            command, commandBody.HasMember("version") ? commandBody["version"].GetUint64() : 1);
     this->receivedCommands.push_back(command);
+    this->saveReport();
     writer->send(HttpResponse{command.status, {}, ""});
 }
 
-int ReplicaStandin::applyCommand(const std::string &operation, const std::string &adapter,
-                                 std::uint64_t version)
+/// As engines do, accepts a command that equals one in progress, whoever sends it, without
+/// comparing the expected count. Any other command is compared first.
+int ReplicaStandin::applyCommand(const ReceivedCommand &command, std::uint64_t version)
+{
+    const bool isExpectedCount
+            = !command.expectedCount || *command.expectedCount == this->commandCount;
+    if (command.adapter.empty()) {
+        return this->loadModel(isExpectedCount);
+    }
+    const bool isUnload = command.operation == "unload";
+    if (isUnload ? this->unloading.count(command.adapter) != 0
+                 : this->pending.count(command.adapter) != 0) {
+        return accepted;
+    }
+    if (!isExpectedCount || !this->modelLoaded) {
+        return conflict;
+    }
+    return isUnload ? this->unloadAdapter(command.adapter)
+                    : this->loadAdapter(command.adapter, version);
+}
+
+int ReplicaStandin::loadModel(bool isExpectedCount)
 {
-    if (adapter.empty()) {
-        return okStatus; // The base model is always resident.
+    if (this->modelLoading) {
+        return accepted;
+    }
+    if (!isExpectedCount) {
+        return conflict;
+    }
+    if (this->modelLoaded) {
+        return okStatus;
     }
-    if (operation == "unload") {
-        if (this->runningRequests[adapter] > 0) {
-            return accepted;
+    ++this->commandCount;
+    this->modelLoading = true;
+    this->tasks->after(this->options.modelLoadTime, [this, run = this->generation] {
+        const std::lock_guard lock(this->mutex);
+        if (run == this->generation) {
+            this->modelLoading = false;
+            this->modelLoaded = true;
+            this->saveReport();
         }
-        ++this->commandCount;
-        this->adapters.erase(adapter);
+    });
+    return accepted;
+}
+
+int ReplicaStandin::unloadAdapter(const std::string &adapter)
+{
+    if (this->adapters.count(adapter) == 0) {
         return okStatus;
     }
-    if (this->pending.count(adapter) != 0) {
+    ++this->commandCount;
+    if (this->runningRequests[adapter] > 0) {
+        this->unloading.insert(adapter);
         return accepted;
     }
+    this->adapters.erase(adapter);
+    return okStatus;
+}
+
+int ReplicaStandin::loadAdapter(const std::string &adapter, std::uint64_t version)
+{
     const auto resident = this->adapters.find(adapter);
     if (resident != this->adapters.end() && resident->second == version) {
         return okStatus;
@@ -237,11 +337,43 @@
                            if (generationAtStart == this->generation) {
                                this->pending.erase(adapter);
                                this->adapters[adapter] = version;
+                               this->saveReport();
                            }
                        });
     return accepted;
 }
 
+/// Grants memory that neither running requests nor other reservations take.
+void ReplicaStandin::takeReservation(const IncomingRequest &request,
+                                     const std::shared_ptr<ResponseWriter> &writer)
+{
+    rapidjson::Document body;
+    body.Parse(request.body.c_str());
+    if (body.HasParseError() || !body.IsObject() || !body.HasMember("tokens")
+        || !body.HasMember("ttl_ms")) {
+        writer->send(HttpResponse{badRequest, {}, ""});
+        return;
+    }
+    const Millis now = monotonicNow();
+    std::erase_if(this->reservations,
+                  [now](const auto &entry) { return entry.second.second <= now; });
+    const std::uint64_t tokens = body["tokens"].GetUint64();
+    std::uint64_t taken = this->kvUsed;
+    for (const auto &[id, reservation] : this->reservations) {
+        taken += reservation.first;
+    }
+    if (taken + tokens > this->options.kvTokens) {
+        ++this->reservationsRefused;
+        writer->send(HttpResponse{unavailable, {{"X-Not-Executed", "1"}}, ""});
+        return;
+    }
+    const std::uint64_t id = ++this->reservationsGranted;
+    this->reservations[id] = {tokens, now + Millis(body["ttl_ms"].GetInt64())};
+    writer->send(HttpResponse{okStatus,
+                              {{"Content-Type", "application/json"}},
+                              fmt::format(R"({{"hold":"{}"}})", id)});
+}
+
 void ReplicaStandin::serveRequest(const IncomingRequest &request,
                                   const std::shared_ptr<ResponseWriter> &writer)
 {
@@ -266,7 +398,12 @@
         writer->send(HttpResponse{unavailable, std::move(refusal), ""});
         return;
     }
-    if (this->options.engine && !adapter.empty() && this->adapters.count(adapter) == 0) {
+    if (this->options.engine && this->unloading.count(adapter) != 0) {
+        writer->send(HttpResponse{unavailable, {{"X-Not-Executed", "1"}}, ""});
+        return;
+    }
+    if (this->options.engine
+        && (!this->modelLoaded || (!adapter.empty() && this->adapters.count(adapter) == 0))) {
         ++this->missCount;
         writer->send(HttpResponse{misdirected, {{"X-Instance-Id", this->options.id}}, ""});
         return;
@@ -286,7 +423,12 @@
         });
         return;
     }
+    StreamRun run;
+    run.kvTokens = std::strtoul(headerOf(request, "X-Token-Usage").c_str(), nullptr, decimalBase);
+    run.engineRun = this->generation;
     ++this->runningRequests[adapter];
+    this->kvUsed += run.kvTokens;
+    this->saveReport();
     writer->startStream(okStatus, headers);
     if (this->hasCrashingPart(headerOf(request, "X-Prompt-Prefix"))) {
         // The connection stays open until the replica ends.
@@ -296,7 +438,6 @@
     }
     const std::string resumed = headerOf(request, "Last-Event-Id");
     const auto first = static_cast<std::uint32_t>(std::strtoul(resumed.c_str(), nullptr, 10)) + 1;
-    StreamRun run;
     run.id = id;
     run.adapter = adapter;
     run.fillBytes
@@ -318,6 +459,20 @@
                        });
 }
 
+void ReplicaStandin::endStream(const StreamRun &run)
+{
+    if (run.engineRun != this->generation) {
+        return;
+    }
+    std::uint32_t &count = this->runningRequests[run.adapter];
+    count -= count > 0 ? 1 : 0;
+    this->kvUsed -= std::min(this->kvUsed, run.kvTokens);
+    if (count == 0 && this->unloading.erase(run.adapter) != 0) {
+        this->adapters.erase(run.adapter);
+    }
+    this->saveReport();
+}
+
 void ReplicaStandin::sendEvent(const StreamRun &run, std::uint32_t number,
                                const std::shared_ptr<ResponseWriter> &writer)
 {
@@ -328,8 +483,7 @@
             this->sendEvent(run, number + 1, writer);
             return;
         }
-        std::uint32_t &count = this->runningRequests[run.adapter];
-        count -= count > 0 ? 1 : 0;
+        this->endStream(run);
         if (run.last == this->options.events) {
             writer->finish();
             return;
--- a/standins/platform/replica_standin.h
+++ b/standins/platform/replica_standin.h
@@ -6,10 +6,12 @@
 #include <balsamport/http/http_server.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +31,10 @@
     Millis loadTime{100};
     Millis serviceTime{15}; ///< Of a plain request, or of each event of a stream.
     std::uint32_t events = 8; ///< Of each stream.
+    std::uint64_t kvTokens = 148'252; ///< Memory of an engine.
+    Millis modelLoadTime{1'500};
+    bool restartsEmpty = false; ///< A restart loses the base model.
+    Millis reportAge{0}; ///< A report tells the state of this long ago.
     /// Called when a request with a crashing part has begun, to end the replica. Must not block.
     std::function<void()> onCrash{};
 };
@@ -40,6 +46,11 @@
     std::uint64_t fencingNumber = 0;
     Millis at; ///< Time of receipt on the monotonic clock.
     int status = 0; ///< HTTP status of the response.
+    std::string operation;
+    std::string adapter; ///< Empty for the base model.
+    std::optional<std::uint64_t> expectedCount;
+    std::uint64_t countBefore = 0; ///< Commands accepted before this one.
+    std::uint64_t run = 0; ///< Number of restarts of the engine before.
 };
 
 /// @brief Faults that the replica injects; shares are probabilities for each request, 0 to 1.
@@ -62,6 +73,8 @@
 {
     std::string id; ///< Of the request.
     std::string adapter;
+    std::uint64_t engineRun = 0; ///< Number of restarts of the engine before.
+    std::uint64_t kvTokens = 0; ///< Memory that the request takes.
     std::uint32_t last = 0; ///< Number of the last event.
     std::size_t fillBytes = 0; ///< Added to each event.
     bool endsInsideEvent = false; ///< The half of one more event follows the last one.
@@ -103,7 +116,12 @@
 
     /// @return how often each request id ran
     [[nodiscard]] std::map<std::string, std::uint32_t> runs() const;
+    /// @return the commands received since the last restart
     [[nodiscard]] std::vector<ReceivedCommand> commands() const;
+    /// @return the commands received in all runs
+    [[nodiscard]] std::vector<ReceivedCommand> allCommands() const;
+    /// @return the numbers of memory reservations that were granted and refused
+    [[nodiscard]] std::pair<std::size_t, std::size_t> reservationCounts() const;
     /// @return true if load commands exceeded the adapter slots
     [[nodiscard]] bool wasOverfilled() const;
     /// @return the number of requests for an adapter that was not resident
@@ -116,8 +134,16 @@
     void serveReport(const std::shared_ptr<ResponseWriter> &writer);
     void serveCommand(const IncomingRequest &request,
                       const std::shared_ptr<ResponseWriter> &writer);
-    [[nodiscard]] int applyCommand(const std::string &operation, const std::string &adapter,
-                                   std::uint64_t version);
+    [[nodiscard]] int applyCommand(const ReceivedCommand &command, std::uint64_t version);
+    [[nodiscard]] int loadModel(bool isExpectedCount);
+    [[nodiscard]] int loadAdapter(const std::string &adapter, std::uint64_t version);
+    [[nodiscard]] int unloadAdapter(const std::string &adapter);
+    void takeReservation(const IncomingRequest &request,
+                         const std::shared_ptr<ResponseWriter> &writer);
+    void endStream(const StreamRun &run);
+    [[nodiscard]] std::string reportText() const;
+    /// Keeps the state for the reports of the next `reportAge`.
+    void saveReport();
     void serveRequest(const IncomingRequest &request,
                       const std::shared_ptr<ResponseWriter> &writer);
     /// @return true if a part of the prompt, other than the last, ends the replica
@@ -138,9 +164,17 @@
     std::uint64_t generation = 0; ///< Number of restarts; discards loads of an earlier run.
     std::map<std::string, std::uint64_t> adapters; ///< Resident adapters and their versions.
     std::map<std::string, Millis> pending; ///< Adapters being loaded, and when they are ready.
+    std::set<std::string> unloading; ///< Adapters whose unload waits for requests to end.
+    bool modelLoaded = true;
+    bool modelLoading = false;
+    std::uint64_t kvUsed = 0; ///< By running requests.
+    std::map<std::uint64_t, std::pair<std::uint64_t, Millis>> reservations; ///< Tokens and ends.
+    std::uint64_t reservationsGranted = 0;
+    std::uint64_t reservationsRefused = 0;
+    std::deque<std::pair<Millis, std::string>> reports; ///< By the time they became true.
     std::map<std::string, std::uint32_t> runningRequests; ///< Running requests by adapter.
     std::map<std::string, std::uint32_t> runCounts;
-    std::vector<ReceivedCommand> receivedCommands;
+    std::vector<ReceivedCommand> receivedCommands; ///< In all runs.
     bool overfilled = false;
     std::uint32_t missCount = 0;
     std::unique_ptr<DelayedTasks> tasks = std::make_unique<DelayedTasks>();
--- a/tests/e2e/edge_world.h
+++ b/tests/e2e/edge_world.h
@@ -62,7 +62,13 @@
         std::string front = freeAddress();
         std::string ready = freeAddress();
         std::string control = freeAddress();
+        std::unique_ptr<LinkProxy> peerLink; ///< Between it and all other daemons; none by default.
         std::unique_ptr<Process> process;
+
+        [[nodiscard]] std::string peerAddress() const
+        {
+            return this->peerLink ? this->peerLink->address() : this->control;
+        }
     };
     struct Replica
     {
@@ -70,7 +76,9 @@
         std::unique_ptr<LinkProxy> link;
     };
 
-    explicit EdgeWorld(std::size_t edgeCount)
+    /// @param engineModel options of all engines, but for their names and addresses
+    explicit EdgeWorld(std::size_t edgeCount, standins::ReplicaOptions engineModel = {})
+        : engineOptions(std::move(engineModel))
     {
         this->store = standins::StoreStandin::start(this->storeAddress).value();
         this->storeLink = std::make_unique<LinkProxy>(this->storeAddress);
@@ -97,7 +105,8 @@
     void addReplica(const std::string &id, const std::string &service,
                     const std::string &dataCentre, bool engine)
     {
-        standins::ReplicaOptions options;
+        standins::ReplicaOptions options
+                = engine ? this->engineOptions : standins::ReplicaOptions();
         options.id = id;
         options.service = service;
         options.dataCentre = dataCentre;
@@ -112,6 +121,22 @@
         this->publishServer(id, false);
     }
 
+    /// @brief Puts a link before each daemon, which can be cut for some of the others.
+    void linkPeers()
+    {
+        for (Edge &edge : this->edges) {
+            edge.peerLink = std::make_unique<LinkProxy>(edge.control);
+        }
+    }
+
+    /// @brief Cuts daemons off from all others, and these from them; heals all other links.
+    void cutOff(const std::set<std::string> &names)
+    {
+        for (Edge &edge : this->edges) {
+            edge.peerLink->cutOff(names, names.count(edge.name) != 0);
+        }
+    }
+
     /// @brief Publishes the entry of a replica.
     void publishServer(const std::string &id, bool draining)
     {
@@ -177,7 +202,7 @@
  {{"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout_ms":1000,
    "target_latency_ms":200,"priority":2,"service":"app","max_attempts":2}}{}],
  "services":[{{"name":"llm","max_connections":370,"engine":{{"slots":64,"kv_capacity":148252,
-  "models":[{{"name":"m","weights_mb":65500}}],"adapter_slots":6,"loads_per_s":2.4}}}},
+  "models":[{{"name":"m","weights_mb":65500}}],"adapter_slots":6,"hold_ms":2000,"loads_per_s":2.4}}}},
   {{"name":"app","max_connections":110}}]}})",
                                      this->configVersion, timeoutMs, timeoutMs, added));
     }
@@ -188,7 +213,7 @@
         const std::string file = edge.name + ".yaml";
         std::string seeds;
         for (const Edge &other : this->edges) {
-            seeds += (seeds.empty() ? "\"" : ", \"") + other.control + "\"";
+            seeds += (seeds.empty() ? "\"" : ", \"") + other.peerAddress() + "\"";
         }
         this->folder.write(file,
                            fmt::format("node: \"{}\"\nip: \"127.0.0.1\"\nzone: \"{}\"\n"
@@ -201,7 +226,8 @@
                                        this->storeLink->address()));
         edge.process = std::make_unique<Process>(
                 "balsamport-edge",
-                std::vector<std::string>{"--settings", (this->folder.path() / file).string()},
+                std::vector<std::string>{"--settings", (this->folder.path() / file).string(),
+                                         "--advertise-peers", edge.peerAddress()},
                 (this->folder.path() / (edge.name + ".log")).string());
     }
 
@@ -312,6 +338,7 @@
         return text.str();
     }
 
+    standins::ReplicaOptions engineOptions;
     int graceSeconds = 8; ///< Of edge daemons that are started from then on.
     std::vector<std::string> addedRoutes; ///< Prefixes that the next configuration adds.
     MachineLock lock;
--- a/tests/e2e/link_proxy.h
+++ b/tests/e2e/link_proxy.h
@@ -10,7 +10,9 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 
 namespace balsamport::testing {
 
@@ -51,6 +53,18 @@
 
     void setMode(LinkMode newMode) { this->mode = newMode; }
 
+    /// @brief Lets no bytes pass from and to daemons, which are recognised by the name in the first
+    /// message of their connection.
+    /// @param names daemons that are cut off
+    /// @param all also those that are not named
+    void cutOff(std::set<std::string> names, bool all)
+    {
+        asio::post(this->context, [this, cutNames = std::move(names), all] {
+            this->cutPeers = cutNames;
+            this->allCut = all;
+        });
+    }
+
     /// @brief Lets all open connections go silent for good. New ones work.
     void silenceOpenConnections()
     {
@@ -114,8 +128,24 @@
         std::array<char, 16384> requestBuffer{};
         std::array<char, 16384> responseBuffer{};
         bool silent = false;
+        std::string peer; ///< The daemon that connected; empty before its first message.
     };
 
+    /// Reads the name of the sending daemon, which each message begins with.
+    static void recognisePeer(Connection &connection, std::string_view bytes)
+    {
+        constexpr std::string_view prefix = "edge-";
+        const std::size_t at = bytes.find(prefix);
+        if (connection.peer.empty() && at != std::string_view::npos) {
+            connection.peer = std::string(bytes.substr(at, prefix.size() + 1)); // One digit.
+        }
+    }
+
+    [[nodiscard]] bool isCut(const Connection &connection) const
+    {
+        return this->allCut || this->cutPeers.count(connection.peer) != 0;
+    }
+
     static void reset(Socket &socket)
     {
         asio::error_code ignored;
@@ -182,8 +212,11 @@
                       std::array<char, 16384> &buffer, std::size_t count, bool isResponse)
     {
         const LinkMode now = this->mode;
-        const bool silent = connection->silent || now == LinkMode::Silent
-                || (now == LinkMode::SilentBack && isResponse);
+        if (!isResponse) {
+            recognisePeer(*connection, std::string_view(buffer.data(), count));
+        }
+        const bool silent = connection->silent || this->isCut(*connection)
+                || now == LinkMode::Silent || (now == LinkMode::SilentBack && isResponse);
         if (silent || now == LinkMode::Delayed) {
             // Bytes on a silent link are held back, as on an interrupted network.
             auto timer = std::make_shared<asio::steady_timer>(this->context,
@@ -224,6 +257,8 @@
     std::uint16_t targetPort;
     std::atomic<LinkMode> mode{LinkMode::Normal};
     std::set<std::weak_ptr<Connection>, std::owner_less<std::weak_ptr<Connection>>> connections;
+    std::set<std::string> cutPeers;
+    bool allCut = false;
     std::thread thread;
 };
 
