Reserve an engine before commands that no counted one covers

Two daemons that both see the command count unchanged for a lease, within the age of a report, both sent a command; the count refused the second one, but it had arrived, with a lower number or as a turn. The load of the base model, which an engine accepts uncompared while it is in progress, wasn't even refused.

Cause: a check that lags kept two daemons apart, and turns were counted on clocks that daemons don't share.

Taken out, as nothing needs it: turns to acquire and to load a base model, ranks, introductions by peers, loads of adapters of a daemon's own, numbers of holders that renew.

--- a/include/balsamport/edge/dialect.h
+++ b/include/balsamport/edge/dialect.h
@@ -113,6 +113,15 @@
     bool operator==(const CommandStamp &) const = default;
 };
 
+/// @brief A reservation of an engine's memory, which one daemon has at a time.
+struct ReservationRequest
+{
+    std::uint64_t tokens = 0;
+    Millis lifetime;
+
+    bool operator==(const ReservationRequest &) const = default;
+};
+
 /// @brief Converts between the types of the edge daemon and the protocols of callers, backend
 /// servers and the platform.
 ///
@@ -140,8 +149,13 @@
     std::function<CommandOutcome(const HttpResponse &)> readCommandOutcome;
     std::function<OutgoingRequest(const ServerEntry &)> writeReportRequest;
     std::function<Result<EngineReport>(const HttpResponse &, const BaseModelId &)> readReport;
-    /// Names the adapter of a base model by its index, below EngineLimits::adapters.
-    std::function<AdapterId(std::uint64_t)> adapterAt;
+    std::function<OutgoingRequest(const ServerEntry &, const ReservationRequest &)>
+            writeReservation;
+    /// Parses the response, and returns the reservation's id. Fails with Overloaded if the memory
+    /// isn't free, or BadResponse.
+    std::function<Result<std::string>(const HttpResponse &)> readReservation;
+    /// Creates a request that ends a reservation.
+    std::function<OutgoingRequest(const ServerEntry &, const std::string &id)> writeReservationEnd;
 };
 
 } // namespace balsamport
--- a/include/balsamport/edge/engine_ownership.h
+++ b/include/balsamport/edge/engine_ownership.h
@@ -72,10 +72,6 @@
                                 const std::vector<EngineSite> &engines, const PeerTable &peers,
                                 bool draining, Millis now);
 
-/// @brief Returns how many daemons ownership prefers to this one for an engine, silent ones
-/// included: behind a cut link they may own it.
-[[nodiscard]] std::size_t successionRank(const PeerTable &peers, const EngineSite &engine);
-
 /// @brief Returns the daemon that owns an engine, or its most likely owner if no peer claims it.
 /// @return this VM's id only where it owns the engine; nothing where it would be the likely owner
 [[nodiscard]] std::optional<VmId> ownerOf(const EngineOwnership &state, const PeerTable &peers,
--- a/include/balsamport/edge/engine_scheduler.h
+++ b/include/balsamport/edge/engine_scheduler.h
@@ -96,8 +96,6 @@
     Millis deliveryJitter{60};
     /// A request past its objective waits for its remaining maximum wait divided by this.
     std::int64_t pastObjectiveWaitDivisor = 2;
-    /// Adapters that other daemons don't load first, see comparedCommand().
-    std::vector<AdapterId> claimAdapters;
     /// The engine runs four loads at once; one is left for the replacement of a version.
     std::uint32_t maxConcurrentLoads = 3;
 
@@ -124,6 +122,7 @@
     /// When this daemon last loaded the adapter or granted a request that began with it: the engine
     /// wasn't unloading it then. -1 for never.
     Millis provenAt{-1};
+    Millis unloadSentAt{-1}; ///< When this daemon last commanded the unload; -1 for never.
     bool loadStartKnown = false; ///< Commanded at loadStartedAt; false if the load began earlier.
     Millis lastUsedAt;
     std::set<std::uint64_t> cachedParts; ///< Ids of prompt parts in this adapter's prefix cache.
@@ -164,6 +163,7 @@
     AdapterId adapter;
     AdapterVersion version; ///< 0: the newest.
     bool repeated = false; ///< Queries whether the same command has completed.
+    bool mayBeUncounted = false; ///< It may equal an earlier owner's command in progress.
 
     bool operator==(const EngineCommand &) const = default;
 };
@@ -185,6 +185,7 @@
     std::uint64_t commandCount = 0; ///< Commands that the engine has accepted in this run.
     bool modelLoaded = false;
     bool modelBusy = false; ///< A base model is being loaded.
+    std::uint64_t kvTokens = 0; ///< The engine's memory; 0 if not reported.
     std::optional<std::uint32_t> running; ///< Requests of all daemons; nothing if not reported.
     std::map<AdapterId, AdapterVersion> adapters;
     std::set<AdapterId> pending; ///< Being loaded.
@@ -211,16 +212,12 @@
     BaseModelId base;
     bool synced = false; ///< A report has been applied since the ownership term began.
     bool commandsAllowed = false; ///< This daemon holds the engine's command lease.
-    /// A new command is sent before this time only; after it, a report must show the command count.
+    /// A new command is sent before this time only; after it, the engine must be reserved.
     Millis commandsUntil{unlimited};
-    /// The same for a repeated command, and for a new one that may equal another daemon's.
+    /// The same for a repeated command, and for one that the engine may not count.
     Millis repeatsUntil{unlimited};
-    Millis uncomparedUntil{unlimited}; ///< The same for the load of the base model.
-    Millis undisturbedSince{-1}; ///< The start of the process, or the end of its last pause.
     Millis countKnownSince{-1}; ///< Since then only this daemon has changed the command count.
-    /// All requests in the last report were sent and granted by this daemon.
-    bool onlyOwnRequests = false;
-    bool mayHaveRivals = true; ///< Another daemon may command the engine at the same time.
+    bool idle = false; ///< No request ran at the time of the last report.
     Millis commandsFrom{-1}; ///< Expected time of that; -1 before a report has been received.
     bool suspected = false; ///< A request didn't reach the engine; a report is being requested.
     bool unreachable = false; ///< A report failed. No request waits before one succeeds again.
@@ -293,16 +290,20 @@
     bool operator==(const RefuseAction &) const = default;
 };
 
-/// @brief Requests a report of the engine before a command can be sent.
+/// @brief Requests a report of the engine, which tells the state of earlier commands.
 struct ReportAction
 {
-    bool urgent = false; ///< A new command waits; else only the state of earlier ones is needed.
-
     bool operator==(const ReportAction &) const = default;
 };
 
+/// @brief Requests a reservation of the engine, which a new command needs.
+struct ReserveAction
+{
+    bool operator==(const ReserveAction &) const = default;
+};
+
 using SchedulerAction = std::variant<GrantAction, RedirectAction, EngineDownAction, RefuseAction,
-                                     EngineCommand, ReportAction>;
+                                     EngineCommand, ReportAction, ReserveAction>;
 
 /// @brief Adds a request to the queue. nextSchedulerActions() decides on it.
 void submitGrantRequest(EngineScheduler &state, const SchedulerLimits &limits,
@@ -382,6 +383,9 @@
 /// this daemon commanded before is no longer assumed to be in progress.
 void forgetCommandsInProgress(EngineScheduler &state) noexcept;
 
+/// @brief Records until when a reservation permits new commands. The next decision may send one.
+void applyReservation(EngineScheduler &state, Millis commandsUntil, Millis now) noexcept;
+
 /// @brief Replaces the assumed state of models and adapter slots by the engine's report. An
 /// accepted unload stays in progress, as reports don't show unloads.
 void applyReport(EngineScheduler &state, const EngineReport &report, Millis now);
--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -28,7 +28,6 @@
     bool inStartupGrace = false; ///< Started too recently to know all ownership claims.
     /// Rounds in which this peer is still announced to local peers.
     std::uint32_t announcementsLeft = announcementRounds;
-    bool knowsAll = false; ///< It says that it knows all daemons; see knowsAllPeers().
     std::set<BackendServerId> owned; ///< Engines that it sends commands to.
 
     /// Twice, so that the loss of one message does not hide a new peer.
@@ -85,7 +84,6 @@
     bool draining = false;
     bool storeReachable = false;
     bool inStartupGrace = false;
-    bool knowsAll = false;
     std::set<BackendServerId> owned;
 
     bool operator==(const PeerStatus &) const = default;
@@ -109,24 +107,6 @@
 /// @return true if the peer sent a message within the time-out for its data centre
 [[nodiscard]] bool isAlive(const PeerTable &table, const Peer &peer, Millis now) noexcept;
 
-/// @brief What may have kept this daemon from learning of its peers.
-struct PeerViewHistory
-{
-    Millis undisturbedSince; ///< The start of the process, or the end of its last pause.
-    Millis silentPeerAt{-1}; ///< When a known daemon was last silent; -1 for never.
-    bool fleetStarts = false; ///< All daemons started together with this one.
-
-    bool operator==(const PeerViewHistory &) const = default;
-};
-
-/// @brief Records in the history whether a known daemon is silent, so that a link may be cut.
-void recordSilentPeers(PeerViewHistory &history, const PeerTable &table, Millis now);
-
-/// @return true where this daemon knows all others, and all of them are alive: none was silent for
-/// PeerTimings::silentPeerRetention, or a peer that says so of itself has introduced them
-[[nodiscard]] bool knowsAllPeers(const PeerViewHistory &history, const PeerTable &table,
-                                 Millis now);
-
 /// @brief Returns the daemons that may issue the permits of servers in a data centre: its own, also
 /// silent ones, or those of all data centres if it has none. Draining daemons leave others to
 /// issue.
--- a/include/balsamport/edge/service_config.h
+++ b/include/balsamport/edge/service_config.h
@@ -59,7 +59,8 @@
     std::uint64_t kvTokens = 0; ///< Tokens that running requests and the prefix cache share.
     std::uint32_t adapterSlots = 0; ///< Adapters that are loaded at the same time.
     std::vector<BaseModelId> models; ///< Base models that the engines may serve.
-    std::uint64_t adapters = 0; ///< Of the first model; 0 if the configuration doesn't say.
+    /// Longest lifetime of a reservation; nothing if the configuration doesn't say.
+    std::optional<Millis> maxReservation;
 
     bool operator==(const EngineLimits &) const = default;
 };
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -106,7 +106,6 @@
     MessageClient messages;
     EdgeState state;
     EngineOwnership ownership;
-    PeerViewHistory peerHistory;
     OwnershipTimings ownershipTimings;
     EdgeContext context{this->settings, this->dialect,    this->loop,       this->log,
                         this->http,     processMetrics(), this->incarnation};
@@ -123,25 +122,19 @@
             [this](const BackendServerId &engine, std::optional<double> perSecond) {
                 this->engines.setPermitRate(engine, perSecond);
             }};
-    EngineController engines{
-            this->context,
-            [this](const GrantKey &key, const BackendServerId & /*server*/,
-                   const GrantVerdict &verdict) {
-                if (key.vm == this->settings.vm) {
-                    this->grants.handleVerdict(key.number, verdict);
-                } else {
-                    this->grants.sendVerdict(key, verdict);
-                }
-            },
-            [this](const EngineGrantRequest &request) {
-                return this->crashes.isRefused(traitsOf(request.parts), request.request, "owner");
-            },
-            [this](const ServerEntry &server) {
-                const PeerTable &table = this->peers.table();
-                return EngineController::Succession{
-                        successionRank(table, EngineSite{server.id, server.dataCentre}),
-                        knowsAllPeers(this->peerHistory, table, monotonicNow())};
-            }};
+    EngineController engines{this->context,
+                             [this](const GrantKey &key, const BackendServerId & /*server*/,
+                                    const GrantVerdict &verdict) {
+                                 if (key.vm == this->settings.vm) {
+                                     this->grants.handleVerdict(key.number, verdict);
+                                 } else {
+                                     this->grants.sendVerdict(key, verdict);
+                                 }
+                             },
+                             [this](const EngineGrantRequest &request) {
+                                 return this->crashes.isRefused(traitsOf(request.parts),
+                                                                request.request, "owner");
+                             }};
     EngineGrantClient grants{this->context, this->peers, this->engines, this->ownership};
     PublishedController published{
             this->context,
@@ -230,8 +223,6 @@
 {
     this->ownership.startedAt = monotonicNow();
     this->state.startedAt = this->ownership.startedAt;
-    this->peerHistory.undisturbedSince = this->ownership.startedAt;
-    this->peerHistory.fleetStarts = this->settings.fleetStarts;
     this->lastTickAt = this->ownership.startedAt;
     this->loop.onSignals([this](int number) { this->handleSignal(number); });
     this->log.write(EventPriority::Vital, "start",
@@ -334,7 +325,6 @@
         return;
     }
     this->log.write(EventPriority::Vital, "paused", {{"gap_ms", gap}});
-    this->peerHistory.undisturbedSince = now;
     this->engines.confirmLeases("process paused");
     this->engines.restartPermits();
     this->rateLimits.restartPermits(now);
@@ -359,7 +349,6 @@
             sites.push_back(EngineSite{id, server.entry.dataCentre});
         }
     }
-    recordSilentPeers(this->peerHistory, this->peers.table(), now);
     const OwnershipChange change
             = updateOwnership(this->ownership, this->ownershipTimings, sites, this->peers.table(),
                               this->state.stop.has_value(), now);
@@ -473,7 +462,7 @@
                      {"draining", server.draining},
                      {"adapters", server.adapters.size()},
                      {"revision", entry.revision.number}});
-    this->engines.recordSighting(server);
+    this->engines.recordRun(server);
     const EngineLimits *limits = this->limitsOf(server.service);
     if (limits != nullptr) {
         this->engines.update(server, *limits);
@@ -713,7 +702,6 @@
     status.draining = this->state.stop.has_value();
     status.inStartupGrace
             = isInStartupGrace(this->ownership, this->ownershipTimings, monotonicNow());
-    status.knowsAll = knowsAllPeers(this->peerHistory, this->peers.table(), monotonicNow());
     status.owned = this->ownership.owned;
     return status;
 }
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Reports lag by some hundred milliseconds; the next one is requested after this time.
-constexpr Millis reportLag{350};
+constexpr Millis reportLag = CommandLeaseTimings::reportAge;
 constexpr Millis commandTimeout{1'500};
 constexpr Millis reportTimeout{1'000};
 /// An engine that accepts no connection within this time is down; its owner is mostly in its data
@@ -24,12 +24,9 @@
 /// Longer than any command is on its way, and than an engine is mostly missing from the list.
 constexpr Millis commandStateRetention{600'000};
 constexpr std::size_t maxCommandStates = 4'096;
-/// After this time without a pause a daemon sees new entries about when the others do.
-constexpr Millis promptSightingAfter{20'000};
-/// Daemons in touch receive a new entry within this time of each other.
-constexpr Millis entrySpread{1'000};
-/// Adapters to choose from for a command that no other daemon sends.
-constexpr std::uint64_t claimAdapterCount = 3;
+constexpr Millis reservationTimeout{500};
+/// Until a reservation is requested again after the engine refused one.
+constexpr Millis reservationRetryInterval{300};
 /// Samples of a service between two estimates of its profile.
 constexpr std::uint64_t samplesPerEstimate = 4;
 /// Most loads that count for a daemon's weight: its estimate reflects about as many.
@@ -112,41 +109,35 @@
 } // namespace
 
 EngineController::EngineController(EdgeContext &owner, VerdictHandler handler,
-                                   QuarantineCheck quarantineCheck, SuccessionQuery successionQuery)
+                                   QuarantineCheck quarantineCheck)
     : context(owner)
     , onVerdict(std::move(handler))
     , isQuarantined(std::move(quarantineCheck))
-    , successionOf(std::move(successionQuery))
-    , undisturbedSince(monotonicNow())
+    , startedAt(monotonicNow())
 { }
 
-void EngineController::recordSighting(const ServerEntry &server)
+void EngineController::recordRun(const ServerEntry &server)
 {
     CommandState &state = this->commandStateOf(server.id);
     if (state.seenStartWallMs == server.startedAtWallMs) {
         return;
     }
+    // A daemon that has just started doesn't know what came before.
+    const CommandLeaseTimings timings = this->leaseTimings(nullptr);
+    const bool knowsEarlierRuns = this->context.settings.fleetStarts
+            || monotonicNow() - this->startedAt > timings.lease + timings.margin;
+    state.isFirstRun = knowsEarlierRuns && !state.seenStartWallMs;
     state.seenStartWallMs = server.startedAtWallMs;
-    state.seenAt = monotonicNow();
-    state.seenInTouch = this->successionOf(server).knowsAllPeers;
-    state.seenPromptly
-            = state.seenInTouch || state.seenAt - this->undisturbedSince >= promptSightingAfter;
 }
 
-CommandLeaseTimings EngineController::leaseTimingsOf(const ServerEntry &server)
+CommandLeaseTimings EngineController::leaseTimings(const EngineLimits *limits) const
 {
-    const CommandState &state = this->commandStateOf(server.id);
-    const std::size_t rank = this->successionOf(server).rank;
     CommandLeaseTimings timings;
     timings.lease = this->context.settings.leaseDuration;
-    timings.acquisitionDelay = acquisitionDelayOf(this->context.settings.vm, server.id);
-    timings.actsFirst
-            = rank == 0 && state.seenInTouch && monotonicNow() - state.seenAt < entrySpread;
-    timings.turn = modelLoadTurn(rank);
-    // Turns of daemons that saw the engine's start late are in no order with those of the others.
-    timings.turnsFrom = state.seenAt + timings.lease + timings.margin
-            + (state.seenPromptly ? Millis(0)
-                                  : CommandLeaseTimings::turnDistance * CommandLeaseTimings::turns);
+    if (limits != nullptr && limits->maxReservation) {
+        timings.reservationLifetime
+                = std::min(timings.reservationLifetime, *limits->maxReservation);
+    }
     return timings;
 }
 
@@ -162,12 +153,9 @@
     if (this->commandStates.size() >= maxCommandStates) {
         this->forgetUnusedCommandStates(now);
     }
-    const auto [state, created] = this->commandStates.try_emplace(server);
-    state->second.usedAt = now;
-    if (created) {
-        state->second.seenAt = now;
-    }
-    return state->second;
+    CommandState &state = this->commandStates[server];
+    state.usedAt = now;
+    return state;
 }
 
 void EngineController::forgetUnusedCommandStates(Millis now)
@@ -212,24 +200,26 @@
                                  {"detail", report.error().detail}});
         return;
     }
-    constexpr bool needsModel = false; // Not known; a report of the term will say.
-    this->observe(server, report.value(), needsModel, monotonicNow());
+    this->observe(server, report.value(), monotonicNow());
     this->context.log.write(
             EventPriority::Notable, "engine_watched",
             {{"server", server.id.str()}, {"order_count", report.value().commandCount}});
 }
 
 CountObservation EngineController::observe(const ServerEntry &server, const EngineReport &report,
-                                           bool needsModel, Millis now)
+                                           Millis now)
 {
     CommandLease &lease = this->commandStateOf(server.id).lease;
     const std::uint64_t believed = lease.commandCount;
     const std::int64_t startedAtWallMs
             = report.startedAtWallMs != 0 ? report.startedAtWallMs : server.startedAtWallMs;
     const bool held = lease.held;
+    const Term *term = this->find(server.id);
+    CommandLeaseTimings timings
+            = this->leaseTimings(term == nullptr ? nullptr : &term->limits.engine);
+    timings.isFirstRun = this->commandStateOf(server.id).isFirstRun;
     const CountObservation result = balsamport::observeCommandCount(
-            lease, this->leaseTimingsOf(server),
-            ObservedCommandCount{startedAtWallMs, report.commandCount, needsModel}, now);
+            lease, timings, ObservedCommandCount{startedAtWallMs, report.commandCount}, now);
     if (result != CountObservation::Unchanged && believed != report.commandCount) {
         this->context.log.write(EventPriority::Notable, "engine_order_count",
                                 {{"server", server.id.str()},
@@ -244,7 +234,6 @@
                  {"number", fencingNumberFor(lease, this->context.settings.vm).number()},
                  {"unchanged_ms", now - lease.unchangedSince},
                  {"started_at_wall_ms", startedAtWallMs},
-                 {"needs_model", needsModel},
                  {"order_count", lease.commandCount}});
     }
     return result;
@@ -253,25 +242,12 @@
 void EngineController::applyLease(Term &term)
 {
     const CommandLease &lease = this->commandStateOf(term.server.id).lease;
-    const CommandLeaseTimings timings = this->leaseTimingsOf(term.server);
+    const CommandLeaseTimings timings = this->leaseTimings(&term.limits.engine);
     term.scheduler.commandsAllowed = lease.held;
-    term.scheduler.commandsFrom = expectedAcquisition(lease, timings, monotonicNow());
+    term.scheduler.commandsFrom = expectedAcquisition(lease, timings);
     term.scheduler.commandsUntil = commandsUntil(lease, timings);
     term.scheduler.repeatsUntil = repeatsUntil(lease, timings);
-    term.scheduler.uncomparedUntil = lease.uncomparedUntil;
     term.scheduler.countKnownSince = lease.unchangedSince;
-    term.scheduler.undisturbedSince = this->undisturbedSince;
-    term.scheduler.mayHaveRivals = !this->successionOf(term.server).knowsAllPeers;
-}
-
-std::vector<AdapterId> EngineController::claimAdapters(const EngineLimits &limits) const
-{
-    std::vector<AdapterId> adapters;
-    const std::uint64_t first = hash64(this->context.settings.vm.str());
-    for (std::uint64_t i = 0; i < std::min(claimAdapterCount, limits.adapters); ++i) {
-        adapters.push_back(this->context.dialect.adapterAt((first + i) % limits.adapters));
-    }
-    return adapters;
 }
 
 void EngineController::acquire(const ServerEntry &server, const EngineLimits &limits)
@@ -283,12 +259,12 @@
     term->limits.profile = this->services[server.service].profile;
     term->scheduler.server = server.id;
     term->scheduler.self = this->context.settings.vm;
-    term->limits.claimAdapters = this->claimAdapters(limits);
     if (!limits.models.empty()) {
         term->scheduler.base = limits.models.front();
     }
     term->decisionTimer = this->context.loop.makeTimer();
     term->reportTimer = this->context.loop.makeTimer();
+    term->reservationTimer = this->context.loop.makeTimer();
     Term &acquired = *term;
     this->terms[server.id] = std::move(term);
     this->applyLease(acquired);
@@ -304,6 +280,7 @@
     if (found == this->terms.end()) {
         return;
     }
+    this->endReservation(*found->second);
     const std::unique_ptr<Term> term = std::move(found->second);
     this->terms.erase(found);
     this->context.log.write(
@@ -616,11 +593,8 @@
 
 void EngineController::confirmLeases(std::string_view reason)
 {
-    this->undisturbedSince = monotonicNow();
     for (auto &[id, state] : this->commandStates) {
-        state.seenPromptly = false;
-        state.seenInTouch = false;
-        expireConfirmation(state.lease);
+        expireReservation(state.lease);
     }
     for (const auto &[id, term] : this->terms) {
         this->applyLease(*term);
@@ -653,7 +627,10 @@
 
 void EngineController::scheduleDecision(Term &term)
 {
-    const std::optional<Millis> next = nextSchedulerCheck(term.scheduler, term.limits);
+    std::optional<Millis> next = nextSchedulerCheck(term.scheduler, term.limits);
+    if (term.reserveFrom > monotonicNow()) {
+        next = std::min(next.value_or(term.reserveFrom), term.reserveFrom);
+    }
     if (!next) {
         term.decisionTimer->cancel();
         return;
@@ -726,14 +703,148 @@
                                      refusal->rateLimited});
     } else if (const auto *command = std::get_if<EngineCommand>(&action)) {
         this->sendCommand(term, *command);
-    } else if (const auto *needed = std::get_if<ReportAction>(&action)) {
+    } else if (std::get_if<ReportAction>(&action) != nullptr) {
         term.reportNeeded = true;
-        if (needed->urgent) {
-            this->requestReport(term);
-        } else {
-            this->requestReportAfter(term, reportLag);
+        this->requestReportAfter(term, reportLag);
+    } else if (std::get_if<ReserveAction>(&action) != nullptr) {
+        this->reserve(term);
+    }
+}
+
+void EngineController::reserve(Term &term)
+{
+    const Millis now = monotonicNow();
+    if (term.reservation) {
+        return; // In progress, or ends soon.
+    }
+    if (now < term.reserveFrom) {
+        return; // scheduleDecision() has the next decision then.
+    }
+    const std::uint64_t memory = term.kvTokens != 0 ? term.kvTokens : term.limits.engine.kvTokens;
+    if (memory == 0) {
+        this->recordFailedReservation(
+                term, Error{ErrorCode::BadResponse, "the engine's memory isn't known"});
+        return;
+    }
+    const CommandLeaseTimings timings = this->leaseTimings(&term.limits.engine);
+    Reservation reservation;
+    reservation.number = ++this->lastReservationNumber;
+    reservation.requestedAt = now;
+    const CommandLease &lease = this->commandStateOf(term.server.id).lease;
+    reservation.engineStartedAtWallMs = lease.engineStartedAtWallMs;
+    reservation.byLastHolder = isLastHolder(lease);
+    term.reservation = reservation;
+    OutgoingRequest request = this->context.dialect.writeReservation(
+            term.server, ReservationRequest{memory / 2 + 1, timings.reservationLifetime});
+    request.timeout = reservationTimeout;
+    request.connectTimeout = reportConnectTimeout;
+    fetchOnLoop(this->context, std::move(request),
+                [this, server = term.server,
+                 number = reservation.number](const Result<HttpResponse> &response) {
+                    this->handleReservation(server, number, response);
+                });
+}
+
+void EngineController::handleReservation(const ServerEntry &server, std::uint64_t number,
+                                         const Result<HttpResponse> &response)
+{
+    const Result<std::string> id = response.has_error()
+            ? response.error()
+            : this->context.dialect.readReservation(response.value());
+    Term *term = this->find(server.id);
+    const bool isCurrent
+            = term != nullptr && term->reservation && term->reservation->number == number;
+    if (!isCurrent) {
+        if (id.has_value()) {
+            this->sendReservationEnd(server, id.value());
         }
+        return;
+    }
+    const Millis now = monotonicNow();
+    if (id.has_error()) {
+        term->reservation.reset();
+        this->recordFailedReservation(*term, id.error());
+        this->scheduleDecision(*term);
+        return;
+    }
+    term->reservation->state = Reservation::State::Granted;
+    term->reservation->id = id.value();
+    term->reservation->grantedAt = now;
+    term->reportNeeded = true;
+    const CommandLease &lease = this->commandStateOf(server.id).lease;
+    const Millis delay = confirmationDelay(lease);
+    this->context.log.write(EventPriority::Routine, "engine_reserved",
+                            {{"server", server.id.str()},
+                             {"took_ms", now - term->reservation->requestedAt},
+                             {"confirmed_after_ms", delay},
+                             {"order_count", lease.commandCount}});
+    term->reservation->grantedAt += delay;
+    this->scheduleReservationEnd(*term, Millis(0));
+    if (delay > Millis(0)) {
+        this->requestReportAfter(*term, delay);
+    } else {
+        this->requestReport(*term);
+    }
+}
+
+void EngineController::recordFailedReservation(Term &term, const Error &error)
+{
+    this->context.log.write(EventPriority::Notable, "reservation_failed",
+                            {{"server", term.server.id.str()},
+                             {"error", errorName(error.code)},
+                             {"detail", error.detail}});
+    term.reserveFrom = monotonicNow() + reservationRetryInterval;
+    // Another daemon may have it, and command the engine.
+    term.reportNeeded = true;
+    this->requestReportAfter(term, reportLag);
+}
+
+void EngineController::scheduleReservationEnd(Term &term, Millis endAt)
+{
+    const Millis expiry = term.reservation->requestedAt
+            + this->leaseTimings(&term.limits.engine).reservationLifetime;
+    const Millis at = endAt > Millis(0) ? std::min(endAt, expiry) : expiry;
+    term.reservationTimer->set(
+            std::max(at - monotonicNow(), minTimerDelay),
+            [this, server = term.server.id, number = term.reservation->number, expiry] {
+                Term *current = this->find(server);
+                if (current == nullptr || !current->reservation
+                    || current->reservation->number != number) {
+                    return;
+                }
+                this->endReservation(*current);
+                if (current->reservation && monotonicNow() < expiry) {
+                    this->scheduleReservationEnd(*current, Millis(0));
+                    return;
+                }
+                current->reservation.reset();
+                this->decide(*current);
+            });
+}
+
+void EngineController::endReservation(Term &term)
+{
+    if (!term.reservation || term.reservation->state == Reservation::State::Requested
+        || term.reservation->unsettled) {
+        return; // It expires.
+    }
+    const bool isShown = term.reservation->byLastHolder
+            || monotonicNow() >= term.reservation->settledAt + reportLag;
+    if (term.reservation->settledAt >= Millis(0) && !isShown) {
+        return;
     }
+    this->sendReservationEnd(term.server, term.reservation->id);
+    term.reservation.reset();
+    term.reservationTimer->cancel();
+    expireReservation(this->commandStateOf(term.server.id).lease);
+    this->applyLease(term);
+}
+
+void EngineController::sendReservationEnd(const ServerEntry &server, const std::string &id)
+{
+    OutgoingRequest request = this->context.dialect.writeReservationEnd(server, id);
+    request.timeout = reservationTimeout;
+    fetchOnLoop(this->context, std::move(request), [](const Result<HttpResponse> & /*ignored*/) {});
 }
 
 void EngineController::requestReportAfter(Term &term, Millis delay)
@@ -775,7 +886,7 @@
     if (term == nullptr) {
         return;
     }
-    term->reportRequestedAt = Millis(-1);
+    const Millis requestedAt = std::exchange(term->reportRequestedAt, Millis(-1));
     const Result<EngineReport> report = response.has_error()
             ? response.error()
             : this->context.dialect.readReport(response.value(), term->scheduler.base);
@@ -809,21 +920,44 @@
     if (needed && (state.commandInProgress != 0 || now - state.answeredAt < reportLag)) {
         this->requestReportAfter(*term, reportLag);
     } else if (needed) {
-        this->applyCommandCount(*term, report.value(), now);
+        this->applyCommandCount(*term, report.value(), requestedAt, now);
     }
     this->decide(*term);
+    if (term->reservation && term->reservation->state == Reservation::State::Confirmed) {
+        this->endReservation(*term); // Without a command, or with one that all reports show.
+    }
 }
 
-void EngineController::applyCommandCount(Term &term, const EngineReport &report, Millis now)
+void EngineController::applyCommandCount(Term &term, const EngineReport &report, Millis requestedAt,
+                                         Millis now)
 {
     term.reportNeeded = false;
-    const bool needsModel
-            = !term.scheduler.base.empty() && !report.modelLoaded && !report.modelBusy;
-    if (this->observe(term.server, report, needsModel, now) != CountObservation::Unchanged) {
+    term.kvTokens = report.kvTokens;
+    if (this->observe(term.server, report, now) != CountObservation::Unchanged) {
         forgetCommandsInProgress(term.scheduler);
     }
     applyReport(term.scheduler, report, now);
+    const CommandLease &lease = this->commandStateOf(term.server.id).lease;
+    if (term.reservation
+        && term.reservation->engineStartedAtWallMs != lease.engineStartedAtWallMs) {
+        term.reservation.reset(); // The engine has forgotten it.
+        term.reservationTimer->cancel();
+    }
+    if (term.reservation && term.reservation->state == Reservation::State::Granted) {
+        if (requestedAt >= term.reservation->grantedAt) {
+            term.reservation->state = Reservation::State::Confirmed;
+            confirmReservation(this->commandStateOf(term.server.id).lease,
+                               term.reservation->requestedAt);
+        } else {
+            term.reportNeeded = true;
+            this->requestReportAfter(term, term.reservation->grantedAt - now);
+        }
+    }
+    if (term.reservation && lease.countedAt >= term.reservation->requestedAt) {
+        term.reservation->unsettled = false; // The report shows that the command was counted.
+    }
     this->applyLease(term);
+    applyReservation(term.scheduler, term.scheduler.commandsUntil, now);
     if (!term.scheduler.commandsAllowed) {
         this->requestReportAfter(term, term.scheduler.commandsFrom - now + minTimerDelay);
     }
@@ -840,11 +974,11 @@
     const Millis now = monotonicNow();
     state.commandInProgress = ++this->lastCommandNumber;
     state.sentAt = now;
-    Millis permitted = command.repeated || now < term.scheduler.repeatsUntil
+    const Millis permitted = command.repeated || now < term.scheduler.repeatsUntil
             ? term.scheduler.repeatsUntil
             : term.scheduler.commandsUntil;
-    if (command.kind == CommandKind::LoadModel && now >= term.scheduler.repeatsUntil) {
-        permitted = std::min(permitted, term.scheduler.uncomparedUntil);
+    if (term.reservation && now >= term.scheduler.repeatsUntil) {
+        term.reservation->unsettled = true;
     }
     const Millis until = std::min(permitted, now + maxCommandAge);
     fetchOnLoop(
@@ -866,13 +1000,9 @@
                 || (outcome == CommandOutcome::AlreadyHolds
                     && command.kind == CommandKind::UnloadAdapter));
     if (counted) {
-        // The engine may have accepted it as equal to one of another daemon.
-        const bool uncompared = command.kind == CommandKind::LoadModel
-                || (command.kind == CommandKind::UnloadAdapter
-                    && outcome == CommandOutcome::Accepted);
-        CommandLeaseTimings timings;
-        timings.lease = this->context.settings.leaseDuration;
-        recordCounted(state.lease, timings, uncompared, state.sentAt);
+        // The engine may have accepted it as equal to one of an earlier owner.
+        const bool uncertain = command.mayBeUncounted && outcome == CommandOutcome::Accepted;
+        recordCounted(state.lease, this->leaseTimings(nullptr), uncertain, state.sentAt);
     } else if (outcome == CommandOutcome::Unknown) {
         recordUnconfirmed(state.lease, state.sentAt);
     } else if (outcome == CommandOutcome::Fenced) {
@@ -900,6 +1030,16 @@
         return;
     }
     this->applyLease(*term);
+    if (term->reservation && term->reservation->unsettled) {
+        term->reservation->unsettled
+                = outcome == CommandOutcome::Unknown || state.lease.uncertainAt >= Millis(0);
+        term->reservation->settledAt = state.answeredAt;
+        if (term->reservation->byLastHolder) {
+            this->endReservation(*term);
+        } else {
+            this->scheduleReservationEnd(*term, state.answeredAt + reportLag + minTimerDelay);
+        }
+    }
     if (!term->scheduler.commandInProgress) {
         this->decide(*term); // The command was sent in an earlier term.
         return;
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -67,20 +67,11 @@
                                               const GrantVerdict &verdict)>;
     using QuarantineCheck = std::function<bool(const EngineGrantRequest &request)>;
 
-    /// @brief What the other daemons may do with an engine.
-    struct Succession
-    {
-        std::size_t rank = 0; ///< Number of daemons that go before this one; see successionRank().
-        bool knowsAllPeers = false; ///< See knowsAllPeers().
-    };
-    using SuccessionQuery = std::function<Succession(const ServerEntry &server)>;
-
     /// @param isQuarantined returns true for a request that must not be granted
-    EngineController(EdgeContext &context, VerdictHandler onVerdict, QuarantineCheck isQuarantined,
-                     SuccessionQuery successionQuery);
+    EngineController(EdgeContext &context, VerdictHandler onVerdict, QuarantineCheck isQuarantined);
 
     /// @brief Records that the entry of a new engine, or of a new run of one, was received.
-    void recordSighting(const ServerEntry &server);
+    void recordRun(const ServerEntry &server);
 
     /// @brief Requests the command count of an engine that this daemon may soon own, so that the
     /// time for which it hasn't changed is known when the ownership term begins.
@@ -145,6 +136,25 @@
         std::uint32_t loadCount = 0;
         std::map<VmId, ReceivedProfile> received;
     };
+    /// A reservation of an engine, from its request on.
+    struct Reservation
+    {
+        enum class State : std::uint8_t {
+            Requested,
+            Granted,
+            Confirmed, ///< A report that was requested after the grant has been applied.
+        };
+        State state = State::Requested;
+        std::uint64_t number = 0; ///< Among all reservations.
+        std::string id; ///< The engine's name for it.
+        std::int64_t engineStartedAtWallMs = 0; ///< Identifies the run of the engine.
+        Millis requestedAt;
+        Millis grantedAt; ///< Reports that are requested from then on confirm it.
+        bool byLastHolder = false; ///< See isLastHolder().
+        /// A command was sent of which no response said that the engine counted it.
+        bool unsettled = false;
+        Millis settledAt{-1}; ///< When such a response was received; -1 for none.
+    };
     struct Term
     {
         ServerEntry server;
@@ -155,8 +165,12 @@
         bool reportNeeded = true; ///< For the lease, or to learn whether loads have ended.
         bool draining = false; ///< Reported by the engine itself, before its entry shows it.
         std::uint32_t failedReports = 0;
+        std::uint64_t kvTokens = 0; ///< Of the last report; 0 if it didn't say.
+        std::optional<Reservation> reservation;
+        Millis reserveFrom{-1}; ///< When the next reservation may be requested.
         std::unique_ptr<LoopTimer> decisionTimer;
         std::unique_ptr<LoopTimer> reportTimer;
+        std::unique_ptr<LoopTimer> reservationTimer;
     };
 
     /// What this daemon knows of an engine's commands. Outlives the ownership term, as neither the
@@ -168,23 +182,28 @@
         Millis sentAt; ///< Of the command in progress, at the earliest.
         Millis answeredAt{-1}; ///< Time of the last command's response.
         Millis usedAt; ///< When a term or an observation last used this.
-        Millis seenAt; ///< When the entry of the engine's run was received.
-        std::optional<std::int64_t> seenStartWallMs; ///< Identifies that run.
-        bool seenPromptly = false; ///< The process ran for some time before `seenAt`.
-        bool seenInTouch = false; ///< This daemon knew all others then.
+        std::optional<std::int64_t> seenStartWallMs; ///< Identifies the run of the last entry.
+        bool isFirstRun = false; ///< As far as this daemon has seen the engine from its start on.
         bool observing = false; ///< A report is in progress that was requested before the term.
     };
 
     [[nodiscard]] Term *find(const BackendServerId &server);
     CommandState &commandStateOf(const BackendServerId &server);
-    [[nodiscard]] CommandLeaseTimings leaseTimingsOf(const ServerEntry &server);
+    [[nodiscard]] CommandLeaseTimings leaseTimings(const EngineLimits *limits) const;
     void forgetUnusedCommandStates(Millis now);
     void handleObservedReport(const ServerEntry &server, const Result<HttpResponse> &response);
     /// Applies the count of a report to the lease, and logs what changes.
-    CountObservation observe(const ServerEntry &server, const EngineReport &report, bool needsModel,
-                             Millis now);
-    /// @return adapters that this daemon alone loads where it must not equal another's command
-    [[nodiscard]] std::vector<AdapterId> claimAdapters(const EngineLimits &limits) const;
+    CountObservation observe(const ServerEntry &server, const EngineReport &report, Millis now);
+    /// Requests a reservation, unless one is in progress.
+    void reserve(Term &term);
+    void handleReservation(const ServerEntry &server, std::uint64_t number,
+                           const Result<HttpResponse> &response);
+    /// Ends a reservation early if no command under it can still reach the engine unseen.
+    void endReservation(Term &term);
+    void sendReservationEnd(const ServerEntry &server, const std::string &id);
+    /// @param endAt when to end it early; 0 for its expiry
+    void scheduleReservationEnd(Term &term, Millis endAt);
+    void recordFailedReservation(Term &term, const Error &error);
     /// Tells the scheduler until when it may send commands.
     void applyLease(Term &term);
     void rejectWaiting(Term &term);
@@ -194,7 +213,8 @@
     void suspect(Term &term, std::string_view reason);
     void requestReport(Term &term);
     void handleReport(const BackendServerId &server, const Result<HttpResponse> &response);
-    void applyCommandCount(Term &term, const EngineReport &report, Millis now);
+    /// @param requestedAt when the report was requested
+    void applyCommandCount(Term &term, const EngineReport &report, Millis requestedAt, Millis now);
     void requestReportAfter(Term &term, Millis delay);
     void sendCommand(Term &term, const EngineCommand &command);
     void handleCommandResponse(const BackendServerId &server, std::uint64_t commandNumber,
@@ -216,13 +236,13 @@
     EdgeContext &context;
     VerdictHandler onVerdict;
     QuarantineCheck isQuarantined;
-    SuccessionQuery successionOf;
-    Millis undisturbedSince; ///< The start of the process, or the end of its last pause.
     AdapterVersions versions;
     std::map<ServiceId, ServiceMeasurements> services;
     std::map<BackendServerId, std::unique_ptr<Term>> terms;
     std::map<BackendServerId, CommandState> commandStates;
     std::uint64_t lastCommandNumber = 0;
+    std::uint64_t lastReservationNumber = 0;
+    Millis startedAt;
 };
 
 } // namespace balsamport
--- a/src/edge/engine_ownership.cpp
+++ b/src/edge/engine_ownership.cpp
@@ -133,19 +133,6 @@
     return change;
 }
 
-std::size_t successionRank(const PeerTable &peers, const EngineSite &engine)
-{
-    const bool selfIsLocal = peers.dataCentre == engine.dataCentre;
-    return static_cast<std::size_t>(
-            std::count_if(peers.peers.begin(), peers.peers.end(), [&](const auto &entry) {
-                const Peer &peer = entry.second;
-                const bool local = peer.dataCentre == engine.dataCentre;
-                return !peer.draining
-                        && (local == selfIsLocal ? ranksAbove(peer.vm, peers.self, engine.id)
-                                                 : local);
-            }));
-}
-
 std::optional<VmId> ownerOf(const EngineOwnership &state, const PeerTable &peers,
                             const EngineSite &engine, Millis now)
 {
--- a/src/edge/engine_scheduler.cpp
+++ b/src/edge/engine_scheduler.cpp
@@ -416,7 +416,7 @@
     if (!state.commandsAllowed || !state.synced || state.commandInProgress || state.resyncNeeded) {
         return actions;
     }
-    const bool mayRepeat = now < state.repeatsUntil;
+    const bool mayRepeat = now < state.repeatsUntil; // No other daemon can send a command.
     std::optional<EngineCommand> command = modelCommand(state, now);
     if (!command && state.modelLoaded) {
         command = maintenanceCommand(state, versions, mayRepeat, now);
@@ -424,20 +424,20 @@
             command = loadCommand(state, limits, versions);
         }
     }
-    if (command && !command->repeated && now >= state.repeatsUntil && now < state.commandsUntil) {
-        command = comparedCommand(state, limits, *command, now);
+    if (command && !command->repeated && !mayRepeat) {
+        command = countedCommand(state, *command, now);
         if (!command) {
-            actions.emplace_back(ReportAction{false});
+            actions.emplace_back(ReportAction{});
             return actions;
         }
     }
     if (command && now < (command->repeated ? state.repeatsUntil : state.commandsUntil)) {
         beginCommand(state, limits, *command, now);
         actions.emplace_back(*command);
-    } else if (command) {
-        actions.emplace_back(ReportAction{!command->repeated});
-    } else if (!mayRepeat && awaitsCompletion(state)) {
-        actions.emplace_back(ReportAction{false});
+    } else if (command && !command->repeated) {
+        actions.emplace_back(ReserveAction{});
+    } else if (command || (!mayRepeat && awaitsCompletion(state))) {
+        actions.emplace_back(ReportAction{});
     }
     return actions;
 }
@@ -591,6 +591,12 @@
     startIssuing(state.permits, from);
 }
 
+void applyReservation(EngineScheduler &state, Millis commandsUntil, Millis now) noexcept
+{
+    state.commandsUntil = commandsUntil;
+    state.modelPollAt = std::min(state.modelPollAt, now);
+}
+
 void markSuspected(EngineScheduler &state) noexcept
 {
     state.suspected = true;
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -40,7 +40,6 @@
     status.dataCentre = DataCentreId(member.data_centre());
     status.draining = member.leaving();
     status.inStartupGrace = member.settling();
-    status.knowsAll = member.knows_all();
     for (const std::string &server : member.owned_servers()) {
         status.owned.insert(BackendServerId(server));
     }
@@ -177,7 +176,6 @@
     own.set_data_centre(this->peers.dataCentre.str());
     own.set_leaving(status.draining);
     own.set_settling(status.inStartupGrace);
-    own.set_knows_all(status.knowsAll);
     for (const BackendServerId &server : status.owned) {
         own.add_owned_servers(server.str());
     }
@@ -216,7 +214,6 @@
         member.set_silent_ms(static_cast<std::uint32_t>((now - peer.lastSeenAt).count()));
         member.set_leaving(peer.draining);
         member.set_settling(peer.inStartupGrace);
-        member.set_knows_all(peer.knowsAll);
         for (const BackendServerId &server : peer.owned) {
             member.add_owned_servers(server.str());
         }
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -25,7 +25,6 @@
     Millis publishedAge{0};
     bool storeReachable = false;
     bool draining = false;
-    bool knowsAll = false; ///< See knowsAllPeers().
     bool inStartupGrace = false; ///< Its ownership claims yield to those of other daemons.
     std::set<BackendServerId> owned;
 
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -36,7 +36,6 @@
     peer.draining = status.draining;
     peer.storeReachable = status.storeReachable;
     peer.inStartupGrace = status.inStartupGrace;
-    peer.knowsAll = status.knowsAll;
     peer.owned = status.owned;
     peer.lastSeenAt = lastSeenAt;
     return isNew;
@@ -71,37 +70,6 @@
     return removed;
 }
 
-void recordSilentPeers(PeerViewHistory &history, const PeerTable &table, Millis now)
-{
-    const bool isSilent
-            = std::any_of(table.peers.begin(), table.peers.end(), [&table, now](const auto &entry) {
-                  const Peer &peer = entry.second;
-                  const bool introduced = now - peer.discoveredAt > table.timings.localPeerTimeout;
-                  return !peer.draining && introduced && !isAlive(table, peer, now);
-              });
-    if (isSilent) {
-        history.silentPeerAt = now;
-    }
-}
-
-bool knowsAllPeers(const PeerViewHistory &history, const PeerTable &table, Millis now)
-{
-    constexpr Millis introduction{1'000};
-    constexpr Millis fleetStart{5'000};
-    if (history.silentPeerAt >= Millis(0)
-        && now - history.silentPeerAt < table.timings.silentPeerRetention) {
-        return false;
-    }
-    const Millis undisturbed = now - history.undisturbedSince;
-    const bool introduced
-            = std::any_of(table.peers.begin(), table.peers.end(), [&table, now](const auto &entry) {
-                  return entry.second.knowsAll && isAlive(table, entry.second, now);
-              });
-    return undisturbed >= table.timings.silentPeerRetention
-            || (introduced && undisturbed >= introduction)
-            || (history.fleetStarts && undisturbed >= fleetStart);
-}
-
 bool isAlive(const PeerTable &table, const Peer &peer, Millis now) noexcept
 {
     const Millis limit = peer.dataCentre == table.dataCentre ? table.timings.localPeerTimeout
--- a/src/edge/scheduler/adapter_loads.cpp
+++ b/src/edge/scheduler/adapter_loads.cpp
@@ -19,27 +19,27 @@
 constexpr double firstPollShare = 0.6;
 /// Interval between queries whether a base model has been loaded.
 constexpr Millis modelPollInterval{400};
-/// Time without commands after which a daemon that may have rivals unloads an adapter although the
-/// engine runs requests that others granted.
-constexpr Millis rivalUnloadDelay{12'000};
-/// A report is out of date by less.
-constexpr Millis reportLag{350};
+/// Time without commands after which an earlier owner's unload isn't waiting for requests any more.
+constexpr Millis maxUnloadTime{12'000};
 /// Adapters assumed in host memory while the size of the engine's host cache isn't known.
 constexpr std::size_t maxHostCached = 256;
 
+/// @param provenSince only adapters that the engine wasn't unloading at some time since then; -1
+/// for all
 /// @return the least recently used adapter without granted or waiting requests
-std::optional<AdapterId> evictionCandidate(const EngineScheduler &state)
+std::optional<AdapterId> evictionCandidate(const EngineScheduler &state,
+                                           Millis provenSince = Millis(-1))
 {
     const AdapterId *candidate = nullptr;
     Millis oldest;
-    // Of equally old ones, two daemons that don't know of each other should not choose the same: an
-    // engine answers the second unload without comparing the command count.
+    // Of equally old ones, the owners of other engines evict others, so that all stay in place
+    // somewhere.
     const auto score = [&state](const AdapterId &adapter) {
         return rendezvousScore(hash64(adapter.str()), hash64(state.self.str()));
     };
     for (const auto &[adapter, slot] : state.slots) {
         if (slot.phase != AdapterSlotPhase::Ready || slot.activeGrants != 0
-            || hasWaitingRequest(state, adapter)) {
+            || hasWaitingRequest(state, adapter) || slot.provenAt < provenSince) {
             continue;
         }
         if (candidate == nullptr || slot.lastUsedAt < oldest
@@ -54,26 +54,6 @@
     return *candidate;
 }
 
-/// @return an adapter whose unload by another daemon isn't in progress; its unload may wait for
-/// requests that an earlier owner granted
-std::optional<AdapterId> claimCandidate(const EngineScheduler &state)
-{
-    const AdapterId *candidate = nullptr;
-    std::uint64_t highest = 0;
-    for (const auto &[adapter, slot] : state.slots) {
-        // The count would show an unload that was commanded since countKnownSince.
-        const bool held = slot.provenAt >= Millis(0) && slot.provenAt >= state.countKnownSince;
-        const std::uint64_t score
-                = rendezvousScore(hash64(adapter.str()), hash64(state.self.str()));
-        if (held && slot.phase == AdapterSlotPhase::Ready && slot.activeGrants == 0
-            && !hasWaitingRequest(state, adapter) && (candidate == nullptr || score > highest)) {
-            candidate = &adapter;
-            highest = score;
-        }
-    }
-    return candidate == nullptr ? std::nullopt : std::optional(*candidate);
-}
-
 /// @return unused slots and slots whose adapter can be evicted
 std::size_t availableSlots(const EngineScheduler &state, const SchedulerLimits &limits)
 {
@@ -212,43 +192,30 @@
     return std::nullopt;
 }
 
-std::optional<EngineCommand> comparedCommand(const EngineScheduler &state,
-                                             const SchedulerLimits &limits,
-                                             const EngineCommand &wanted, Millis now)
+std::optional<EngineCommand> countedCommand(const EngineScheduler &state,
+                                            const EngineCommand &wanted, Millis now)
 {
-    if (wanted.kind == CommandKind::LoadModel) {
-        return now < state.uncomparedUntil ? std::optional(wanted) : std::nullopt;
-    }
-    if (wanted.kind == CommandKind::UnloadAdapter && state.onlyOwnRequests) {
-        return wanted; // No unload waits for requests that this daemon doesn't know of.
+    // Reports show loads in progress. Without requests, no unload waits.
+    if (wanted.kind != CommandKind::UnloadAdapter || state.idle) {
+        return wanted;
     }
-    if (state.slots.size() < limits.engine.adapterSlots
-        && loadsInProgress(state) < limits.maxConcurrentLoads) {
-        if (limits.claimAdapters.empty()) {
-            return wanted; // The deployment doesn't name its adapters.
-        }
-        for (const AdapterId &adapter : limits.claimAdapters) {
-            if (state.slots.count(adapter) == 0) {
-                return EngineCommand{CommandKind::LoadAdapter, state.base, adapter,
-                                     AdapterVersion(), false};
-            }
-        }
+    // The count would show an unload that was commanded since countKnownSince.
+    const Millis provenSince = std::max(state.countKnownSince, Millis(0));
+    EngineCommand command = wanted;
+    const AdapterSlot &slot = state.slots.at(wanted.adapter);
+    if (slot.provenAt >= provenSince) {
+        return command;
     }
-    if (unloadInProgress(state)) {
-        return std::nullopt;
+    if (now >= std::max(state.countKnownSince, slot.unloadSentAt) + maxUnloadTime) {
+        command.mayBeUncounted = true;
+        return command;
     }
-    // A rival could begin to unload the same adapter after the report. Mostly the requests that an
-    // earlier owner granted end before.
-    const bool mayWait = !state.mayHaveRivals
-            || now >= std::max(state.countKnownSince, state.undisturbedSince) + rivalUnloadDelay;
-    const std::optional<AdapterId> candidate = state.onlyOwnRequests ? evictionCandidate(state)
-            : mayWait                                                ? claimCandidate(state)
-                                                                     : std::nullopt;
-    if (!candidate) {
+    const std::optional<AdapterId> proven = evictionCandidate(state, provenSince);
+    if (!proven) {
         return std::nullopt;
     }
-    return EngineCommand{CommandKind::UnloadAdapter, state.base, *candidate, AdapterVersion(),
-                         false};
+    command.adapter = *proven;
+    return command;
 }
 
 void beginCommand(EngineScheduler &state, const SchedulerLimits &limits,
@@ -262,6 +229,8 @@
     if (command.kind == CommandKind::UnloadAdapter) {
         slot.phase = AdapterSlotPhase::Unloading;
         slot.unloadAccepted = slot.unloadAccepted && command.repeated;
+        slot.provenAt = Millis(-1); // Its response may be lost.
+        slot.unloadSentAt = command.repeated ? slot.unloadSentAt : now;
         slot.pollAt = now + loadPollInterval;
         return;
     }
@@ -340,16 +309,7 @@
 {
     state.synced = true;
     state.resyncNeeded = false;
-    // Ends of requests are missed in a pause, and those of other daemons while a link is cut.
-    const auto granted = std::count_if(state.running.begin(), state.running.end(),
-                                       [&state, now](const auto &entry) {
-                                           const RunningRequest &request = entry.second;
-                                           return entry.first.vm == state.self && request.started
-                                                   && request.startedAt >= state.undisturbedSince
-                                                   && request.startedAt + reportLag <= now;
-                                       });
-    state.onlyOwnRequests
-            = report.running && *report.running <= static_cast<std::uint32_t>(granted);
+    state.idle = report.running == 0U;
     state.modelRequested = report.modelBusy;
     if (state.modelLoaded != report.modelLoaded) {
         state.modelLoaded = report.modelLoaded;
--- a/src/edge/scheduler/adapter_loads.h
+++ b/src/edge/scheduler/adapter_loads.h
@@ -33,15 +33,12 @@
                                                        const SchedulerLimits &limits,
                                                        const AdapterVersions &versions);
 
-/// @brief Replaces a command that the engine might accept as equal to another daemon's command in
-/// progress, without comparing the count. Used where another daemon may have qualified since this
-/// one's last counted command.
-/// @return a command that the engine accepts only at the expected count: the unload of an adapter
-/// that no other daemon unloads, or the load of one that no other daemon loads first; nothing if
-/// there is none now
-[[nodiscard]] std::optional<EngineCommand> comparedCommand(const EngineScheduler &state,
-                                                           const SchedulerLimits &limits,
-                                                           const EngineCommand &wanted, Millis now);
+/// @brief Replaces an unload that the engine might accept as equal to one of an earlier owner,
+/// which waits for requests to end: the engine wouldn't count it, so that the reservation alone,
+/// which ends soon, would keep other daemons from sending a command.
+/// @return a command that the engine will count; nothing if there is none now
+[[nodiscard]] std::optional<EngineCommand> countedCommand(const EngineScheduler &state,
+                                                          const EngineCommand &wanted, Millis now);
 
 /// @brief Marks a command as in progress and its slot as taken from the moment it is sent.
 void beginCommand(EngineScheduler &state, const SchedulerLimits &limits,
