--- a/tests/src/unit-command-lease.cpp
+++ b/tests/src/unit-command-lease.cpp
@@ -47,6 +47,19 @@
         }
     }
 
+    SECTION("unless a holder of an earlier run may not know yet that the engine restarted")
+    {
+        CommandLeaseTimings laterRun = timings;
+        laterRun.isFirstRun = false;
+        const ObservedCommandCount unused{startedAt, 0};
+        REQUIRE(observeCommandCount(lease, laterRun, unused, Millis(10))
+                == CountObservation::Changed);
+        confirmReservation(lease, Millis(20));
+        REQUIRE(commandsUntil(lease, laterRun) < Millis(0));
+        REQUIRE(observeCommandCount(lease, laterRun, unused, Millis(10) + wait)
+                == CountObservation::Acquired);
+    }
+
     SECTION("otherwise its count must not change for longer than a lease")
     {
         REQUIRE(observe(lease, 7, Millis(0)) == CountObservation::Changed);
