Soak: play engines and cuts of other kinds

Options now make engines that grant every reservation, refuse all or don't know the call (--engines), cuts that keep groups together (--cut-groups) and cuts from the store (--cut-store).

--- a/standins/platform/replica_standin.cpp
+++ b/standins/platform/replica_standin.cpp
@@ -16,6 +16,7 @@
 constexpr int accepted = 202;
 constexpr int badRequest = 400;
 constexpr int conflict = 409;
+constexpr int notFound = 404;
 constexpr int misdirected = 421;
 constexpr int serverError = 500;
 constexpr int unavailable = 503;
@@ -343,10 +344,17 @@
     return accepted;
 }
 
-/// Grants memory that neither running requests nor other reservations take.
+/// Answers by the policy; an exclusive one grants memory that neither running requests nor other
+/// reservations take.
 void ReplicaStandin::takeReservation(const IncomingRequest &request,
                                      const std::shared_ptr<ResponseWriter> &writer)
 {
+    const ReservationPolicy policy = this->options.reservations;
+    if (policy == ReservationPolicy::Unknown) {
+        ++this->reservationsRefused;
+        writer->send(HttpResponse{notFound, {}, ""});
+        return;
+    }
     rapidjson::Document body;
     body.Parse(request.body.c_str());
     if (body.HasParseError() || !body.IsObject() || !body.HasMember("tokens")
@@ -362,7 +370,8 @@
     for (const auto &[id, reservation] : this->reservations) {
         taken += reservation.first;
     }
-    if (taken + tokens > this->options.kvTokens) {
+    if (policy == ReservationPolicy::RefuseAll
+        || (policy == ReservationPolicy::Exclusive && taken + tokens > this->options.kvTokens)) {
         ++this->reservationsRefused;
         writer->send(HttpResponse{unavailable, {{"X-Not-Executed", "1"}}, ""});
         return;
--- a/standins/platform/replica_standin.h
+++ b/standins/platform/replica_standin.h
@@ -18,6 +18,14 @@
 
 namespace balsamport::standins {
 
+/// @brief How an engine answers requests for reservations of its memory.
+enum class ReservationPolicy : std::uint8_t {
+    Exclusive, ///< Grants what neither requests nor other reservations take.
+    GrantAll, ///< Doesn't count what it has granted.
+    RefuseAll,
+    Unknown, ///< Doesn't know the call.
+};
+
 /// @brief Identity and behaviour of a replica stand-in.
 struct ReplicaOptions
 {
@@ -35,6 +43,7 @@
     Millis modelLoadTime{1'500};
     bool restartsEmpty = false; ///< A restart loses the base model.
     Millis reportAge{0}; ///< A report tells the state of this long ago.
+    ReservationPolicy reservations = ReservationPolicy::Exclusive;
     /// Called when a request with a crashing part has begun, to end the replica. Must not block.
     std::function<void()> onCrash{};
 };
--- a/tests/e2e/edge_world.h
+++ b/tests/e2e/edge_world.h
@@ -63,6 +63,7 @@
         std::string ready = freeAddress();
         std::string control = freeAddress();
         std::unique_ptr<LinkProxy> peerLink; ///< Between it and all other daemons; none by default.
+        std::unique_ptr<LinkProxy> storeLink; ///< Its own to the store; none by default.
         std::unique_ptr<Process> process;
 
         [[nodiscard]] std::string peerAddress() const
@@ -121,19 +122,37 @@
         this->publishServer(id, false);
     }
 
-    /// @brief Puts a link before each daemon, which can be cut for some of the others.
+    /// @brief Puts a link before each daemon, which can be cut for some of the others, and one
+    /// between it and the store.
     void linkPeers()
     {
         for (Edge &edge : this->edges) {
             edge.peerLink = std::make_unique<LinkProxy>(edge.control);
+            edge.storeLink = std::make_unique<LinkProxy>(this->storeAddress);
         }
     }
 
-    /// @brief Cuts daemons off from all others, and these from them; heals all other links.
-    void cutOff(const std::set<std::string> &names)
+    /// @brief What a cut separates from the rest of the system.
+    struct Cut
     {
+        std::set<std::string> names; ///< Daemons that are cut off from all others.
+        bool keepsGroup = false; ///< They still reach each other.
+        bool fromStore = false; ///< They don't reach the store, either.
+    };
+
+    /// @brief Cuts daemons off; heals all other links.
+    void cutOff(const Cut &cut)
+    {
+        std::set<std::string> others;
+        for (const Edge &edge : this->edges) {
+            if (!cut.keepsGroup || cut.names.count(edge.name) == 0) {
+                others.insert(edge.name);
+            }
+        }
         for (Edge &edge : this->edges) {
-            edge.peerLink->cutOff(names, names.count(edge.name) != 0);
+            const bool isCut = cut.names.count(edge.name) != 0;
+            edge.peerLink->cutOff(isCut ? others : cut.names);
+            edge.storeLink->setMode(isCut && cut.fromStore ? LinkMode::Silent : LinkMode::Normal);
         }
     }
 
@@ -223,7 +242,8 @@
                                        "platform: {{address: \"{}\"}}\n",
                                        edge.name, edge.dataCentre, edge.front, edge.ready,
                                        edge.control, seeds, this->graceSeconds,
-                                       this->storeLink->address()));
+                                       edge.storeLink ? edge.storeLink->address()
+                                                      : this->storeLink->address()));
         edge.process = std::make_unique<Process>(
                 "balsamport-edge",
                 std::vector<std::string>{"--settings", (this->folder.path() / file).string(),
--- a/tests/e2e/link_proxy.h
+++ b/tests/e2e/link_proxy.h
@@ -56,13 +56,10 @@
     /// @brief Lets no bytes pass from and to daemons, which are recognised by the name in the first
     /// message of their connection.
     /// @param names daemons that are cut off
-    /// @param all also those that are not named
-    void cutOff(std::set<std::string> names, bool all)
+    void cutOff(std::set<std::string> names)
     {
-        asio::post(this->context, [this, cutNames = std::move(names), all] {
-            this->cutPeers = cutNames;
-            this->allCut = all;
-        });
+        asio::post(this->context,
+                   [this, cutNames = std::move(names)] { this->cutPeers = cutNames; });
     }
 
     /// @brief Lets all open connections go silent for good. New ones work.
@@ -143,7 +140,7 @@
 
     [[nodiscard]] bool isCut(const Connection &connection) const
     {
-        return this->allCut || this->cutPeers.count(connection.peer) != 0;
+        return this->cutPeers.count(connection.peer) != 0;
     }
 
     static void reset(Socket &socket)
@@ -258,7 +255,6 @@
     std::atomic<LinkMode> mode{LinkMode::Normal};
     std::set<std::weak_ptr<Connection>, std::owner_less<std::weak_ptr<Connection>>> connections;
     std::set<std::string> cutPeers;
-    bool allCut = false;
     std::thread thread;
 };
 
--- a/tests/soak/soak_cuts.cpp
+++ b/tests/soak/soak_cuts.cpp
@@ -52,13 +52,33 @@
     return conditions;
 }
 
-standins::ReplicaOptions engineOptions()
+/// What engines and cuts are like, as given on the command line.
+struct Kind
+{
+    standins::ReservationPolicy reservations = standins::ReservationPolicy::Exclusive;
+    bool cutsGroups = false; ///< Daemons that are cut off together still reach each other.
+    bool cutsStore = false; ///< They don't reach the store, either.
+};
+
+std::optional<standins::ReservationPolicy> readPolicy(const std::string &name)
+{
+    const std::map<std::string, standins::ReservationPolicy> policies{
+            {"exclusive", standins::ReservationPolicy::Exclusive},
+            {"grant-all", standins::ReservationPolicy::GrantAll},
+            {"refuse-all", standins::ReservationPolicy::RefuseAll},
+            {"unknown", standins::ReservationPolicy::Unknown}};
+    const auto found = policies.find(name);
+    return found == policies.end() ? std::nullopt : std::optional(found->second);
+}
+
+standins::ReplicaOptions engineOptions(const Kind &kind)
 {
     standins::ReplicaOptions engine;
     engine.events = 60; // Streams last long enough for unloads to wait for them.
     engine.restartsEmpty = true;
     engine.reportAge = Millis(300);
     engine.loadTime = Millis(250);
+    engine.reservations = kind.reservations;
     return engine;
 }
 
@@ -89,8 +109,9 @@
 class Day
 {
 public:
-    Day(EdgeWorld &edgeWorld, std::uint64_t seed)
+    Day(EdgeWorld &edgeWorld, const Kind &dayKind, std::uint64_t seed)
         : world(edgeWorld)
+        , kind(dayKind)
         , conditions(conditionsOf(seed))
         , random(seed)
     { }
@@ -121,9 +142,11 @@
     {
         for (int cycle = 0; cycle < cycles; ++cycle) {
             this->run(cyclePause / 2);
-            std::set<std::string> cut;
+            EdgeWorld::Cut cut;
+            cut.keepsGroup = this->kind.cutsGroups;
+            cut.fromStore = this->kind.cutsStore;
             for (const std::size_t edge : this->pick(cutShare)) {
-                cut.insert(this->world.edges[edge].name);
+                cut.names.insert(this->world.edges[edge].name);
             }
             this->world.cutOff(cut);
             this->run(killAfter);
@@ -183,6 +206,7 @@
     }
 
     EdgeWorld &world;
+    Kind kind;
     Conditions conditions;
     std::mt19937_64 random;
 };
@@ -269,15 +293,15 @@
     std::cout << "  logs and commands: " << folder.string() << '\n';
 }
 
-int runSeed(std::uint64_t seed, int cycles)
+int runSeed(const Kind &kind, std::uint64_t seed, int cycles)
 {
-    EdgeWorld world(edgeCount, engineOptions());
+    EdgeWorld world(edgeCount, engineOptions(kind));
     for (int i = 3; i <= engineCount; ++i) {
         world.addReplica("e" + std::to_string(i), "llm", i % 2 == 0 ? "b" : "a", true);
     }
     world.linkPeers();
     world.publishConfig();
-    Day day(world, seed);
+    Day day(world, kind, seed);
     day.startAll();
     constexpr Millis startTimeout{15'000};
     const bool ready = eventually(startTimeout, [&] { return world.allReady(); });
@@ -315,7 +339,11 @@
     options::options_description described("soak-cuts: cuts between real edge daemons");
     described.add_options()("help", "this text")(
             "seed", options::value<std::vector<std::uint64_t>>()->multitoken(), "seeds to run")(
-            "cycles", options::value<int>()->default_value(5), "cuts with kills, for each seed");
+            "cycles", options::value<int>()->default_value(5), "cuts with kills, for each seed")(
+            "engines", options::value<std::string>()->default_value("exclusive"),
+            "how they answer reservations: exclusive, grant-all, refuse-all or unknown")(
+            "cut-groups", options::bool_switch(), "daemons that are cut off reach each other")(
+            "cut-store", options::bool_switch(), "they don't reach the store, either");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, described), given);
@@ -332,9 +360,15 @@
     if (given.count("seed") != 0) {
         seeds = given["seed"].as<std::vector<std::uint64_t>>();
     }
+    const auto policy = readPolicy(given["engines"].as<std::string>());
+    if (!policy) {
+        std::cerr << "soak-cuts: unknown kind of engines; see --help\n";
+        return 2;
+    }
+    const Kind kind{*policy, given["cut-groups"].as<bool>(), given["cut-store"].as<bool>()};
     int failed = 0;
     for (const std::uint64_t seed : seeds) {
-        failed += runSeed(seed, given["cycles"].as<int>());
+        failed += runSeed(kind, seed, given["cycles"].as<int>());
     }
     std::cout << seeds.size() - static_cast<std::size_t>(failed) << " passed, " << failed
               << " failed\n";
