Let only daemons in contact with the fleet become holders of engines

Cause: the rule rested on the engine's reservations alone, and nothing had tried whether they exclude each other. An engine that counts no reservations against others grants both. A daemon that was cut off took the others for dead and became a holder beside them.

Change: two guards, each of which suffices while the other fails. A daemon that hears at most half of the others and doesn't reach the store (fleet_contact) acquires and reserves nothing, and waits for a lease afterwards. And the first reservation of each run of an engine is tried by a second one, which the engine has to refuse (engine_arbitration). Daemons state how many others they know, so that one that restarts inside a cut notices it.

Why it works: the other side of a cut can't be a majority of the same fleet, and a lease passes before one that was cut off counts as part of it.

--- a/include/balsamport/edge/command_lease.h
+++ b/include/balsamport/edge/command_lease.h
@@ -10,8 +10,11 @@
 
 /// @brief This daemon's right to send commands to one engine.
 ///
-/// The engine arbitrates, as peers can't while links are cut. It counts the commands that it
-/// accepts, and it grants a reservation of more than half of its memory to one daemon at a time.
+/// Two guards keep daemons apart, and each suffices while the other fails. One is the contact with
+/// the fleet: a daemon that is cut off acquires nothing (`acquirableFrom`). The other is the
+/// engine: it counts the commands that it accepts, and most grant a reservation of more than half
+/// of their memory to one daemon at a time. On those that don't (`EngineArbitration`), a daemon
+/// that is in contact with most others reserves the engine by itself.
 ///
 /// A daemon holds the lease once it has seen the count unchanged for longer than a lease, so that
 /// the commands of an earlier holder have ended; of several such daemons, the one with the
@@ -54,6 +57,8 @@
     /// The engine's first run under its id. Of a later one a holder of the earlier run may not know
     /// yet.
     bool isFirstRun = true;
+    /// The lease isn't acquired before this time, as the daemon may be cut off.
+    Millis acquirableFrom{0};
 
     /// A report tells the engine's state of up to this long ago.
     static constexpr Millis reportAge{350};
@@ -96,7 +101,7 @@
 CountObservation observeCommandCount(CommandLease &lease, const CommandLeaseTimings &timings,
                                      const ObservedCommandCount &observed, Millis now);
 
-/// @brief Records that the engine granted a reservation and that a report requested after the grant
+/// @brief Records that a reservation was granted and that a report requested after the grant
 /// has been applied. Has no effect unless the lease is held.
 /// @param requestedAt when the reservation was requested
 void confirmReservation(CommandLease &lease, Millis requestedAt);
--- a/include/balsamport/edge/engine_ownership.h
+++ b/include/balsamport/edge/engine_ownership.h
@@ -72,6 +72,10 @@
                                 const std::vector<EngineSite> &engines, const PeerTable &peers,
                                 bool draining, Millis now);
 
+/// @return the owned engines that a live peer claims as well
+[[nodiscard]] std::set<BackendServerId> contestedEngines(const EngineOwnership &state,
+                                                         const PeerTable &peers, Millis now);
+
 /// @brief Returns the daemon that owns an engine, or its most likely owner if no peer claims it.
 /// @return this VM's id only where it owns the engine; nothing where it would be the likely owner
 [[nodiscard]] std::optional<VmId> ownerOf(const EngineOwnership &state, const PeerTable &peers,
--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -29,6 +29,7 @@
     /// Rounds in which this peer is still announced to local peers.
     std::uint32_t announcementsLeft = announcementRounds;
     std::set<BackendServerId> owned; ///< Engines that it sends commands to.
+    std::uint32_t knownMembers = 0; ///< Other daemons that it knows; 0 if it didn't say.
 
     /// Twice, so that the loss of one message does not hide a new peer.
     static constexpr std::uint32_t announcementRounds = 2;
@@ -58,6 +59,9 @@
     /// The same for a remote peer, whose delegate may have to be replaced first.
     Millis remotePeerTimeout{5'000};
     Millis silentPeerRetention{20'000}; ///< A peer that is silent for longer is removed.
+    /// One that was removed while this daemon heard at most half of the others still counts as a
+    /// member for this long: it may live behind a cut.
+    Millis removedPeerMemory{120'000};
 
     bool operator==(const PeerTimings &) const = default;
 };
@@ -69,6 +73,7 @@
     DataCentreId dataCentre;
     PeerTimings timings;
     std::map<VmId, Peer> peers; ///< Without this daemon.
+    std::map<VmId, Millis> removed; ///< See removedPeerMemory; with the time of their removal.
     std::uint64_t round = 0;
 
     bool operator==(const PeerTable &) const = default;
@@ -85,6 +90,7 @@
     bool storeReachable = false;
     bool inStartupGrace = false;
     std::set<BackendServerId> owned;
+    std::uint32_t knownMembers = 0;
 
     bool operator==(const PeerStatus &) const = default;
 };
@@ -101,8 +107,9 @@
 bool discoverPeer(PeerTable &table, const PeerStatus &status, Millis now);
 
 /// @brief Removes the peers that were silent for longer than PeerTimings::silentPeerRetention.
+/// @param hasMajority this daemon hears more than half of the others; if not, it remembers them
 /// @return the removed peers
-std::vector<VmId> removeSilentPeers(PeerTable &table, Millis now);
+std::vector<VmId> removeSilentPeers(PeerTable &table, bool hasMajority, Millis now);
 
 /// @return true if the peer sent a message within the time-out for its data centre
 [[nodiscard]] bool isAlive(const PeerTable &table, const Peer &peer, Millis now) noexcept;
--- a/src/edge/command_lease.cpp
+++ b/src/edge/command_lease.cpp
@@ -83,7 +83,8 @@
         result = CountObservation::Changed;
     }
     lease.reportedCount = observed.commandCount;
-    if (!lease.held && (acquiresAtOnce || now >= expectedAcquisition(lease, timings))) {
+    if (!lease.held && now >= timings.acquirableFrom
+        && (acquiresAtOnce || now >= expectedAcquisition(lease, timings))) {
         lease.held = true;
         lease.acquiredCount = lease.commandCount;
         result = CountObservation::Acquired;
@@ -116,8 +117,10 @@
 
 Millis expectedAcquisition(const CommandLease &lease, const CommandLeaseTimings &timings)
 {
-    return lease.unchangedSince < Millis(0) ? Millis(-1)
-                                            : lease.unchangedSince + timings.lease + timings.margin;
+    return lease.unchangedSince < Millis(0)
+            ? Millis(-1)
+            : std::max(lease.unchangedSince + timings.lease + timings.margin,
+                       timings.acquirableFrom);
 }
 
 void recordCounted(CommandLease &lease, const CommandLeaseTimings &timings, bool mayRepeatAnother,
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -325,6 +325,7 @@
         return;
     }
     this->log.write(EventPriority::Vital, "paused", {{"gap_ms", gap}});
+    this->peers.restartMajority(now);
     this->engines.confirmLeases("process paused");
     this->engines.restartPermits();
     this->rateLimits.restartPermits(now);
@@ -362,6 +363,8 @@
     for (const BackendServerId &server : change.likely) {
         this->engines.observeCommandCount(this->state.catalog.servers.at(server).entry);
     }
+    this->engines.applyContact(this->peers.updateContact(now),
+                               contestedEngines(this->ownership, this->peers.table(), now));
     if (!change.released.empty() || !change.acquired.empty()) {
         this->peers.broadcastStatus();
     }
--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -10,23 +10,16 @@
 
 namespace {
 
-/// Reports lag by some hundred milliseconds; the next one is requested after this time.
-constexpr Millis reportLag = CommandLeaseTimings::reportAge;
 constexpr Millis commandTimeout{1'500};
 constexpr Millis reportTimeout{1'000};
-/// An engine that accepts no connection within this time is down; its owner is mostly in its data
-/// centre.
-constexpr Millis reportConnectTimeout{300};
 /// A command that has waited longer isn't sent: the owner may have changed.
 constexpr Millis maxCommandAge{500};
 constexpr Millis failedReportInterval{500};
-constexpr Millis minTimerDelay{1};
+/// Longer than callers wait: their requests for adapters to load are refused at once.
+constexpr Millis longestCommandWait{60'000};
 /// Longer than any command is on its way, and than an engine is mostly missing from the list.
 constexpr Millis commandStateRetention{600'000};
 constexpr std::size_t maxCommandStates = 4'096;
-constexpr Millis reservationTimeout{500};
-/// Until a reservation is requested again after the engine refused one.
-constexpr Millis reservationRetryInterval{300};
 /// Samples of a service between two estimates of its profile.
 constexpr std::uint64_t samplesPerEstimate = 4;
 /// Most loads that count for a daemon's weight: its estimate reflects about as many.
@@ -134,11 +127,16 @@
 {
     CommandLeaseTimings timings;
     timings.lease = this->context.settings.leaseDuration;
+    timings.acquirableFrom = balsamport::acquirableFrom(this->contact, timings);
     if (limits != nullptr && limits->maxReservation) {
-        timings.reservationLifetime
+        CommandLeaseTimings limited = timings;
+        limited.reservationLifetime
                 = std::min(timings.reservationLifetime, *limits->maxReservation);
+        if (reservationUse(limited) > Millis(0)) {
+            return limited;
+        }
     }
-    return timings;
+    return timings; // A shorter reservation permits no command and isn't requested.
 }
 
 EngineController::Term *EngineController::find(const BackendServerId &server)
@@ -220,6 +218,8 @@
     timings.isFirstRun = this->commandStateOf(server.id).isFirstRun;
     const CountObservation result = balsamport::observeCommandCount(
             lease, timings, ObservedCommandCount{startedAtWallMs, report.commandCount}, now);
+    EngineArbitration &arbitration = this->commandStateOf(server.id).arbitration;
+    startArbitration(arbitration, lease.engineStartedAtWallMs);
     if (result != CountObservation::Unchanged && believed != report.commandCount) {
         this->context.log.write(EventPriority::Notable, "engine_order_count",
                                 {{"server", server.id.str()},
@@ -243,8 +243,12 @@
 {
     const CommandLease &lease = this->commandStateOf(term.server.id).lease;
     const CommandLeaseTimings timings = this->leaseTimings(&term.limits.engine);
-    term.scheduler.commandsAllowed = lease.held;
-    term.scheduler.commandsFrom = expectedAcquisition(lease, timings);
+    const Millis now = monotonicNow();
+    const bool needsContact = now < timings.acquirableFrom;
+    term.scheduler.commandsAllowed
+            = lease.held && (!needsContact || now < repeatsUntil(lease, timings));
+    term.scheduler.commandsFrom
+            = std::min(expectedAcquisition(lease, timings), now + longestCommandWait);
     term.scheduler.commandsUntil = commandsUntil(lease, timings);
     term.scheduler.repeatsUntil = repeatsUntil(lease, timings);
     term.scheduler.countKnownSince = lease.unchangedSince;
@@ -254,6 +258,7 @@
 {
     auto term = std::make_unique<Term>();
     term->server = server;
+    term->acquiredAt = monotonicNow();
     term->limits.engine = limits;
     this->mergeServiceProfile(server.service);
     term->limits.profile = this->services[server.service].profile;
@@ -605,6 +610,33 @@
     }
 }
 
+void EngineController::applyContact(const ContactState &state,
+                                    const std::set<BackendServerId> &contested)
+{
+    const Millis now = monotonicNow();
+    this->contact = state;
+    const bool suspended = now < balsamport::acquirableFrom(state, this->leaseTimings(nullptr));
+    const bool resumes = this->acquisitionSuspended && !suspended;
+    if (suspended != this->acquisitionSuspended) {
+        this->context.log.write(EventPriority::Notable,
+                                suspended ? "acquisition_suspended" : "acquisition_resumed",
+                                {{"engines", this->terms.size()}});
+    }
+    this->acquisitionSuspended = suspended;
+    for (const auto &[id, term] : this->terms) {
+        if (contested.count(id) != 0) {
+            term->contestedAt = now;
+        }
+        if (suspended || resumes) {
+            this->applyLease(*term);
+        }
+        if (resumes) {
+            term->reportNeeded = true;
+            this->requestReport(*term);
+        }
+    }
+}
+
 std::size_t EngineController::waitingRequests() const
 {
     std::size_t count = 0;
@@ -711,142 +743,6 @@
     }
 }
 
-void EngineController::reserve(Term &term)
-{
-    const Millis now = monotonicNow();
-    if (term.reservation) {
-        return; // In progress, or ends soon.
-    }
-    if (now < term.reserveFrom) {
-        return; // scheduleDecision() has the next decision then.
-    }
-    const std::uint64_t memory = term.kvTokens != 0 ? term.kvTokens : term.limits.engine.kvTokens;
-    if (memory == 0) {
-        this->recordFailedReservation(
-                term, Error{ErrorCode::BadResponse, "the engine's memory isn't known"});
-        return;
-    }
-    const CommandLeaseTimings timings = this->leaseTimings(&term.limits.engine);
-    Reservation reservation;
-    reservation.number = ++this->lastReservationNumber;
-    reservation.requestedAt = now;
-    const CommandLease &lease = this->commandStateOf(term.server.id).lease;
-    reservation.engineStartedAtWallMs = lease.engineStartedAtWallMs;
-    reservation.byLastHolder = isLastHolder(lease);
-    term.reservation = reservation;
-    OutgoingRequest request = this->context.dialect.writeReservation(
-            term.server, ReservationRequest{memory / 2 + 1, timings.reservationLifetime});
-    request.timeout = reservationTimeout;
-    request.connectTimeout = reportConnectTimeout;
-    fetchOnLoop(this->context, std::move(request),
-                [this, server = term.server,
-                 number = reservation.number](const Result<HttpResponse> &response) {
-                    this->handleReservation(server, number, response);
-                });
-}
-
-void EngineController::handleReservation(const ServerEntry &server, std::uint64_t number,
-                                         const Result<HttpResponse> &response)
-{
-    const Result<std::string> id = response.has_error()
-            ? response.error()
-            : this->context.dialect.readReservation(response.value());
-    Term *term = this->find(server.id);
-    const bool isCurrent
-            = term != nullptr && term->reservation && term->reservation->number == number;
-    if (!isCurrent) {
-        if (id.has_value()) {
-            this->sendReservationEnd(server, id.value());
-        }
-        return;
-    }
-    const Millis now = monotonicNow();
-    if (id.has_error()) {
-        term->reservation.reset();
-        this->recordFailedReservation(*term, id.error());
-        this->scheduleDecision(*term);
-        return;
-    }
-    term->reservation->state = Reservation::State::Granted;
-    term->reservation->id = id.value();
-    term->reservation->grantedAt = now;
-    term->reportNeeded = true;
-    const CommandLease &lease = this->commandStateOf(server.id).lease;
-    const Millis delay = confirmationDelay(lease);
-    this->context.log.write(EventPriority::Routine, "engine_reserved",
-                            {{"server", server.id.str()},
-                             {"took_ms", now - term->reservation->requestedAt},
-                             {"confirmed_after_ms", delay},
-                             {"order_count", lease.commandCount}});
-    term->reservation->grantedAt += delay;
-    this->scheduleReservationEnd(*term, Millis(0));
-    if (delay > Millis(0)) {
-        this->requestReportAfter(*term, delay);
-    } else {
-        this->requestReport(*term);
-    }
-}
-
-void EngineController::recordFailedReservation(Term &term, const Error &error)
-{
-    this->context.log.write(EventPriority::Notable, "reservation_failed",
-                            {{"server", term.server.id.str()},
-                             {"error", errorName(error.code)},
-                             {"detail", error.detail}});
-    term.reserveFrom = monotonicNow() + reservationRetryInterval;
-    // Another daemon may have it, and command the engine.
-    term.reportNeeded = true;
-    this->requestReportAfter(term, reportLag);
-}
-
-void EngineController::scheduleReservationEnd(Term &term, Millis endAt)
-{
-    const Millis expiry = term.reservation->requestedAt
-            + this->leaseTimings(&term.limits.engine).reservationLifetime;
-    const Millis at = endAt > Millis(0) ? std::min(endAt, expiry) : expiry;
-    term.reservationTimer->set(
-            std::max(at - monotonicNow(), minTimerDelay),
-            [this, server = term.server.id, number = term.reservation->number, expiry] {
-                Term *current = this->find(server);
-                if (current == nullptr || !current->reservation
-                    || current->reservation->number != number) {
-                    return;
-                }
-                this->endReservation(*current);
-                if (current->reservation && monotonicNow() < expiry) {
-                    this->scheduleReservationEnd(*current, Millis(0));
-                    return;
-                }
-                current->reservation.reset();
-                this->decide(*current);
-            });
-}
-
-void EngineController::endReservation(Term &term)
-{
-    if (!term.reservation || term.reservation->state == Reservation::State::Requested
-        || term.reservation->unsettled) {
-        return; // It expires.
-    }
-    const bool isShown = term.reservation->byLastHolder
-            || monotonicNow() >= term.reservation->settledAt + reportLag;
-    if (term.reservation->settledAt >= Millis(0) && !isShown) {
-        return;
-    }
-    this->sendReservationEnd(term.server, term.reservation->id);
-    term.reservation.reset();
-    term.reservationTimer->cancel();
-    expireReservation(this->commandStateOf(term.server.id).lease);
-    this->applyLease(term);
-}
-
-void EngineController::sendReservationEnd(const ServerEntry &server, const std::string &id)
-{
-    OutgoingRequest request = this->context.dialect.writeReservationEnd(server, id);
-    request.timeout = reservationTimeout;
-    fetchOnLoop(this->context, std::move(request), [](const Result<HttpResponse> & /*ignored*/) {});
-}
-
 void EngineController::requestReportAfter(Term &term, Millis delay)
 {
     const Millis dueAt = monotonicNow() + delay;
@@ -944,7 +840,9 @@
         term.reservationTimer->cancel();
     }
     if (term.reservation && term.reservation->state == Reservation::State::Granted) {
-        if (requestedAt >= term.reservation->grantedAt) {
+        if (term.reservation->verifying) {
+            term.reportNeeded = true; // Requested again once the engine has answered.
+        } else if (requestedAt >= term.reservation->grantedAt) {
             term.reservation->state = Reservation::State::Confirmed;
             confirmReservation(this->commandStateOf(term.server.id).lease,
                                term.reservation->requestedAt);
--- a/src/edge/engine_controller.h
+++ b/src/edge/engine_controller.h
@@ -5,12 +5,15 @@
 
 #include <balsamport.pb.h>
 #include <balsamport/edge/command_lease.h>
+#include <balsamport/edge/engine_arbitration.h>
 #include <balsamport/edge/engine_scheduler.h>
+#include <balsamport/edge/fleet_contact.h>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace balsamport {
@@ -111,6 +114,10 @@
     /// process other daemons may have commanded the engines.
     void confirmLeases(std::string_view reason);
 
+    /// @brief Applies how much of the fleet this daemon is in contact with.
+    /// @param contested owned engines that a live peer claims as well
+    void applyContact(const ContactState &state, const std::set<BackendServerId> &contested);
+
     [[nodiscard]] std::size_t waitingRequests() const;
 
     /// @brief Applies the profiles that another daemon measured.
@@ -120,6 +127,13 @@
     void addProfiles(wire::EdgeGossip &gossip) const;
 
 private:
+    /// Reports lag by some hundred milliseconds; the next one is requested after this time.
+    static constexpr Millis reportLag = CommandLeaseTimings::reportAge;
+    /// An engine that accepts no connection within this time is down; its owner is mostly in its
+    /// data centre.
+    static constexpr Millis reportConnectTimeout{300};
+    static constexpr Millis minTimerDelay{1};
+
     /// A profile that another daemon measured.
     struct ReceivedProfile
     {
@@ -136,7 +150,8 @@
         std::uint32_t loadCount = 0;
         std::map<VmId, ReceivedProfile> received;
     };
-    /// A reservation of an engine, from its request on.
+    /// A reservation of an engine, from its request on. It has no id where the engine doesn't
+    /// arbitrate and the contact with the fleet permits commands.
     struct Reservation
     {
         enum class State : std::uint8_t {
@@ -151,6 +166,7 @@
         Millis requestedAt;
         Millis grantedAt; ///< Reports that are requested from then on confirm it.
         bool byLastHolder = false; ///< See isLastHolder().
+        bool verifying = false; ///< A second reservation was requested; see EngineArbitration.
         /// A command was sent of which no response said that the engine counted it.
         bool unsettled = false;
         Millis settledAt{-1}; ///< When such a response was received; -1 for none.
@@ -168,6 +184,8 @@
         std::uint64_t kvTokens = 0; ///< Of the last report; 0 if it didn't say.
         std::optional<Reservation> reservation;
         Millis reserveFrom{-1}; ///< When the next reservation may be requested.
+        Millis acquiredAt{0};
+        Millis contestedAt{-1}; ///< When a live peer last claimed the engine; -1 for never.
         std::unique_ptr<LoopTimer> decisionTimer;
         std::unique_ptr<LoopTimer> reportTimer;
         std::unique_ptr<LoopTimer> reservationTimer;
@@ -178,6 +196,7 @@
     struct CommandState
     {
         CommandLease lease;
+        EngineArbitration arbitration;
         std::uint64_t commandInProgress = 0; ///< Its number among all commands; 0 for none.
         Millis sentAt; ///< Of the command in progress, at the earliest.
         Millis answeredAt{-1}; ///< Time of the last command's response.
@@ -198,6 +217,18 @@
     void reserve(Term &term);
     void handleReservation(const ServerEntry &server, std::uint64_t number,
                            const Result<HttpResponse> &response);
+    /// Requests a second reservation, which an engine that arbitrates refuses.
+    void verifyArbitration(Term &term);
+    void handleVerification(const ServerEntry &server, std::uint64_t number,
+                            const Result<HttpResponse> &response);
+    /// Reserves an engine that doesn't arbitrate without asking it.
+    void reserveByContact(Term &term);
+    /// Returns from when on the contact with the fleet permits to command an engine that doesn't
+    /// arbitrate.
+    [[nodiscard]] Millis reservableByContactFrom(const Term &term);
+    [[nodiscard]] OutgoingRequest reservationRequest(const Term &term) const;
+    /// @return the engine's memory in tokens, reported or configured; 0 if neither is known
+    [[nodiscard]] static std::uint64_t memoryOf(const Term &term) noexcept;
     /// Ends a reservation early if no command under it can still reach the engine unseen.
     void endReservation(Term &term);
     void sendReservationEnd(const ServerEntry &server, const std::string &id);
@@ -243,6 +274,8 @@
     std::uint64_t lastCommandNumber = 0;
     std::uint64_t lastReservationNumber = 0;
     Millis startedAt;
+    ContactState contact;
+    bool acquisitionSuspended = true; ///< See acquirableFrom().
 };
 
 } // namespace balsamport
--- a/src/edge/engine_ownership.cpp
+++ b/src/edge/engine_ownership.cpp
@@ -133,6 +133,18 @@
     return change;
 }
 
+std::set<BackendServerId> contestedEngines(const EngineOwnership &state, const PeerTable &peers,
+                                           Millis now)
+{
+    std::set<BackendServerId> contested;
+    for (const BackendServerId &engine : state.owned) {
+        if (claimant(peers, engine, now) != nullptr) {
+            contested.insert(engine);
+        }
+    }
+    return contested;
+}
+
 std::optional<VmId> ownerOf(const EngineOwnership &state, const PeerTable &peers,
                             const EngineSite &engine, Millis now)
 {
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -46,6 +46,19 @@
     return status;
 }
 
+std::string_view nameOf(FleetContact contact) noexcept
+{
+    switch (contact) {
+    case FleetContact::Majority:
+        return "majority";
+    case FleetContact::Minority:
+        return "minority";
+    case FleetContact::Isolated:
+        return "isolated";
+    }
+    return "unknown";
+}
+
 /// Merges completions of the same suspect that were received `later` than those held.
 void mergeCompletions(wire::SuspectEvidence &held, const wire::SuspectEvidence &received,
                       Millis later)
@@ -75,8 +88,32 @@
     this->peers.dataCentre = owner.settings.location.dataCentre;
 }
 
+const ContactState &PeerController::updateContact(Millis now)
+{
+    const LocalStatus status = this->localStatus();
+    const std::vector<std::string> &seeds = this->context.settings.seeds;
+    const ContactEvidence evidence{
+            std::any_of(seeds.begin(), seeds.end(),
+                        [this](const std::string &seed) {
+                            return seed != this->context.settings.advertisedPeerAddress;
+                        }),
+            status.storeReachable, status.publishedAge};
+    const FleetContact assessed
+            = assessContact(this->peers, evidence, this->contact.startedAt, now);
+    if (balsamport::updateContact(this->contact, assessed, now)) {
+        this->context.log.write(EventPriority::Vital, "fleet_contact",
+                                {{"contact", nameOf(assessed)},
+                                 {"alive", this->liveDaemons()},
+                                 {"known", knownMembers(this->peers, now) + 1},
+                                 {"store_reachable", status.storeReachable},
+                                 {"published_age_ms", status.publishedAge}});
+    }
+    return this->contact;
+}
+
 void PeerController::start()
 {
+    this->contact.startedAt = monotonicNow();
     this->runRound();
 }
 
@@ -128,9 +165,13 @@
 
 void PeerController::updateLiveness(Millis now)
 {
-    for (const VmId &vm : removeSilentPeers(this->peers, now)) {
-        this->contactedOwners.erase(vm);
-        this->context.log.write(EventPriority::Notable, "peer_forgotten", {{"peer", vm.str()}});
+    // An isolated daemon that forgot the others would take itself for the whole fleet.
+    if (this->contact.contact != FleetContact::Isolated) {
+        for (const VmId &vm :
+             removeSilentPeers(this->peers, this->contact.contact == FleetContact::Majority, now)) {
+            this->contactedOwners.erase(vm);
+            this->context.log.write(EventPriority::Notable, "peer_forgotten", {{"peer", vm.str()}});
+        }
     }
     std::set<VmId> alive;
     for (const auto &[vm, peer] : this->peers.peers) {
@@ -185,6 +226,7 @@
     gossip.set_published_age_ms(static_cast<std::uint32_t>(status.publishedAge.count()));
     gossip.set_store_reachable(status.storeReachable);
     gossip.set_known_peers(static_cast<std::uint32_t>(this->alivePeers.size()));
+    gossip.set_known_members(static_cast<std::uint32_t>(knownMembers(this->peers, monotonicNow())));
     return message;
 }
 
@@ -234,6 +276,7 @@
             && shouldRelay(this->peers, status.dataCentre, this->localStatus().draining, now);
     status.incarnation = incarnation;
     status.storeReachable = gossip.store_reachable();
+    status.knownMembers = gossip.known_members();
     const bool isNew = updatePeer(this->peers, status, now);
     if (isNew) {
         this->context.log.write(EventPriority::Notable, "peer_found",
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -4,6 +4,7 @@
 #include "edge_context.h"
 
 #include <balsamport/edge/engine_ownership.h>
+#include <balsamport/edge/fleet_contact.h>
 #include <balsamport/edge/peers.h>
 #include <balsamport/wire/message_client.h>
 
@@ -43,6 +44,11 @@
 
     void start();
 
+    /// @brief Assesses how much of the fleet this daemon is in contact with.
+    const ContactState &updateContact(Millis now);
+    /// @brief Lets the contact be assessed anew after a pause of the process.
+    void restartMajority(Millis now) { balsamport::restartMajority(this->contact, now); }
+
     /// @brief Handles the gossip of a peer.
     /// @return true if the peer is new or has restarted
     bool handleGossip(const wire::EdgeGossip &gossip, std::uint64_t incarnation);
@@ -118,6 +124,7 @@
     std::function<LocalStatus()> localStatus;
     std::function<void(wire::EdgeGossip &)> addKnowledge;
     PeerTable peers;
+    ContactState contact;
     std::unique_ptr<LoopTimer> timer;
     std::set<VmId> alivePeers; ///< Of the last round.
     /// A status of a remote daemon that waits to be relayed.
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -21,6 +21,7 @@
     if (status.vm == table.self || status.vm.empty()) {
         return false;
     }
+    table.removed.erase(status.vm);
     Peer &peer = table.peers[status.vm];
     if (lastSeenAt < peer.lastSeenAt) {
         return false;
@@ -37,6 +38,9 @@
     peer.storeReachable = status.storeReachable;
     peer.inStartupGrace = status.inStartupGrace;
     peer.owned = status.owned;
+    if (isNew || status.knownMembers != 0) { // A delegate doesn't state it for its members.
+        peer.knownMembers = status.knownMembers;
+    }
     peer.lastSeenAt = lastSeenAt;
     return isNew;
 }
@@ -46,6 +50,7 @@
     if (status.vm == table.self || status.vm.empty() || table.peers.count(status.vm) != 0) {
         return false;
     }
+    table.removed.erase(status.vm);
     Peer peer;
     peer.vm = status.vm;
     peer.endpoint = status.endpoint;
@@ -55,13 +60,19 @@
     return true;
 }
 
-std::vector<VmId> removeSilentPeers(PeerTable &table, Millis now)
+std::vector<VmId> removeSilentPeers(PeerTable &table, bool hasMajority, Millis now)
 {
+    std::erase_if(table.removed, [&](const auto &entry) {
+        return now - entry.second > table.timings.removedPeerMemory;
+    });
     std::vector<VmId> removed;
     for (auto peer = table.peers.begin(); peer != table.peers.end();) {
         const Millis silentSince = std::max(peer->second.lastSeenAt, peer->second.discoveredAt);
         if (now - silentSince > table.timings.silentPeerRetention) {
             removed.push_back(peer->first);
+            if (!hasMajority && !peer->second.draining) {
+                table.removed.emplace(peer->first, now);
+            }
             peer = table.peers.erase(peer);
         } else {
             ++peer;
--- a/tests/src/unit-edge-state.cpp
+++ b/tests/src/unit-edge-state.cpp
@@ -208,8 +208,8 @@
     SECTION("a silent peer is no longer alive, and is removed later")
     {
         REQUIRE_FALSE(isAlive(table, table.peers.at(VmId("v2")), Millis(3'000)));
-        REQUIRE(removeSilentPeers(table, Millis(3'000)).empty());
-        REQUIRE(removeSilentPeers(table, Millis(30'000)).size() == 1);
+        REQUIRE(removeSilentPeers(table, true, Millis(3'000)).empty());
+        REQUIRE(removeSilentPeers(table, true, Millis(30'000)).size() == 1);
     }
 
     SECTION("only one daemon of a data centre sends gossip to other data centres")
