Serve engines that refuse reservations

Callers got nothing: an engine that refuses every reservation, or doesn't know the call, was never commanded, so that no adapter was loaded and no request for one was served, for ever.

Cause: a reservation was the only way to a first command.

Change: refusals that last longer than any reservation of another daemon, while nobody commands the engine, show that it doesn't arbitrate. It is then commanded by contact with the fleet, as one whose reservations exclude nobody. So is at once one that can't be reserved by its limits.

--- a/src/edge/engine_controller.cpp
+++ b/src/edge/engine_controller.cpp
@@ -220,6 +220,9 @@
             lease, timings, ObservedCommandCount{startedAtWallMs, report.commandCount}, now);
     EngineArbitration &arbitration = this->commandStateOf(server.id).arbitration;
     startArbitration(arbitration, lease.engineStartedAtWallMs);
+    if (result == CountObservation::Changed) {
+        recordOtherHolder(arbitration);
+    }
     if (result != CountObservation::Unchanged && believed != report.commandCount) {
         this->context.log.write(EventPriority::Notable, "engine_order_count",
                                 {{"server", server.id.str()},
--- a/src/edge/engine_reservations.cpp
+++ b/src/edge/engine_reservations.cpp
@@ -26,13 +26,12 @@
         return; // scheduleDecision() has the next decision then.
     }
     CommandState &state = this->commandStateOf(term.server.id);
+    const CommandLeaseTimings timings = this->leaseTimings(&term.limits.engine);
     startArbitration(state.arbitration, state.lease.engineStartedAtWallMs);
-    if (memoryOf(term) == 0) {
-        this->recordFailedReservation(
-                term, Error{ErrorCode::BadResponse, "the engine's memory isn't known"});
-        return;
-    }
-    if (state.arbitration.kind == EngineArbitration::Kind::Absent) {
+    const std::optional<Millis> &longest = term.limits.engine.maxReservation;
+    const bool reservable
+            = memoryOf(term) != 0 && (!longest || *longest >= timings.reservationLifetime);
+    if (!reservable || state.arbitration.kind == EngineArbitration::Kind::Absent) {
         this->reserveByContact(term);
         return;
     }
@@ -84,10 +83,18 @@
     EngineArbitration &arbitration = this->commandStateOf(server.id).arbitration;
     if (id.has_error()) {
         term->reservation.reset();
-        this->recordFailedReservation(*term, id.error());
+        if (id.error().code != ErrorCode::ConnectFailed) {
+            recordReservationRefused(arbitration, now);
+        }
+        if (isArbitrationAbsent(arbitration, this->leaseTimings(&term->limits.engine), now)) {
+            this->reserveByContact(*term);
+        } else {
+            this->recordFailedReservation(*term, id.error());
+        }
         this->scheduleDecision(*term);
         return;
     }
+    recordReservationGranted(arbitration);
     term->reservation->state = Reservation::State::Granted;
     term->reservation->id = id.value();
     term->reservation->grantedAt = now;
