Tests: engines that don't arbitrate in the histories of commands

The world of fuzz-commands granted exactly one reservation and knew no links between daemons. Its engines may now grant or refuse all; daemons then exchange gossip, claim the engine and are cut off from each other and from the store. Histories of engines that arbitrate are drawn as before.

--- a/tests/fuzz/commands.cpp
+++ b/tests/fuzz/commands.cpp
@@ -20,7 +20,10 @@
             "histories", po::value<std::uint64_t>()->default_value(2'000), "number of histories")(
             "steps", po::value<std::size_t>()->default_value(200), "events in each history")(
             "keep-models", "engines restart with their base model in place")(
-            "all-runs", "judge refused commands that were meant for an earlier run, too");
+            "all-runs", "judge refused commands that were meant for an earlier run, too")(
+            "engines", po::value<std::string>()->default_value("exclusive"),
+            "how they answer reservations: exclusive, grant-all or refuse-all; daemons are cut off "
+            "from each other unless they are exclusive");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
     if (values.count("help") != 0) {
@@ -30,13 +33,24 @@
     const auto first = values["seed"].as<std::uint64_t>();
     const auto histories = values["histories"].as<std::uint64_t>();
     const auto steps = values["steps"].as<std::size_t>();
+    CommandConditions conditions;
+    conditions.keepsModel = values.count("keep-models") != 0;
+    conditions.allRuns = values.count("all-runs") != 0;
+    const auto engines = values["engines"].as<std::string>();
+    if (engines != "exclusive" && engines != "grant-all" && engines != "refuse-all") {
+        std::cerr << "fuzz-commands: unknown kind of engines; see --help\n";
+        return 2;
+    }
+    conditions.engine = engines == "exclusive" ? EngineKind::Exclusive
+            : engines == "grant-all"           ? EngineKind::GrantAll
+                                               : EngineKind::RefuseAll;
     std::size_t counted = 0;
     std::size_t violations = 0;
     for (std::uint64_t seed = first; seed < first + histories; ++seed) {
         std::mt19937_64 random(seed);
-        const CommandHistory history
-                = playCommands(seed, drawCommandSteps(random, steps), CommandDefect::None,
-                               values.count("keep-models") != 0, values.count("all-runs") != 0);
+        const CommandHistory history = playCommands(
+                seed, drawCommandSteps(random, steps, conditions.engine != EngineKind::Exclusive),
+                conditions);
         if (!history.violation.empty()) {
             ++violations;
             std::cout << history.violation << ": seed=" << seed << " steps=" << steps << "\n";
--- a/tests/include/command_world.h
+++ b/tests/include/command_world.h
@@ -4,7 +4,10 @@
 #include <command_judge.h>
 
 #include <balsamport/edge/command_lease.h>
+#include <balsamport/edge/engine_arbitration.h>
+#include <balsamport/edge/engine_ownership.h>
 #include <balsamport/edge/engine_scheduler.h>
+#include <balsamport/edge/fleet_contact.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -33,6 +36,22 @@
     Count,
 };
 
+/// @brief How the engine answers requests for reservations.
+enum class EngineKind : std::uint8_t {
+    Exclusive, ///< It grants one at a time; daemons know nothing of each other.
+    GrantAll, ///< Its grants exclude nobody; daemons go by their contact, and so below.
+    RefuseAll,
+};
+
+/// @brief What holds throughout a history.
+struct CommandConditions
+{
+    CommandDefect defect = CommandDefect::None;
+    bool keepsModel = false; ///< Engines restart with their base model in place.
+    bool allRuns = false; ///< Judges commands that were meant for an earlier run and refused, too.
+    EngineKind engine = EngineKind::Exclusive;
+};
+
 /// @brief One event.
 struct CommandStep
 {
@@ -46,6 +65,9 @@
         RestartEngine, ///< The engine restarts, under its id or a new one, with or without a pause.
         StepClock, ///< The engine's time of day, which dates its next start, steps.
         Count,
+        /// The daemon's links to the others fail for `value` x 100 ms, and with an odd value that
+        /// to the store, too. Follows Count, so that histories without it stay the same.
+        CutPeers,
     };
     Kind kind = Kind::Advance;
     std::uint8_t daemon = 0;
@@ -62,13 +84,11 @@
 class CommandWorld
 {
 public:
-    /// @param restartsLoaded engines restart with their base model in place
-    /// @param allRuns judges commands that were meant for an earlier run and refused, too
-    CommandWorld(std::size_t size, std::uint64_t seed, CommandDefect seededDefect,
-                 bool restartsLoaded, bool allRuns = false)
-        : defect(seededDefect)
-        , keepsModel(restartsLoaded)
-        , judgesAllRuns(allRuns)
+    CommandWorld(std::size_t size, std::uint64_t seed, const CommandConditions &conditions)
+        : defect(conditions.defect)
+        , keepsModel(conditions.keepsModel)
+        , judgesAllRuns(conditions.allRuns)
+        , engineKind(conditions.engine)
         , random(seed)
         , daemons(size)
     {
@@ -114,6 +134,11 @@
         case CommandStep::Kind::StepClock:
             this->engine.clockOffset = Millis(step.value % 20 * 500 - 5'000);
             break;
+        case CommandStep::Kind::CutPeers:
+            // Long enough for both sides to notice.
+            daemon.peersCutUntil = this->now + duration * 2;
+            daemon.storeCutUntil = step.value % 2 == 1 ? this->now + duration * 2 : Millis(-1);
+            break;
         case CommandStep::Kind::Count:
             break;
         }
@@ -185,6 +210,16 @@
         Millis frozenUntil;
         Millis cutUntil;
         bool losesReply = false;
+        EngineArbitration arbitration;
+        PeerTable peers;
+        ContactState contact;
+        EngineOwnership ownership;
+        Millis ownedSince{-1}; ///< -1 while this daemon doesn't own the engine.
+        Millis contestedAt{-1};
+        Millis gossipAt{0}; ///< When it sends the next gossip.
+        Millis ranAt{-1}; ///< When its process last ran.
+        Millis peersCutUntil{-1};
+        Millis storeCutUntil{-1};
         std::multimap<Millis, GrantKey> streams; ///< With their ends.
         std::uint64_t nextRequest = 1;
     };
@@ -201,6 +236,11 @@
         fresh.reportNumber = daemon.reportNumber + 1;
         fresh.reservationNumber = daemon.reservationNumber + 1;
         fresh.cutUntil = daemon.cutUntil;
+        fresh.peersCutUntil = daemon.peersCutUntil;
+        fresh.storeCutUntil = daemon.storeCutUntil;
+        fresh.peers.self = fresh.vm;
+        fresh.contact.startedAt = this->now;
+        fresh.ownership.startedAt = this->now;
         fresh.startedAt = this->now;
         fresh.reportDueAt = this->now;
         fresh.scheduler.base = BaseModelId("m");
@@ -248,9 +288,13 @@
         const Millis frozenUntil = this->daemons[index].frozenUntil;
         const std::uint64_t incarnation = this->daemons[index].incarnation;
         const Millis startedAt = this->daemons[index].startedAt;
+        const PeerTable peers = this->daemons[index].peers;
+        const ContactState contact = this->daemons[index].contact;
         this->start(index);
         Daemon &daemon = this->daemons[index];
         daemon.startedAt = startedAt;
+        daemon.peers = peers;
+        daemon.contact = contact;
         daemon.knowsFirstRun = this->engine.id == id && this->engine.runsOfId == 1
                 && this->now - startedAt > lease + CommandLeaseTimings().margin;
         daemon.engineId = id;
@@ -300,6 +344,9 @@
             recordGrantEnded(daemon.scheduler, daemon.streams.begin()->second, this->now);
             daemon.streams.erase(daemon.streams.begin());
         }
+        if (this->engineKind != EngineKind::Exclusive) {
+            this->updateMembership(index);
+        }
         if (daemon.reportDueAt >= Millis(0) && daemon.reportDueAt <= this->now) {
             this->requestReport(index);
         }
@@ -340,9 +387,76 @@
         daemon.streams.emplace(end, key);
     }
 
-    [[nodiscard]] CommandLeaseTimings timings() const
+    /// Sends gossip, assesses the contact, and claims or releases the engine.
+    void updateMembership(std::size_t index)
+    {
+        Daemon &daemon = this->daemons[index];
+        if (this->now >= daemon.gossipAt) {
+            daemon.gossipAt = this->now + daemon.peers.timings.localGossipPeriod;
+            this->sendGossip(index);
+        }
+        constexpr Millis pauseThreshold{1'200};
+        if (daemon.ranAt >= Millis(0) && this->now - daemon.ranAt >= pauseThreshold) {
+            restartMajority(daemon.contact, this->now);
+        }
+        daemon.ranAt = this->now;
+        if (daemon.contact.contact != FleetContact::Isolated) {
+            removeSilentPeers(daemon.peers, daemon.contact.contact == FleetContact::Majority,
+                              this->now);
+        }
+        const bool storeReached = this->now >= daemon.storeCutUntil;
+        updateContact(daemon.contact,
+                      assessContact(daemon.peers, ContactEvidence{true, storeReached, Millis(0)},
+                                    daemon.startedAt, this->now),
+                      this->now);
+        if (this->now < acquirableFrom(daemon.contact, CommandLeaseTimings())) {
+            daemon.reportNeeded = true;
+            this->requestReportAt(daemon, this->now + Millis(500));
+        }
+        const BackendServerId id("e");
+        updateOwnership(daemon.ownership, OwnershipTimings(), {EngineSite{id, DataCentreId()}},
+                        daemon.peers, false, this->now);
+        if (daemon.ownership.owned.empty()) {
+            daemon.ownedSince = Millis(-1);
+        } else if (daemon.ownedSince < Millis(0)) {
+            daemon.ownedSince = this->now;
+        }
+        if (!contestedEngines(daemon.ownership, daemon.peers, this->now).empty()) {
+            daemon.contestedAt = this->now;
+        }
+    }
+
+    void sendGossip(std::size_t index)
+    {
+        const Daemon &sender = this->daemons[index];
+        PeerStatus status;
+        status.vm = sender.vm;
+        status.incarnation = sender.incarnation;
+        status.owned = sender.ownership.owned;
+        status.inStartupGrace = isInStartupGrace(sender.ownership, OwnershipTimings(), this->now);
+        status.knownMembers = static_cast<std::uint32_t>(knownMembers(sender.peers, this->now));
+        for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+            if (i == index) {
+                continue;
+            }
+            this->events.emplace(this->now + this->between(1, 60), [this, index, i, status] {
+                if (this->now < this->daemons[index].peersCutUntil
+                    || this->now < this->daemons[i].peersCutUntil) {
+                    return;
+                }
+                this->whenAwake(i, [this, i, status] {
+                    updatePeer(this->daemons[i].peers, status, this->now);
+                });
+            });
+        }
+    }
+
+    [[nodiscard]] CommandLeaseTimings timings(const Daemon &daemon) const
     {
         CommandLeaseTimings result;
+        if (this->engineKind != EngineKind::Exclusive) {
+            result.acquirableFrom = acquirableFrom(daemon.contact, result);
+        }
         if (this->defect == CommandDefect::NoWait) {
             result.lease = Millis(0);
         }
@@ -351,8 +465,12 @@
 
     void applyLease(Daemon &daemon)
     {
-        daemon.scheduler.commandsAllowed = daemon.lease.held;
-        daemon.scheduler.commandsFrom = expectedAcquisition(daemon.lease, this->timings());
+        const CommandLeaseTimings leaseTimings = this->timings(daemon);
+        daemon.scheduler.commandsAllowed = daemon.lease.held
+                && (this->now >= leaseTimings.acquirableFrom
+                    || this->now < repeatsUntil(daemon.lease, leaseTimings));
+        daemon.scheduler.commandsFrom = std::min(expectedAcquisition(daemon.lease, leaseTimings),
+                                                 this->now + Millis(60'000));
         daemon.scheduler.commandsUntil
                 = this->defect == CommandDefect::NoReservation && daemon.lease.held
                 ? EngineScheduler::unlimited
@@ -417,6 +535,11 @@
         if (daemon.reservationRequestedAt >= Millis(0) || this->now < daemon.reserveFrom) {
             return;
         }
+        startArbitration(daemon.arbitration, daemon.lease.engineStartedAtWallMs);
+        if (daemon.arbitration.kind == EngineArbitration::Kind::Absent) {
+            this->reserveByContact(index);
+            return;
+        }
         daemon.reservationRequestedAt = this->now;
         daemon.reservationGrantedAt = Millis(-1);
         daemon.reservationRun = daemon.lease.engineStartedAtWallMs;
@@ -442,8 +565,58 @@
         });
     }
 
+    /// Reserves the engine without asking it, as the controller does.
+    void reserveByContact(std::size_t index)
+    {
+        Daemon &daemon = this->daemons[index];
+        const CommandLeaseTimings timings;
+        constexpr Millis claimExchangeTime{2'500};
+        Millis from = unarbitratedFrom(daemon.contact, timings);
+        if (daemon.contestedAt >= Millis(0)) {
+            from = std::max(from, daemon.contestedAt + timings.lease + timings.margin);
+        }
+        if (!isLastHolder(daemon.lease)) {
+            from = std::max(from, expectedAcquisition(daemon.lease, timings));
+        }
+        const bool isOwner = daemon.ownedSince >= Millis(0)
+                && this->now >= daemon.ownedSince + claimExchangeTime;
+        if (!isOwner || this->now < from) {
+            daemon.reserveFrom = this->now + Millis(300);
+            return;
+        }
+        daemon.reservationRequestedAt = this->now;
+        daemon.reservationRun = daemon.lease.engineStartedAtWallMs;
+        daemon.reservationConfirmed = false;
+        daemon.reservationUsed = false;
+        daemon.byLastHolder = isLastHolder(daemon.lease);
+        ++daemon.reservationNumber;
+        daemon.reportNeeded = true;
+        this->scheduleConfirmation(index, this->now + reportLag);
+    }
+
+    /// Requests a report at a time that shows earlier commands, and ends the reservation in time.
+    void scheduleConfirmation(std::size_t index, Millis reportAt)
+    {
+        Daemon &daemon = this->daemons[index];
+        daemon.reservationGrantedAt = reportAt;
+        this->requestReportAt(daemon, reportAt);
+        const Millis end
+                = daemon.reservationRequestedAt + CommandLeaseTimings().reservationLifetime;
+        this->events.emplace(std::max(end, this->now),
+                             [this, index, number = daemon.reservationNumber] {
+                                 this->whenAwake(index, [this, index, number] {
+                                     if (this->daemons[index].reservationNumber == number) {
+                                         this->daemons[index].reservationRequestedAt = Millis(-1);
+                                     }
+                                 });
+                             });
+    }
+
     bool grantReservation(std::size_t index, std::uint64_t number)
     {
+        if (this->engineKind != EngineKind::Exclusive) {
+            return this->engineKind == EngineKind::GrantAll;
+        }
         if (this->chance(12)) {
             this->engine.busyUntil = this->now + this->between(100, 2'000);
         }
@@ -463,25 +636,25 @@
             return;
         }
         daemon.reportNeeded = true;
+        if (!granted && this->engineKind == EngineKind::RefuseAll) {
+            recordReservationRefused(daemon.arbitration, this->now);
+        } else if (this->engineKind == EngineKind::GrantAll) {
+            recordSecondReservation(daemon.arbitration, true);
+        }
+        if (isArbitrationAbsent(daemon.arbitration, CommandLeaseTimings(), this->now)) {
+            daemon.reservationRequestedAt = Millis(-1);
+            this->reserveByContact(index);
+            return;
+        }
         if (!granted) {
             daemon.reservationRequestedAt = Millis(-1);
             daemon.reserveFrom = this->now + Millis(300);
             this->requestReportAt(daemon, this->now + reportLag);
             return;
         }
-        daemon.reservationGrantedAt = this->now
-                + (this->defect == CommandDefect::EarlierReport ? Millis(0)
-                                                                : confirmationDelay(daemon.lease));
-        this->requestReportAt(daemon, daemon.reservationGrantedAt);
-        const Millis end
-                = daemon.reservationRequestedAt + CommandLeaseTimings().reservationLifetime;
-        this->events.emplace(std::max(end, this->now), [this, index, number] {
-            this->whenAwake(index, [this, index, number] {
-                if (this->daemons[index].reservationNumber == number) {
-                    this->daemons[index].reservationRequestedAt = Millis(-1);
-                }
-            });
-        });
+        const bool noDelay = this->defect == CommandDefect::EarlierReport;
+        this->scheduleConfirmation(
+                index, this->now + (noDelay ? Millis(0) : confirmationDelay(daemon.lease)));
     }
 
     /// Applies a report to a reservation: only one that was requested after the grant shows all
@@ -554,14 +727,18 @@
             return;
         }
         daemon.reportNeeded = false;
-        CommandLeaseTimings leaseTimings = this->timings();
+        CommandLeaseTimings leaseTimings = this->timings(daemon);
         leaseTimings.isFirstRun = daemon.knowsFirstRun;
-        if (observeCommandCount(daemon.lease, leaseTimings,
-                                ObservedCommandCount{report->startedAtWallMs, report->commandCount},
-                                this->now)
-            != CountObservation::Unchanged) {
+        const CountObservation result = observeCommandCount(
+                daemon.lease, leaseTimings,
+                ObservedCommandCount{report->startedAtWallMs, report->commandCount}, this->now);
+        if (result != CountObservation::Unchanged) {
             forgetCommandsInProgress(daemon.scheduler);
         }
+        startArbitration(daemon.arbitration, daemon.lease.engineStartedAtWallMs);
+        if (result == CountObservation::Changed) {
+            recordOtherHolder(daemon.arbitration);
+        }
         balsamport::applyReport(daemon.scheduler, *report, this->now);
         this->applyReservation(daemon, requestedAt);
         this->applyLease(daemon);
@@ -814,6 +991,7 @@
     CommandDefect defect;
     bool keepsModel;
     bool judgesAllRuns;
+    EngineKind engineKind;
     std::mt19937_64 random;
     Millis now{1'000};
     Engine engine;
@@ -833,11 +1011,10 @@
 
 /// @brief Plays steps on a world in which callers ask all daemons all the time.
 inline CommandHistory playCommands(std::uint64_t seed, const std::vector<CommandStep> &steps,
-                                   CommandDefect defect, bool keepsModel = false,
-                                   bool allRuns = false)
+                                   const CommandConditions &conditions)
 {
     std::mt19937_64 random(seed);
-    CommandWorld world(3, seed, defect, keepsModel, allRuns);
+    CommandWorld world(3, seed, conditions);
     for (const CommandStep &step : steps) {
         if (!world.violation().empty()) {
             break;
@@ -855,7 +1032,9 @@
 }
 
 /// @brief Draws steps for a history.
-inline std::vector<CommandStep> drawCommandSteps(std::mt19937_64 &random, std::size_t count)
+/// @param cutsPeers daemons are also cut off from each other
+inline std::vector<CommandStep> drawCommandSteps(std::mt19937_64 &random, std::size_t count,
+                                                 bool cutsPeers = false)
 {
     std::vector<CommandStep> steps(count);
     for (CommandStep &step : steps) {
@@ -867,6 +1046,9 @@
         if (step.kind == CommandStep::Kind::RestartEngine && random() % 4 != 0) {
             step.kind = CommandStep::Kind::Request;
         }
+        if (cutsPeers && step.kind == CommandStep::Kind::Request && random() % 2 == 0) {
+            step.kind = CommandStep::Kind::CutPeers;
+        }
     }
     return steps;
 }
--- a/tests/src/unit-command-lease.cpp
+++ b/tests/src/unit-command-lease.cpp
@@ -267,7 +267,8 @@
         for (std::uint64_t seed = 1; seed <= 30; ++seed) {
             std::mt19937_64 random(seed);
             const CommandHistory history
-                    = playCommands(seed, drawCommandSteps(random, 400), CommandDefect::None, true);
+                    = playCommands(seed, drawCommandSteps(random, 400),
+                                   CommandConditions{CommandDefect::None, true});
             INFO("seed " << seed);
             REQUIRE(history.violation.empty());
             counted += history.counted;
@@ -281,7 +282,7 @@
             for (std::uint64_t seed = 1; seed <= 300 && !found; ++seed) {
                 std::mt19937_64 random(seed);
                 found = !playCommands(seed, drawCommandSteps(random, 400),
-                                      static_cast<CommandDefect>(defect))
+                                      CommandConditions{static_cast<CommandDefect>(defect)})
                                  .violation.empty();
             }
             INFO("defect " << defect);
--- a/tests/src/unit-random-command-histories.cpp
+++ b/tests/src/unit-random-command-histories.cpp
@@ -34,7 +34,7 @@
         const auto steps = *rc::gen::resize(
                 100,
                 rc::gen::container<std::vector<CommandStep>>(rc::gen::arbitrary<CommandStep>()));
-        const CommandHistory history = playCommands(seed, steps, CommandDefect::None);
+        const CommandHistory history = playCommands(seed, steps, CommandConditions{});
         RC_ASSERT(history.violation.empty());
     });
     REQUIRE(holds);
