Let claims settle for longer before an engine is commanded by contact

Callers saw nothing yet; found by reading. On an engine that doesn't arbitrate, an owner behind a cut has a majority for up to 5 s, as remote daemons count as alive for so long, and its last command arrives 1.65 s later. The daemon that takes over may claim after 2.2 s and commanded 2.5 s after that: both could command. The claim now settles for 4.5 s, and a test compares the sum with the timings that it follows from. Engines that arbitrate aren't concerned.

--- a/include/balsamport/edge/fleet_contact.h
+++ b/include/balsamport/edge/fleet_contact.h
@@ -40,6 +40,12 @@
     bool operator==(const ContactState &) const = default;
 };
 
+/// How long a daemon has to have claimed an engine before it commands it by contact alone. The
+/// claim begins PeerTimings::localPeerTimeout after a cut at the earliest; an owner behind the cut
+/// has a majority for PeerTimings::remotePeerTimeout, and its last command arrives up to
+/// reservationUse() and CommandLeaseTimings::deliveryTime later.
+constexpr Millis claimSettlingTime{4'500};
+
 /// @brief Returns the number of daemons that a table lists or remembers, without this one and those
 /// that have announced their end and are silent since.
 [[nodiscard]] std::size_t knownMembers(const PeerTable &peers, Millis now);
--- a/src/edge/engine_reservations.cpp
+++ b/src/edge/engine_reservations.cpp
@@ -10,9 +10,6 @@
 constexpr Millis reservationTimeout{500};
 /// Until a reservation is requested again after the engine refused one.
 constexpr Millis reservationRetryInterval{300};
-/// Within this time after one daemon claims an engine, all others in contact with it know, also
-/// those of other data centres.
-constexpr Millis claimExchangeTime{2'500};
 
 } // namespace
 
@@ -169,7 +166,7 @@
     const CommandLeaseTimings timings = this->leaseTimings(nullptr);
     const CommandLease &lease = this->commandStateOf(term.server.id).lease;
     Millis from = std::max(unarbitratedFrom(this->contact, timings),
-                           term.acquiredAt + claimExchangeTime);
+                           term.acquiredAt + claimSettlingTime);
     if (term.contestedAt >= Millis(0)) {
         from = std::max(from, term.contestedAt + timings.lease + timings.margin);
     }
--- a/tests/include/command_world.h
+++ b/tests/include/command_world.h
@@ -570,7 +570,6 @@
     {
         Daemon &daemon = this->daemons[index];
         const CommandLeaseTimings timings;
-        constexpr Millis claimExchangeTime{2'500};
         Millis from = unarbitratedFrom(daemon.contact, timings);
         if (daemon.contestedAt >= Millis(0)) {
             from = std::max(from, daemon.contestedAt + timings.lease + timings.margin);
@@ -579,7 +578,7 @@
             from = std::max(from, expectedAcquisition(daemon.lease, timings));
         }
         const bool isOwner = daemon.ownedSince >= Millis(0)
-                && this->now >= daemon.ownedSince + claimExchangeTime;
+                && this->now >= daemon.ownedSince + claimSettlingTime;
         if (!isOwner || this->now < from) {
             daemon.reserveFrom = this->now + Millis(300);
             return;
--- a/tests/src/unit-fleet-contact.cpp
+++ b/tests/src/unit-fleet-contact.cpp
@@ -197,6 +197,12 @@
             REQUIRE(unarbitratedFrom(state, timings) == ContactState::never);
         }
     }
+    SECTION("a claim outlasts the majority of an owner behind a cut and its last command")
+    {
+        const PeerTimings peers;
+        REQUIRE(peers.localPeerTimeout + claimSettlingTime >= peers.remotePeerTimeout
+                        + reservationUse(timings) + CommandLeaseTimings::deliveryTime);
+    }
     SECTION("a lease can't be acquired before, however long the count is unchanged")
     {
         CommandLease lease;
