--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -59,7 +59,7 @@
     /// The same for a remote peer, whose delegate may have to be replaced first.
     Millis remotePeerTimeout{5'000};
     Millis silentPeerRetention{20'000}; ///< A peer that is silent for longer is removed.
-    /// One that was removed while this daemon heard at most half of the others still counts as a
+    /// One that was removed while at most half of the others were alive still counts as a
     /// member for this long: it may live behind a cut.
     Millis removedPeerMemory{120'000};
 
@@ -107,7 +107,8 @@
 bool discoverPeer(PeerTable &table, const PeerStatus &status, Millis now);
 
 /// @brief Removes the peers that were silent for longer than PeerTimings::silentPeerRetention.
-/// @param hasMajority this daemon hears more than half of the others; if not, it remembers them
+/// @param hasMajority more than half of the others are alive; if not, the removed ones are
+/// remembered
 /// @return the removed peers
 std::vector<VmId> removeSilentPeers(PeerTable &table, bool hasMajority, Millis now);
 
--- a/tests/src/unit-fleet-contact.cpp
+++ b/tests/src/unit-fleet-contact.cpp
@@ -20,11 +20,12 @@
         this->peers.self = VmId("v0");
         this->peers.dataCentre = DataCentreId("a");
         for (std::size_t i = 1; i <= others; ++i) {
-            this->hear(i, start);
+            this->receiveFrom(i, start);
         }
     }
 
-    void hear(std::size_t number, Millis at, bool draining = false, std::uint32_t knownMembers = 0)
+    void receiveFrom(std::size_t number, Millis at, bool draining = false,
+                     std::uint32_t knownMembers = 0)
     {
         PeerStatus status;
         status.vm = VmId("v" + std::to_string(number));
@@ -47,12 +48,12 @@
 
 TEST_CASE("a daemon assesses how much of the fleet it is in contact with")
 {
-    SECTION("one that hears more than half of the others has a majority")
+    SECTION("one to which more than half of the others are alive has a majority")
     {
         Fleet fleet(7);
         const Millis now = start + Millis(4'000);
         for (std::size_t i = 1; i <= 4; ++i) {
-            fleet.hear(i, now);
+            fleet.receiveFrom(i, now);
         }
         REQUIRE(fleet.assess(storeReached, now) == FleetContact::Majority);
         SECTION("also while the store is down")
@@ -65,7 +66,7 @@
         Fleet fleet(7);
         const Millis now = start + Millis(4'000);
         for (std::size_t i = 1; i <= 2; ++i) {
-            fleet.hear(i, now);
+            fleet.receiveFrom(i, now);
         }
         SECTION("is isolated without the store")
         {
@@ -85,16 +86,16 @@
     {
         Fleet fleet(3);
         const Millis now = start + Millis(4'000);
-        fleet.hear(1, now);
+        fleet.receiveFrom(1, now);
         REQUIRE(fleet.assess(storeReached, now) == FleetContact::Minority);
     }
     SECTION("daemons that announced their end don't count once they are silent")
     {
         Fleet fleet(3);
-        fleet.hear(2, start + Millis(1), true);
-        fleet.hear(3, start + Millis(1), true);
+        fleet.receiveFrom(2, start + Millis(1), true);
+        fleet.receiveFrom(3, start + Millis(1), true);
         const Millis now = start + Millis(4'000);
-        fleet.hear(1, now);
+        fleet.receiveFrom(1, now);
         REQUIRE(fleet.assess(storeLost, now) == FleetContact::Majority);
     }
     SECTION("daemons that were removed as silent in a minority count for two minutes")
@@ -103,10 +104,10 @@
         const Millis removedAt = start + Millis(20'100);
         REQUIRE(removeSilentPeers(fleet.peers, false, removedAt).size() == 3);
         REQUIRE(fleet.assess(storeReached, removedAt) == FleetContact::Minority);
-        SECTION("unless they are heard again")
+        SECTION("unless they send again")
         {
-            fleet.hear(1, removedAt);
-            fleet.hear(2, removedAt);
+            fleet.receiveFrom(1, removedAt);
+            fleet.receiveFrom(2, removedAt);
             REQUIRE(knownMembers(fleet.peers, removedAt) == 3);
             REQUIRE(fleet.assess(storeReached, removedAt) == FleetContact::Majority);
         }
@@ -126,11 +127,11 @@
     SECTION("one that restarted inside a cut goes by what the others beside it know")
     {
         Fleet fleet(0);
-        fleet.hear(1, start, false, 7);
-        fleet.hear(2, start, false, 7);
+        fleet.receiveFrom(1, start, false, 7);
+        fleet.receiveFrom(2, start, false, 7);
         REQUIRE(fleet.assess(storeLost, start) == FleetContact::Isolated);
     }
-    SECTION("one that has heard nobody since its start")
+    SECTION("one that has received nothing since its start")
     {
         const Fleet fleet(0);
         SECTION("is no majority while its seed nodes may live")
@@ -182,7 +183,7 @@
             REQUIRE(acquirableFrom(state, timings) == ContactState::never);
             updateContact(state, FleetContact::Minority, healed);
             REQUIRE(acquirableFrom(state, timings) == healed + leaseAndMargin);
-            SECTION("which doesn't begin anew when more daemons are heard")
+            SECTION("which doesn't begin anew when more daemons are alive")
             {
                 REQUIRE(updateContact(state, FleetContact::Majority, healed + Millis(500)));
                 REQUIRE_FALSE(updateContact(state, FleetContact::Majority, healed + Millis(600)));
