--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review-2/spoiled-answers ] && [ -x target/balsamport-edge ] || exit 2
-exec timeout -s KILL 118 target/review-2/spoiled-answers field "$here/record.txt"
+exec timeout -s KILL 118 target/review-2/spoiled-answers length "$here/record.txt"
--- a/review/stand-ins-2/replica.h
+++ b/review/stand-ins-2/replica.h
@@ -66,9 +66,8 @@
 // Answers of all replicas in trouble, so that each n-th of them is wrong.
 inline std::atomic<int> copyCount{0};
 inline std::atomic<int> spoilCount{0};
-inline std::atomic<int> failureCount{0};
 
-/// A span of the run in which a replica hands out wrong bytes.
+/// A span of the run in which a replica is in trouble.
 struct Trouble
 {
     double fromMs = 0;
@@ -105,9 +104,9 @@
     /// Wrong bytes: changes an answer before it is sent. Called in the spans of `spoiled`.
     std::vector<Trouble> spoiled;
     std::function<void(std::string &answer)> spoil;
-    /// Fails in these spans; called after the run, returns the answer.
-    std::vector<Trouble> failing;
-    std::function<std::string(const std::string &id)> failure;
+    /// Loses a share of its answers in these spans: the request has run, its connection is reset.
+    std::vector<Trouble> losing;
+    double lostShare = 0;
 };
 
 class Replica
@@ -253,6 +252,13 @@
         return false;
     }
 
+    bool losesAnswer()
+    {
+        const bool covered = std::any_of(this->options.losing.begin(), this->options.losing.end(),
+                                         [](const Trouble &span) { return span.covers(nowMs()); });
+        return covered && this->fraction() < this->options.lostShare;
+    }
+
     bool plain(Connection &connection, const Message &request, const std::string &id, Kept &kept)
     {
         {
@@ -285,11 +291,14 @@
                 + this->options.id + "." + id
                 + "\r\nContent-Type: text/plain\r\nKeep-Alive: timeout=10\r\n"
                 + format("Content-Length: %zu\r\n\r\n", body.size()) + body;
-        if (this->options.failure && this->isDue(this->options.failing, failureCount)) {
+        if (this->losesAnswer()) {
             ++this->wrongAnswers;
-            record.line("failure  " + this->options.id + " fails " + id + " after its run");
-            text = this->options.failure(id);
-        } else if (this->options.spoil && this->isDue(this->options.spoiled, spoilCount)) {
+            record.line("lost     " + this->options.id + " has run " + id
+                        + " and resets the connection");
+            connection.reset();
+            return false;
+        }
+        if (this->options.spoil && this->isDue(this->options.spoiled, spoilCount)) {
             ++this->wrongAnswers;
             this->options.spoil(text);
             record.line("garble   " + this->options.id + " spoils its answer to " + id + ": "
@@ -557,7 +566,7 @@
     std::int64_t born;
     mutable std::mutex mutex;
     std::condition_variable slotFree;
-    std::mt19937 random{7};
+    std::mt19937 random{static_cast<unsigned int>(unixMs())};
     int busy = 0;
     std::atomic<int> running{0};
     std::atomic<int> connectionCount{0};
--- a/review/stand-ins-2/traffic.h
+++ b/review/stand-ins-2/traffic.h
@@ -35,6 +35,7 @@
     int meanEvents = 0;
     int maxEvents = 0;
     std::size_t bodyBytes = 0;
+    std::string path = {}; ///< Of all its requests; each has its own if empty.
 };
 
 inline const std::vector<Kind> &kinds()
@@ -61,7 +62,8 @@
 }
 
 /// The configuration of the deployment.
-inline std::string configText(unsigned long long version)
+/// @param addedRoute text of a route that an operator has added; empty for none
+inline std::string configText(unsigned long long version, const std::string &addedRoute = {})
 {
     const std::string resumable = R"(,"sticky":true,"resumable":true,"target_gap_ms":400)";
     const std::string single = R"(,"sticky":true,"resumable":false,"target_gap_ms":400)";
@@ -71,7 +73,7 @@
             + "," + routeText("loom-help", "streaming", 15'000, 800, 0, "sprakverk", 2, resumable)
             + "," + routeText("cord-order", "unsafe", 1'200, 400, 2, "orderdisk", 1) + ","
             + routeText("stock-look", "safe", 1'200, 400, 2, "orderdisk", 2)
-            + R"(],"services":[{"name":"sprakverk","health_path":"/health","max_connections":370,)"
+            + (addedRoute.empty() ? std::string() : "," + addedRoute) + R"(],"services":[{"name":"sprakverk","health_path":"/health","max_connections":370,)"
               R"("protocol":"h1","tls":false,"engine":{"slots":64,"kv_capacity":253009,)"
               R"("kv_token_bytes":163840,"link_mbps":550000.0,"moves":true,"backups":true,)"
               R"("stride":4,"cap":12,"host_mb":140000.0,"disk_mb":410000.0,"pin_ms":4000.0,)"
@@ -99,12 +101,21 @@
     /// Sends requests of some kinds until a moment, and waits for the answers.
     void play(const std::vector<std::string> &names, double untilMs)
     {
-        std::vector<std::thread> senders;
+        std::vector<Kind> chosen;
         for (const Kind &kind : kinds()) {
             if (std::find(names.begin(), names.end(), kind.name) != names.end()) {
-                senders.emplace_back([this, kind, untilMs] { this->sendAll(kind, untilMs); });
+                chosen.push_back(kind);
             }
         }
+        this->playKinds(chosen, untilMs);
+    }
+
+    void playKinds(const std::vector<Kind> &chosen, double untilMs)
+    {
+        std::vector<std::thread> senders;
+        for (const Kind &kind : chosen) {
+            senders.emplace_back([this, kind, untilMs] { this->sendAll(kind, untilMs); });
+        }
         for (std::thread &sender : senders) {
             sender.join();
         }
@@ -128,7 +139,8 @@
             Connection connection(fd);
             Message response;
             const double until = nowMs() + kind.deadlineMs + 1'000;
-            connection.write(kind.method + " /" + kind.name + "/" + id + " HTTP/1.1\r\nHost: "
+            const std::string path = kind.path.empty() ? "/" + kind.name + "/" + id : kind.path;
+            connection.write(kind.method + " " + path + " HTTP/1.1\r\nHost: "
                              + "boras.example\r\nX-Request-Id: " + id
                              + format("\r\nX-Deadline-Ms: %d\r\n", kind.deadlineMs) + fields
                              + (kind.method == "GET"
--- a/review/stand-ins-2/world.h
+++ b/review/stand-ins-2/world.h
@@ -216,6 +216,14 @@
         }
     }
 
+    /// Ends the connection with a reset.
+    void reset()
+    {
+        const linger atOnce{1, 0};
+        setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+        this->shut();
+    }
+
     bool write(std::string_view text)
     {
         while (!text.empty()) {
@@ -784,7 +792,7 @@
 /// @return the first three bytes of loopback addresses of which the first 60 are free
 inline std::string freeNetwork()
 {
-    std::mt19937 random(static_cast<unsigned int>(getpid()) ^ static_cast<unsigned int>(unixMs()));
+    std::random_device random;
     while (true) {
         const std::string network = format("127.%d.%d", static_cast<int>(random() % 250 + 2),
                                            static_cast<int>(random() % 250 + 2));
