--- a/review/stand-ins-2/lost-answers.cpp
+++ b/review/stand-ins-2/lost-answers.cpp
@@ -38,13 +38,13 @@
     constexpr double configMs = 3'000;
     constexpr double contactMs = 4'000;
     constexpr double troubleMs = 4'000;
-    constexpr int spans = 10;
+    constexpr int spans = 13;
     constexpr double spanEveryMs = 6'000;
-    constexpr double steadyMs = 12'000;
+    constexpr double steadyMs = 10'000;
     constexpr int troubled = 2; // Of 3 replicas: 0.6, as the bench rounds it.
     Deployment deployment(argc > 1 ? argv[1] : "record.txt");
     std::vector<ReplicaOptions> options = plainReplicas();
-    const double from = nowMs() + 15'000;
+    const double from = nowMs() + 12'000;
     const double steadyFrom = from + (spans - 1) * spanEveryMs + troubleMs + contactMs;
     if (hasTrouble()) {
         for (int i = 0; i < troubled; ++i) {
