Reviews 6 to 9: stand-ins in the cases' folders, doses counted

What the cases share lies in review/6 and review/8; each run counts the answers in its spans, keeps the wrong ones within the limit at every moment, and ends with 2 beyond it.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,5 +4,8 @@
 # review/build-2.sh.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
-[ -x target/review-2/spoiled-answers ] && [ -x target/balsamport-edge ] || exit 2
-exec timeout -s KILL 118 target/review-2/spoiled-answers length "$here/record.txt"
+[ -x target/review-2/spoiled_length ] && [ -x target/balsamport-edge ] || exit 2
+timeout -s KILL 118 target/review-2/spoiled_length "$here/record.txt"
+result=$?
+[ "$result" -le 1 ] || result=2
+exit "$result"
--- a/review/stand-ins-2/spoiled-answers.cpp
+++ b/review/8/spoiled.h
@@ -1,47 +1,30 @@
-// Cases: a replica spoils one byte in the head of an answer.
-// "length": a digit of Content-Length. A part of the body passes for the whole answer.
-// "field": a character of a field's name. The client gets bytes that are no answer in the protocol.
+// Plays a replica that spoils some of its answers, and judges what the clients get by the rule MIXED.
 
-#include "traffic.h"
+#ifndef REVIEW_SPOILED_H
+#define REVIEW_SPOILED_H
 
-using namespace review;
+#include "../6/traffic.h"
 
-namespace {
+namespace review {
 
-/// Replaces one byte of the head: the zero after the first digit of the length by the letter O.
-void spoilLength(std::string &answer)
-{
-    const std::size_t at = answer.find("Content-Length: ") + 16;
-    if (answer[at + 1] == '0') {
-        answer[at + 1] = 'O';
-    }
-}
-
-/// Replaces one byte of the head: the hyphen of "Keep-Alive" or "Content-Type" by a blank.
-void spoilField(std::string &answer)
-{
-    const std::size_t at = answer.find("Content-Type: ");
-    answer[at + 7] = ' ';
-}
-
-} // namespace
-
-int main(int argc, char **argv)
+/// @param spoil changes one byte in the head of an answer
+/// @return never: ends the process with the result
+inline int playSpoiled(const std::string &recordFile, void (*spoil)(std::string &answer))
 {
     constexpr double troubleMs = 5'500;
-    constexpr int everyNth = 50; // 0.02 of the answers.
+    constexpr double share = 0.02;
     constexpr int spans = 4;
     constexpr double spanEveryMs = 9'500;
-    const std::string which = argc > 1 ? argv[1] : "length";
-    Deployment deployment(argc > 2 ? argv[2] : "record.txt");
+    Deployment deployment(recordFile);
     std::vector<ReplicaOptions> options = plainReplicas();
     const double from = nowMs() + 8'000;
     if (hasTrouble()) {
-        // 0.453 of three replicas, rounded down.
-        options[1].spoil = which == "field" ? spoilField : spoilLength;
+        // 0.35 of three replicas, rounded.
+        options[1].spoil = spoil;
+        options[1].share = share;
         for (int i = 0; i < spans; ++i) {
             const double begin = from + i * spanEveryMs;
-            options[1].spoiled.push_back(Trouble{begin, begin + troubleMs, everyNth});
+            options[1].spans.push_back(Trouble{begin, begin + troubleMs});
         }
     }
     if (!deployment.start(options)) {
@@ -79,12 +62,20 @@
     for (const auto &replica : deployment.replicas) {
         spoiled += replica->wrongAnswers;
     }
-    record.note(format("%zu requests, %d whole answers, %d spoiled answers of the replica, %d wrong "
-                       "answers at clients",
-                       answers.size(), whole, spoiled, violations));
+    record.note(format("%zu requests, %d whole answers; the replica spoiled %d of %d answers in the "
+                       "spans; %d wrong answers at clients",
+                       answers.size(), whole, spoiled, dose.answers(), violations));
+    if (spoiled > share * dose.answers()) {
+        record.note("more spoiled answers than the limit");
+        endWith(couldNotRun, deployment);
+    }
     if (answers.empty() || whole * 2 < static_cast<int>(answers.size())) {
         record.note("too few whole answers for a verdict");
         endWith(couldNotRun, deployment);
     }
     endWith(violations > 0 ? broken : held, deployment);
 }
+
+} // namespace review
+
+#endif
