Judge the head of a response by its bytes as they came

Cause: the head that the daemon judged and passed on was what libcurl had left of it. libcurl reads the digits that a length begins with, lets the last of two lengths decide, and takes any line with a colon for a field.

Change: ResponseReader gives the lines as they came to Boost.Beast's parser, and the head that is passed on is the one that this parser read. What is no response closes the connection and ends the exchange with the new error malformed_response. It counts against the replica as a broken response does, and not as a crash: repeated where that is allowed, else 502. It has a log line and a metric of its own. Folded lines are refused (RFC 9112, 5.2, leaves the choice), as joined they could change another field's value.

--- a/include/balsamport/core/error.h
+++ b/include/balsamport/core/error.h
@@ -91,6 +91,7 @@
     RateLimited = 611,
     ListenFailed = 612,
     AnswerIncomplete = 613,
+    MalformedResponse = 614,
 
     Internal = 701,
 };
--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -65,6 +65,9 @@
 constexpr MetricInfo edgeNotices{"balsamport_edge_server_notices_total", MetricKind::Counter,
                                  "kind",
                                  "Answers by which backend servers said that they leave or pause"};
+constexpr MetricInfo edgeMalformedResponses{
+        "balsamport_edge_malformed_responses_total", MetricKind::Counter, "call",
+        "Answers whose bytes were no HTTP response, by call: request, control"};
 constexpr MetricInfo edgeCrashReports{
         "balsamport_edge_crash_reports_total", MetricKind::Counter, "origin",
         "Reports of a request that was in progress when its backend server ended, by origin"};
@@ -142,6 +145,7 @@
         edgeWait,
         edgeRetries,
         edgeNotices,
+        edgeMalformedResponses,
         edgeCrashReports,
         edgeSuspects,
         edgeConvicted,
--- a/include/balsamport/http/http_client.h
+++ b/include/balsamport/http/http_client.h
@@ -66,13 +66,15 @@
     /// Receives a chunk of the body; returning false pauses the exchange until resume().
     std::function<bool(std::string_view chunk)> onBodyChunk;
     /// Called once at the end of the exchange. After ConnectFailed and ClaimExpired no byte of the
-    /// request was sent; after ConnectionBroken, Timeout and BadResponse the server may have read
-    /// it.
+    /// request was sent; after ConnectionBroken, Timeout, BadResponse and MalformedResponse, which
+    /// says that the bytes are no HTTP response, the server may have read it.
     std::function<void(const Result<void> &result)> onDone;
 };
 
 /// @brief Sends HTTP requests with libcurl, any number at the same time, on a thread of its own.
 ///
+/// The heads of responses are judged by their bytes as they came. After one that is no HTTP
+/// response the connection is closed.
 /// Proxies named in the environment are not used. Connections are kept and reused. A request on a
 /// kept connection that breaks before the first byte of the response is never resent
 /// automatically. All functions may be called from any thread.
@@ -98,7 +100,7 @@
     /// @brief Sends a request and waits for the complete response. Must not be called on the
     /// client's thread.
     /// @return the response whatever its status, or ConnectFailed, ConnectionBroken, Timeout,
-    /// BadResponse
+    /// BadResponse, MalformedResponse
     [[nodiscard]] Result<HttpResponse> fetch(OutgoingRequest request);
 
 private:
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -87,6 +87,7 @@
         {ErrorCode::RateLimited, "rate_limited"},
         {ErrorCode::ListenFailed, "listen_failed"},
         {ErrorCode::AnswerIncomplete, "answer_incomplete"},
+        {ErrorCode::MalformedResponse, "malformed_response"},
         {ErrorCode::Internal, "internal"},
 });
 
--- a/src/edge/edge_context.cpp
+++ b/src/edge/edge_context.cpp
@@ -1,5 +1,7 @@
 #include "edge_context.h"
 
+#include <balsamport/core/metric_names.h>
+
 #include <utility>
 
 namespace balsamport {
@@ -22,12 +24,17 @@
         return true;
     };
     request.maxResponseBytes = maxResponseBytes;
-    handlers.onDone = [response, &loop = context.loop,
+    handlers.onDone = [response, &loop = context.loop, &metrics = context.metrics,
                        task = std::move(handler)](const Result<void> &result) {
         Result<HttpResponse> fetched = result.has_error()
                 ? Result<HttpResponse>(result.error())
                 : Result<HttpResponse>(std::move(*response));
-        loop.post([task, outcome = std::move(fetched)] { task(outcome); });
+        loop.post([task, &metrics, outcome = std::move(fetched)] {
+            if (outcome.has_error() && outcome.error().code == ErrorCode::MalformedResponse) {
+                metrics.counter(metric::edgeMalformedResponses, "control").add();
+            }
+            task(outcome);
+        });
     };
     context.http.start(std::move(request), std::move(handlers));
 }
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -318,6 +318,13 @@
     if (this->ended || sent != this->attempt) {
         return;
     }
+    if (result.has_error() && result.error().code == ErrorCode::MalformedResponse) {
+        this->context.edge.metrics.counter(metric::edgeMalformedResponses, "request").add();
+        this->context.edge.log.write(EventPriority::Notable, "malformed_response",
+                                     {{"request", this->request.id.str()},
+                                      {"server", sent->server.str()},
+                                      {"detail", result.error().detail}});
+    }
     if (sent->invalidResponse) {
         this->handleFailure(sent, ErrorCode::BadResponse);
         return;
--- a/src/http/curl_exchange.cpp
+++ b/src/http/curl_exchange.cpp
@@ -1,7 +1,5 @@
 #include "curl_exchange.h"
 
-#include <balsamport/core/http_status.h>
-
 #include <mutex>
 #include <utility>
 
@@ -14,22 +12,6 @@
 /// HTTP servers are 8 to 64 KiB.
 constexpr std::size_t maxHeadBytes = 64 * 1024;
 
-std::string_view trimLineEnd(std::string_view line) noexcept
-{
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-        line.remove_suffix(1);
-    }
-    return line;
-}
-
-std::string_view trimLeadingBlanks(std::string_view text) noexcept
-{
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-        text.remove_prefix(1);
-    }
-    return text;
-}
-
 } // namespace
 
 void startCurl()
@@ -41,6 +23,7 @@
 CurlExchange::CurlExchange(OutgoingRequest ownedRequest, ExchangeHandlers ownedHandlers)
     : request(std::move(ownedRequest))
     , handlers(std::move(ownedHandlers))
+    , reader(this->request.method == "HEAD")
     , easy(curl_easy_init())
 {
     this->setOptions();
@@ -151,30 +134,15 @@
         self->responseTooLong = true;
         return 0; // Ends the exchange.
     }
-    self->parseHeaderLine(std::string_view(data, bytes));
-    return bytes;
-}
-
-void CurlExchange::parseHeaderLine(std::string_view line)
-{
-    line = trimLineEnd(line);
-    if (line.substr(0, 5) == "HTTP/") {
-        this->head = ResponseHead{};
-        return;
-    }
-    const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        this->head.headers.push_back(
-                HttpHeader{std::string(line.substr(0, colon)),
-                           std::string(trimLeadingBlanks(line.substr(colon + 1)))});
-        return;
+    const Result<void> read = self->reader.readHeadLine(std::string_view(data, bytes));
+    if (read.has_error()) {
+        self->malformation = read.error();
+        return 0;
     }
-    long status = 0;
-    curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
-    this->head.status = static_cast<int>(status);
-    if (line.empty() && this->head.status >= httpstatus::ok) {
-        this->deliverHead();
+    if (self->reader.isHeadComplete()) {
+        self->deliverHead();
     }
+    return bytes;
 }
 
 void CurlExchange::deliverHead()
@@ -184,7 +152,7 @@
     }
     this->headDelivered = true;
     if (this->handlers.onHead) {
-        this->handlers.onHead(this->head);
+        this->handlers.onHead(this->reader.head());
     }
 }
 
@@ -216,12 +184,17 @@
     if (this->responseTooLong) {
         return Error{ErrorCode::BadResponse, this->request.url + ": the answer has no end"};
     }
+    if (this->malformation) {
+        return Error{this->malformation->code,
+                     this->request.url + ": " + this->malformation->detail};
+    }
     switch (code) {
     case CURLE_OPERATION_TIMEDOUT:
         return Error{ErrorCode::Timeout, detail};
     case CURLE_WEIRD_SERVER_REPLY:
     case CURLE_UNSUPPORTED_PROTOCOL:
-        return Error{ErrorCode::BadResponse, detail};
+    case CURLE_BAD_CONTENT_ENCODING: // An unknown transfer coding.
+        return Error{ErrorCode::MalformedResponse, detail};
     default:
         return Error{ErrorCode::ConnectionBroken, detail};
     }
@@ -231,10 +204,10 @@
 {
     if (code != CURLE_OK) {
         this->endWith(this->errorOf(code));
-        return;
-    }
-    this->deliverHead();
-    if (this->handlers.onDone) {
+    } else if (!this->reader.isHeadComplete()) {
+        this->endWith(Error{ErrorCode::MalformedResponse,
+                            this->request.url + ": the response has no head"});
+    } else if (this->handlers.onDone) {
         this->handlers.onDone(BOOST_OUTCOME_V2_NAMESPACE::success());
     }
 }
--- a/src/http/curl_exchange.h
+++ b/src/http/curl_exchange.h
@@ -1,10 +1,14 @@
 #ifndef BALSAMPORT_HTTP_CURL_EXCHANGE_H
 #define BALSAMPORT_HTTP_CURL_EXCHANGE_H
 
+#include "response_reader.h"
+
 #include <balsamport/http/http_client.h>
 
 #include <curl/curl.h>
 
+#include <optional>
+
 namespace balsamport {
 
 /// @brief Initializes libcurl once for the process. May be called repeatedly, from any thread.
@@ -40,21 +44,21 @@
     void setOptions();
     void setMessage();
     bool confirmSend(const std::string &connection);
-    void parseHeaderLine(std::string_view line);
     void deliverHead();
     [[nodiscard]] Error errorOf(CURLcode code) const;
 
     OutgoingRequest request;
     ExchangeHandlers handlers;
+    ResponseReader reader;
     CURL *easy = nullptr;
     curl_slist *headerList = nullptr;
-    ResponseHead head;
     bool headDelivered = false;
     bool sendingStarted = false;
     bool sendRefused = false;
     bool connectionRefused = false; ///< The chosen connection carried the request before.
     std::size_t headBytes = 0; ///< Of all heads so far, interim ones included.
     std::size_t bodyBytes = 0;
+    std::optional<Error> malformation; ///< Why the bytes are no response.
     bool responseTooLong = false; ///< The response exceeded the limit of its head or its length.
 };
 
--- a/src/policy/outcome.cpp
+++ b/src/policy/outcome.cpp
@@ -112,6 +112,7 @@
         return 429;
     case ErrorCode::ConnectionBroken:
     case ErrorCode::BadResponse:
+    case ErrorCode::MalformedResponse:
     case ErrorCode::BackendServerCrashed:
     case ErrorCode::WrongVersion:
     case ErrorCode::BackendServerError:
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -51,6 +51,7 @@
     case ErrorCode::ConnectionBroken:
     case ErrorCode::Timeout:
     case ErrorCode::BadResponse:
+    case ErrorCode::MalformedResponse:
     case ErrorCode::BackendServerCrashed:
     case ErrorCode::AdapterNotLoaded:
     case ErrorCode::WrongVersion:
--- a/tests/e2e/link_proxy.h
+++ b/tests/e2e/link_proxy.h
@@ -23,6 +23,7 @@
     Silent, ///< No bytes pass; connections stay open.
     SilentBack, ///< As Silent, but only from the server to the caller.
     Refusing, ///< New connections are closed immediately.
+    Spoiled, ///< Responses are no HTTP: the hyphen in the names of their lengths is a blank.
 };
 
 /// @brief A TCP relay on loopback that injects the faults of LinkMode.
@@ -228,9 +229,22 @@
             });
             return;
         }
+        if (now == LinkMode::Spoiled && isResponse) {
+            spoil(buffer, count);
+        }
         this->write(connection, from, to, buffer, count, isResponse);
     }
 
+    static void spoil(std::array<char, 16384> &buffer, std::size_t count)
+    {
+        for (const std::string_view name : {"Content-Length:", "Transfer-Encoding:"}) {
+            const std::size_t at = std::string_view(buffer.data(), count).find(name);
+            if (at != std::string_view::npos) {
+                buffer.at(at + name.find('-')) = ' ';
+            }
+        }
+    }
+
     void write(const std::shared_ptr<Connection> &connection, Socket &from, Socket &to,
                std::array<char, 16384> &buffer, std::size_t count, bool isResponse)
     {
--- a/tests/e2e/rogue_responses.h
+++ b/tests/e2e/rogue_responses.h
@@ -4,6 +4,7 @@
 #include "scripted_service.h"
 
 #include <raw_caller.h>
+#include <response_forms.h>
 
 #include <catch2/catch.hpp>
 
@@ -133,9 +134,58 @@
         respondWhole(request, connection, id);
     }
 
+    /// @return the one of `forms` whose number the path of a request states; nothing for none
+    static std::optional<ResponseForm> findForm(const ReceivedRequest &request, const char *kind,
+                                                const std::vector<ResponseForm> &forms)
+    {
+        for (std::size_t i = 0; i < forms.size(); ++i) {
+            if (has(request, fmt::format("{}-{}", kind, i))) {
+                return forms[i];
+            }
+        }
+        return std::nullopt;
+    }
+
+    static std::string identityOf(const ReceivedRequest &request, const std::string &id)
+    {
+        return fmt::format("X-Request-Id: {0}\r\nX-Response-Seal: seal-{0}\r\n{1}", id,
+                           isStream(request) ? "Content-Type: text/event-stream\r\n" : "");
+    }
+
+    static std::string contentOf(const ReceivedRequest &request, const std::string &id)
+    {
+        return isStream(request) ? eventsOf(id, 1, eventCount) : "done " + id;
+    }
+
+    /// Responds in a form of response_forms.h.
+    /// @return false if the path states none
+    static bool respondInForm(const ReceivedRequest &request, ServerConnection &connection,
+                              const std::string &id)
+    {
+        const std::string identity = identityOf(request, id);
+        const std::string content = contentOf(request, id);
+        std::optional<ResponseForm> form
+                = findForm(request, "malformed-head", malformedHeads(identity, content));
+        if (!form) {
+            form = findForm(request, "sound-head", soundHeads(identity, content));
+        }
+        if (!form) {
+            return false;
+        }
+        connection.write(form->bytes);
+        if (form->bytes.find("Connection: close") != std::string::npos
+            || form->bytes.rfind("HTTP/1.0", 0) == 0) {
+            connection.close();
+        }
+        return true;
+    }
+
     static void respondFaulty(const ReceivedRequest &request, ServerConnection &connection,
                               const std::string &id)
     {
+        if (respondInForm(request, connection, id)) {
+            return;
+        }
         const std::string type = isStream(request) ? "Content-Type: text/event-stream\r\n" : "";
         const std::string head = sealedHead(id) + type;
         const std::string some = isStream(request) ? eventsOf(id, 1, eventsBeforeBreak) : "do";
