Decode chunked bodies by the parser that judged the head

A caller could get a cut body or stream that looked whole: libcurl reads the digits that a chunk's size begins with and skips the rest of the line, so that "0O" or "0x5" is the last chunk, and the data behind it a trailer.

Cause: the same as with heads: what was judged was what libcurl had left. Bad sizes that libcurl did refuse ended as connection_broken, which counts as evidence of a crash.

Change: libcurl passes chunks on as they came, and ResponseReader decodes them with the parser of the head, trailers included. A response followed by further bytes is served, and its connection closed. Chunk sizes and trailers are bounded.

The malformed and the sound forms are played through a daemon by e2e-malformed-responses as well.

--- a/include/balsamport/http/http_client.h
+++ b/include/balsamport/http/http_client.h
@@ -73,8 +73,8 @@
 
 /// @brief Sends HTTP requests with libcurl, any number at the same time, on a thread of its own.
 ///
-/// The heads of responses are judged by their bytes as they came. After one that is no HTTP
-/// response the connection is closed.
+/// Responses are judged by their bytes as they came. After one that is no HTTP response, or that is
+/// followed by further bytes, the connection is closed.
 /// Proxies named in the environment are not used. Connections are kept and reused. A request on a
 /// kept connection that breaks before the first byte of the response is never resent
 /// automatically. All functions may be called from any thread.
--- a/src/http/curl_exchange.cpp
+++ b/src/http/curl_exchange.cpp
@@ -1,5 +1,6 @@
 #include "curl_exchange.h"
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
@@ -44,6 +45,9 @@
     curl_easy_setopt(this->easy, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(this->easy, CURLOPT_TCP_NODELAY, 1L);
+    // Chunks are passed on as they came and decoded by the reader; libcurl's decoder takes "1O" for
+    // a size of 1.
+    curl_easy_setopt(this->easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(this->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(this->request.connectTimeout.count()));
@@ -160,16 +164,38 @@
 {
     auto *self = static_cast<CurlExchange *>(user);
     const std::size_t bytes = size * count;
+    const std::size_t replayed = std::min(self->readAhead, bytes);
     const std::size_t maxBytes = self->request.maxResponseBytes;
-    if (maxBytes != 0 && self->headBytes + self->bodyBytes + bytes > maxBytes) {
+    if (maxBytes != 0 && self->headBytes + self->bodyBytes + bytes - replayed > maxBytes) {
         self->responseTooLong = true;
         return 0; // Ends the exchange.
     }
-    if (self->handlers.onBodyChunk && !self->handlers.onBodyChunk(std::string_view(data, bytes))) {
+    if (!self->malformation) {
+        const Result<void> read
+                = self->reader.readBody(std::string_view(data, bytes).substr(replayed));
+        if (read.has_error()) {
+            self->malformation = read.error();
+        }
+        self->pendingContent += self->reader.takeContent();
+    }
+    self->bodyBytes += bytes - replayed;
+    if (!self->deliverContent()) {
+        self->readAhead = std::max(self->readAhead, bytes);
         return CURL_WRITEFUNC_PAUSE;
     }
-    self->bodyBytes += bytes;
-    return bytes;
+    self->readAhead -= replayed;
+    // Bytes behind the response belong to no request, so the connection is closed as well.
+    return self->malformation || self->reader.hasSurplus() ? 0 : bytes;
+}
+
+bool CurlExchange::deliverContent()
+{
+    if (!this->pendingContent.empty() && this->handlers.onBodyChunk
+        && !this->handlers.onBodyChunk(this->pendingContent)) {
+        return false;
+    }
+    this->pendingContent.clear();
+    return true;
 }
 
 Error CurlExchange::errorOf(CURLcode code) const
@@ -202,11 +228,17 @@
 
 void CurlExchange::end(CURLcode code)
 {
-    if (code != CURLE_OK) {
+    if (code == CURLE_OK) {
+        const Result<void> read = this->reader.readEnd();
+        if (read.has_error()) {
+            this->malformation = read.error();
+        }
+    }
+    // A whole response stays one, also where libcurl was stopped behind it.
+    const bool isWhole = this->reader.isComplete() && this->pendingContent.empty()
+            && !this->malformation && !this->responseTooLong;
+    if (!isWhole) {
         this->endWith(this->errorOf(code));
-    } else if (!this->reader.isHeadComplete()) {
-        this->endWith(Error{ErrorCode::MalformedResponse,
-                            this->request.url + ": the response has no head"});
     } else if (this->handlers.onDone) {
         this->handlers.onDone(BOOST_OUTCOME_V2_NAMESPACE::success());
     }
--- a/src/http/curl_exchange.h
+++ b/src/http/curl_exchange.h
@@ -45,6 +45,7 @@
     void setMessage();
     bool confirmSend(const std::string &connection);
     void deliverHead();
+    [[nodiscard]] bool deliverContent();
     [[nodiscard]] Error errorOf(CURLcode code) const;
 
     OutgoingRequest request;
@@ -57,7 +58,10 @@
     bool sendRefused = false;
     bool connectionRefused = false; ///< The chosen connection carried the request before.
     std::size_t headBytes = 0; ///< Of all heads so far, interim ones included.
-    std::size_t bodyBytes = 0;
+    std::size_t bodyBytes = 0; ///< As they came.
+    std::string pendingContent; ///< Decoded, but not yet accepted by onBodyChunk.
+    /// Bytes that were read before the exchange was paused; libcurl passes them again.
+    std::size_t readAhead = 0;
     std::optional<Error> malformation; ///< Why the bytes are no response.
     bool responseTooLong = false; ///< The response exceeded the limit of its head or its length.
 };
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -16,8 +16,9 @@
 using ErrorOfParser = boost::beast::error_code;
 using Text = boost::beast::string_view;
 
-/// Limit of a head. Source: common limits of HTTP servers are 8 to 64 KiB.
-constexpr std::uint32_t maxHeadBytes = 64 * 1024;
+/// Limit of a head, of a chunk's size with its extensions, and of a trailer. Source: common limits
+/// of HTTP servers are 8 to 64 KiB.
+constexpr std::uint32_t maxUnreadBytes = 64 * 1024;
 constexpr int switchingProtocols = 101;
 constexpr int noContent = 204;
 constexpr int lowestStatus = 100;
@@ -42,13 +43,15 @@
 public:
     explicit Parser(bool toHead)
     {
-        this->header_limit(maxHeadBytes);
+        this->header_limit(maxUnreadBytes);
         // Without a limit the parser of Boost 1.74 refuses every length.
         this->body_limit(std::numeric_limits<std::uint64_t>::max());
+        this->eager(true);
         this->skip(toHead);
     }
 
     ResponseHead head;
+    std::string content;
 
 private:
     void on_request_impl(http::verb /*verb*/, Text /*method*/, Text /*target*/, int /*version*/,
@@ -67,6 +70,9 @@
 
     void on_field_impl(http::field field, Text name, Text value, ErrorOfParser &error) override
     {
+        if (this->is_header_done()) {
+            return; // A trailer.
+        }
         // Without a TE field in the request, chunks are the only coding that a server may use.
         if (field == http::field::transfer_encoding
             && (this->version == oldVersion || !boost::beast::iequals(value, "chunked"))) {
@@ -89,19 +95,21 @@
                            ErrorOfParser & /*error*/) override
     { }
 
-    std::size_t on_body_impl(Text /*bytes*/, ErrorOfParser & /*error*/) override
+    std::size_t on_body_impl(Text bytes, ErrorOfParser & /*error*/) override
     {
-        return 0; // Only heads are read.
+        this->content.append(bytes.data(), bytes.size());
+        return bytes.size();
     }
 
     void on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/,
                               ErrorOfParser & /*error*/) override
     { }
 
-    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, Text /*bytes*/,
+    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, Text bytes,
                                    ErrorOfParser & /*error*/) override
     {
-        return 0; // Only heads are read.
+        this->content.append(bytes.data(), bytes.size());
+        return bytes.size();
     }
 
     void on_finish_impl(ErrorOfParser & /*error*/) override { }
@@ -113,6 +121,8 @@
     : toHead(responseToHead)
 { }
 
+ResponseReader::~ResponseReader() = default;
+
 Result<void> ResponseReader::readHeadLine(std::string_view line)
 {
     if (this->headComplete) {
@@ -123,7 +133,7 @@
     if (!line.empty() && (line.front() == ' ' || line.front() == '\t')) {
         return malformed("a folded line in the head");
     }
-    if (this->unread.size() + line.size() > maxHeadBytes) {
+    if (this->unread.size() + line.size() > maxUnreadBytes) {
         return malformed("the head has no end");
     }
     this->unread += line;
@@ -132,11 +142,11 @@
 
 Result<void> ResponseReader::readHead()
 {
-    Parser parser(this->toHead);
+    this->parser = std::make_unique<Parser>(this->toHead);
     ErrorOfParser error;
-    const std::size_t read = parser.put(
+    const std::size_t read = this->parser->put(
             boost::asio::const_buffer(this->unread.data(), this->unread.size()), error);
-    const bool isWhole = parser.is_header_done() && read == this->unread.size();
+    const bool isWhole = this->parser->is_header_done() && read == this->unread.size();
     this->unread.clear();
     if (error && error != http::error::need_more) {
         return malformed(error.message());
@@ -144,11 +154,62 @@
     if (!isWhole) {
         return malformed("the head ends early");
     }
-    if (parser.head.status >= httpstatus::ok) {
-        this->finalHead = std::move(parser.head);
+    if (this->parser->head.status >= httpstatus::ok) {
+        this->finalHead = std::move(this->parser->head);
         this->headComplete = true;
     }
     return success();
 }
 
+Result<void> ResponseReader::readBody(std::string_view bytes)
+{
+    if (!this->headComplete) {
+        return malformed("a body without a head");
+    }
+    if (this->isComplete()) {
+        this->surplus = this->surplus || !bytes.empty();
+        return success();
+    }
+    if (!this->unread.empty()) {
+        this->unread += bytes;
+        bytes = this->unread;
+    }
+    ErrorOfParser error;
+    const std::size_t read
+            = this->parser->put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+    if (error && error != http::error::need_more) {
+        return malformed(error.message());
+    }
+    this->unread = std::string(bytes.substr(read));
+    if (this->isComplete()) {
+        this->surplus = !this->unread.empty();
+    } else if (this->unread.size() > maxUnreadBytes) {
+        return malformed("a chunk size or a trailer has no end");
+    }
+    return success();
+}
+
+Result<void> ResponseReader::readEnd()
+{
+    if (this->isComplete()) {
+        return success();
+    }
+    if (!this->headComplete || !this->parser->need_eof()) {
+        return malformed("the response ends early");
+    }
+    ErrorOfParser error;
+    this->parser->put_eof(error);
+    return error ? Result<void>(malformed(error.message())) : success();
+}
+
+std::string ResponseReader::takeContent()
+{
+    return this->parser ? std::exchange(this->parser->content, {}) : std::string();
+}
+
+bool ResponseReader::isComplete() const noexcept
+{
+    return this->headComplete && this->parser->is_done();
+}
+
 } // namespace balsamport
--- a/tests/e2e/e2e-malformed-responses.cpp
+++ b/tests/e2e/e2e-malformed-responses.cpp
@@ -99,13 +99,42 @@
     CHECK(countLines(log, "\"event\":\"crash_") == 0);
 }
 
+TEST_CASE("a replica's chunks that break the rules do not look whole")
+{
+    RogueWorld world;
+    const std::vector<ResponseForm> forms = malformedChunks("", "0123456789");
+    for (std::size_t i = 0; i < forms.size(); ++i) {
+        for (const char *route : routes) {
+            const std::string path = fmt::format("{}/malformed-chunks-{}", route, i);
+            CAPTURE(forms[i].name);
+            const Outcome outcome = world.call(path);
+            CAPTURE(path, outcome.id, outcome.runs, outcome.response.status, outcome.response.head,
+                    outcome.response.body);
+            requireHttp(path, outcome);
+            CHECK((outcome.response.status == okStatus && outcome.response.complete)
+                  == isRepeatablePath(path));
+            CHECK(outcome.runs == (isRepeatablePath(path) ? 2 : 1));
+            for (int sound = 0; sound < 3; ++sound) {
+                CHECK(world.call("/look/whole").response.status == okStatus);
+            }
+        }
+    }
+    CHECK(countLines(world.world.logText(0), "\"event\":\"crash_") == 0);
+}
+
 TEST_CASE("a replica's response in any form of HTTP reaches the caller whole")
 {
     RogueWorld world;
+    std::vector<std::string> forms;
     for (std::size_t i = 0; i < soundHeads("", "x").size(); ++i) {
+        forms.push_back(fmt::format("sound-head-{}", i));
+    }
+    for (std::size_t i = 0; i < soundChunks("", "xy").size(); ++i) {
+        forms.push_back(fmt::format("sound-chunks-{}", i));
+    }
+    for (const std::string &form : forms) {
         for (const char *route : routes) {
-            const std::string path = fmt::format("{}/sound-head-{}", route, i);
-            CAPTURE(soundHeads("", "x")[i].name);
+            const std::string path = fmt::format("{}/{}", route, form);
             world.play(path, [&](const Outcome &outcome) {
                 requireHttp(path, outcome);
                 CHECK(outcome.response.status == okStatus);
--- a/tests/e2e/rogue_responses.h
+++ b/tests/e2e/rogue_responses.h
@@ -169,6 +169,12 @@
         if (!form) {
             form = findForm(request, "sound-head", soundHeads(identity, content));
         }
+        if (!form) {
+            form = findForm(request, "malformed-chunks", malformedChunks(identity, content));
+        }
+        if (!form) {
+            form = findForm(request, "sound-chunks", soundChunks(identity, content));
+        }
         if (!form) {
             return false;
         }
--- a/tests/include/response_forms.h
+++ b/tests/include/response_forms.h
@@ -184,15 +184,20 @@
     return forms;
 }
 
-constexpr const char *chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline std::string chunkedHead(const std::string &identity)
+{
+    return "HTTP/1.1 200 OK\r\n" + identity + chunkedField + "\r\n";
+}
 
 /// @brief Chunked responses that RFC 9112 allows, each with the whole content.
-inline std::vector<ResponseForm> soundChunks(const std::string &content)
+inline std::vector<ResponseForm> soundChunks(const std::string &identity,
+                                             const std::string &content)
 {
+    const std::string head = chunkedHead(identity);
     std::vector<ResponseForm> forms;
     const auto add = [&](const std::string &name, const std::string &extension,
                          const std::string &trailer) {
-        forms.push_back({name, chunkedHead + inChunks(content, extension, trailer)});
+        forms.push_back({name, head + inChunks(content, extension, trailer)});
     };
     add("two chunks", "", "");
     for (const char *extension : {";a", ";a=b", ";a=\"b;\\\" c\"", " ; a = b", ";a;b=c"}) {
@@ -200,10 +205,9 @@
     }
     add("a trailer", "", "X-Sum: a b\r\n");
     add("two trailer fields", ";a", "X-Sum:\r\nx-other: \xc3\xa9\r\n");
-    forms.push_back(
-            {"zeros before the sizes",
-             fmt::format("{}000{:x}\r\n{}\r\n000\r\n\r\n", chunkedHead, content.size(), content)});
-    std::string byByte = chunkedHead;
+    forms.push_back({"zeros before the sizes",
+                     fmt::format("{}000{:x}\r\n{}\r\n000\r\n\r\n", head, content.size(), content)});
+    std::string byByte = head;
     for (const char byte : content) {
         byByte += fmt::format("1\r\n{}\r\n", byte);
     }
@@ -212,35 +216,39 @@
 }
 
 /// @brief Chunked responses that break the rules of chunks or trailers.
-inline std::vector<ResponseForm> malformedChunks(const std::string &content)
+inline std::vector<ResponseForm> malformedChunks(const std::string &identity,
+                                                 const std::string &content)
 {
+    const std::string head = chunkedHead(identity);
     std::vector<ResponseForm> forms;
-    const std::string whole = inChunks(content);
+    const std::string half = content.substr(0, content.size() / 2);
+    const std::string rest = content.substr(half.size());
     for (const char *size : {"1O", "0O", "0x5", "-5", "+5", "", " 5", "5 ", "5;", "5;=a",
                              "5;a=", "5;a=\x01", "5 5", "5,5", "g", "FFFFFFFFFFFFFFFFF"}) {
-        forms.push_back(
-                {fmt::format("a size of \"{}\"", size),
-                 fmt::format("{}{}\r\n{}\r\n0\r\n\r\n", chunkedHead, size, content.substr(0, 5))});
+        forms.push_back({fmt::format("a size of \"{}\"", size),
+                         fmt::format("{}{}\r\n{}\r\n0\r\n\r\n", head, size, half)});
         forms.push_back({fmt::format("a second size of \"{}\"", size),
-                         fmt::format("{}5\r\n{}\r\n{}\r\n{}\r\n0\r\n\r\n", chunkedHead,
-                                     content.substr(0, 5), size, content.substr(5))});
+                         fmt::format("{}{:x}\r\n{}\r\n{}\r\n{}\r\n0\r\n\r\n", head, half.size(),
+                                     half, size, rest)});
     }
     for (const char *last : {"0O", "0 ", "0;", "0x0", "O", "00000g"}) {
-        forms.push_back({fmt::format("a last size of \"{}\"", last),
-                         fmt::format("{}a\r\n{}\r\n{}\r\n\r\n", chunkedHead, content, last)});
+        forms.push_back(
+                {fmt::format("a last size of \"{}\"", last),
+                 fmt::format("{}{:x}\r\n{}\r\n{}\r\n\r\n", head, content.size(), content, last)});
     }
     for (const char *end : {"xx", "\n", "\r", "\rx", "", "\r\n\r\n"}) {
-        forms.push_back({fmt::format("an end of a chunk \"{}\"", end),
-                         fmt::format("{}a\r\n{}{}0\r\n\r\n", chunkedHead, content, end)});
+        forms.push_back(
+                {fmt::format("an end of a chunk \"{}\"", end),
+                 fmt::format("{}{:x}\r\n{}{}0\r\n\r\n", head, content.size(), content, end)});
     }
     forms.push_back({"a size that ends with LF alone",
-                     fmt::format("{}a\n{}\r\n0\r\n\r\n", chunkedHead, content)});
+                     fmt::format("{}{:x}\n{}\r\n0\r\n\r\n", head, content.size(), content)});
     for (const char *trailer :
          {"X Sum: a\r\n", "X-Sum : a\r\n", ": a\r\n", "X-Sum a\r\n", "X-Sum: a\x01\r\n",
           "X-S\xfcm: a\r\n", "X-Sum: a\rb\r\n", "X-Sum: a\n\r\n", "HTTP/1.1 200 OK\r\n",
           "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
-        forms.push_back({fmt::format("a trailer \"{}\"", trailer),
-                         chunkedHead + inChunks(content, "", trailer)});
+        forms.push_back(
+                {fmt::format("a trailer \"{}\"", trailer), head + inChunks(content, "", trailer)});
     }
     return forms;
 }
