Refuse request heads that a backend server could read otherwise

"Transfer-Encoding : chunked" and "Content-Length : 5", with a blank before the colon, decided where a caller's body ended, and were passed on beside the daemon's own length. A backend server that trims names then sees a chunked body, and another request inside this one. Passed on as well: other names with blanks, control characters and "#" in a target, a second Host. "gzip, chunked" lost its name, so that the body reached the server encoded.

Cause: http_parser, as Debian builds it, takes such heads, and nothing behind it checked them.

Change: checkRequestHead judges names, values, target, Host and transfer coding before a handler gets the request. One that fails gets 400 with invalid_header or invalid_request, and its connection ends, as the next request's begin is not certain.

Sound forms and those that RFC 9112 lets a server mend are served.

--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -1,5 +1,7 @@
 #include "response_writer.h"
 
+#include "request_check.h"
+
 #include <balsamport/core/http_status.h>
 #include <balsamport/core/log.h>
 
@@ -133,6 +135,20 @@
     }
 }
 
+void RestinioWriter::refuse(const Error &error)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->responseStarted || !this->request) {
+        return;
+    }
+    this->responseStarted = true;
+    this->registry->endAfterRefusal(this->request->connection_id(), error);
+    this->request->create_response(statusLine(httpstatus::badRequest))
+            .connection_close()
+            .set_body(std::string(errorName(error.code)))
+            .done();
+}
+
 void RestinioWriter::startStream(int status, const HttpHeaders &headers)
 {
     const std::lock_guard lock(this->mutex);
@@ -326,7 +342,13 @@
         std::erase_if(writers, [](const auto &old) { return old.expired(); });
         writers.push_back(writer);
     }
-    this->handler(readRequest(request), std::move(writer));
+    const std::shared_ptr<const IncomingRequest> incoming = readRequest(request);
+    const Result<void> checked = checkRequestHead(*incoming);
+    if (checked.has_error()) {
+        writer->refuse(checked.error());
+        return;
+    }
+    this->handler(incoming, std::move(writer));
 }
 
 ConnectionRegistry::Requests ConnectionRegistry::endConnection(Connection &connection,
@@ -382,6 +404,18 @@
     }
 }
 
+void ConnectionRegistry::endAfterRefusal(restinio::connection_id_t id, const Error &error)
+{
+    Requests dropped;
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->connections.find(id);
+    if (found != this->connections.end()) {
+        found->second.busy = false;
+        ++found->second.answered;
+        dropped = endConnection(found->second, "closed after a malformed request: " + error.detail);
+    }
+}
+
 void ConnectionRegistry::addClosedWriters(const Writers &closed)
 {
     Writers &all = this->closedWriters;
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -37,6 +37,10 @@
     [[nodiscard]] bool isDisconnected() const override { return this->disconnected; }
     void onDisconnect(std::function<void()> callback) override;
 
+    /// @brief Responds with 400 and the name of the error, and closes the connection: where the
+    /// next request begins is not certain.
+    void refuse(const Error &error);
+
     /// @brief Marks the caller as disconnected and calls the callback of onDisconnect().
     void handleConnectionClosed();
 
@@ -133,6 +137,10 @@
     /// @brief Must be called when a response is broken off: its connection closes.
     void breakResponse(restinio::connection_id_t id);
 
+    /// @brief Ends a connection after the response to a malformed request. The requests behind it
+    /// are dropped.
+    void endAfterRefusal(restinio::connection_id_t id, const Error &error);
+
     /// @brief From now on, a response closes its connection if no other request was read from it.
     void closeAfterResponses() noexcept { this->closing = true; }
 
