Pass on header fields without a value

A caller's field without a value did not reach the backend server: libcurl takes "NAME:" for a field that it must not send. Such a field is now handed over as "NAME;", which libcurl sends as "NAME:".

Evidence: the new section of unit-http failed before and holds now.

--- a/src/http/curl_exchange.cpp
+++ b/src/http/curl_exchange.cpp
@@ -77,7 +77,9 @@
 void CurlExchange::setMessage()
 {
     for (const HttpHeader &header : this->request.headers) {
-        const std::string line = header.name + ": " + header.value;
+        // libcurl takes "NAME:" for a field that is not sent, and "NAME;" for one without a value.
+        const bool isBlank = header.value.find_first_not_of(" \t") == std::string::npos;
+        const std::string line = isBlank ? header.name + ";" : header.name + ": " + header.value;
         this->headerList = curl_slist_append(this->headerList, line.c_str());
     }
     this->headerList = curl_slist_append(this->headerList, "Expect:");
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -33,7 +33,11 @@
 {
     ++state.requests;
     if (request->path == "/echo") {
-        writer->send(HttpResponse{201, {{"X-Query", request->query}}, request->body});
+        HttpResponse response{201, {{"X-Query", request->query}}, request->body};
+        for (const HttpHeader &header : request->headers) {
+            response.headers.push_back({"Got-" + header.name, header.value + "."});
+        }
+        writer->send(response);
     } else if (request->path == "/stream") {
         writer->startStream(200, {{"Content-Type", "text/event-stream"}});
         writer->write("one ", {});
@@ -134,6 +138,18 @@
         REQUIRE(findHeader(response.value().headers, "x-query") == "a=b");
     }
 
+    // Guards against fields that are lost on the way: libcurl takes "NAME:" for "don't send it".
+    SECTION("a field without a value reaches the server")
+    {
+        OutgoingRequest request = get("/echo");
+        request.headers = {{"X-Empty", ""}, {"X-Blank", " "}, {"X-Full", "a"}};
+        const auto response = client.fetch(request);
+        REQUIRE(response.has_value());
+        REQUIRE(findHeader(response.value().headers, "Got-X-Empty") == ".");
+        REQUIRE(findHeader(response.value().headers, "Got-X-Blank") == ".");
+        REQUIRE(findHeader(response.value().headers, "Got-X-Full") == "a.");
+    }
+
     SECTION("a stream is received in order")
     {
         const auto response = client.fetch(get("/stream"));
