--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -1,5 +1,6 @@
-// Small stand-ins of the platform's store, of plain replicas and of callers, and a fixture that runs
-// the edge daemons as processes. They speak what the users' pages say, and need only the C library.
+// Small stand-ins of the platform's store, of plain replicas and of callers, and a fixture that
+// runs the edge daemons as processes. They speak what the users' pages say, and need only the C
+// library.
 #ifndef REVIEW_STANDINS_3_WORLD_H
 #define REVIEW_STANDINS_3_WORLD_H
 
@@ -59,7 +60,8 @@
     {
         const std::lock_guard lock(this->mutex);
         char time[32];
-        std::snprintf(time, sizeof time, "%9.3f  ", static_cast<double>(nowMs() - this->start) / 1000);
+        std::snprintf(time, sizeof time, "%9.3f  ",
+                      static_cast<double>(nowMs() - this->start) / 1000);
         this->file << time << text << '\n' << std::flush;
     }
 
@@ -224,7 +226,8 @@
                 }
             }
         }
-        const std::size_t length = std::strtoul(message.header("content-length").c_str(), nullptr, 10);
+        const std::size_t length
+                = std::strtoul(message.header("content-length").c_str(), nullptr, 10);
         while (this->buffer.size() < length) {
             if (!this->fill(until)) {
                 return message;
@@ -286,7 +289,8 @@
 
 inline bool respond(int fd, int status, const std::string &headers, const std::string &body)
 {
-    return sendAll(fd, "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers
+    return sendAll(fd,
+                   "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers
                            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
@@ -313,8 +317,9 @@
 public:
     bool start(const Address &address)
     {
-        return this->server.start(address,
-                                  [this](int fd, const Message &request) { return this->handle(fd, request); });
+        return this->server.start(address, [this](int fd, const Message &request) {
+            return this->handle(fd, request);
+        });
     }
 
     void put(const std::string &key, const std::string &value)
@@ -360,12 +365,14 @@
         std::size_t at = target.find('?');
         while (at != std::string::npos) {
             const std::size_t next = target.find('&', at + 1);
-            const std::string part = target.substr(at + 1, next == std::string::npos ? next : next - at - 1);
+            const std::string part
+                    = target.substr(at + 1, next == std::string::npos ? next : next - at - 1);
             if (part.rfind(name + "=", 0) == 0) {
                 std::string value;
                 for (std::size_t i = name.size() + 1; i < part.size(); ++i) {
                     if (part[i] == '%' && i + 2 < part.size()) {
-                        value += static_cast<char>(std::strtol(part.substr(i + 1, 2).c_str(), nullptr, 16));
+                        value += static_cast<char>(
+                                std::strtol(part.substr(i + 1, 2).c_str(), nullptr, 16));
                         i += 2;
                     } else {
                         value += part[i];
@@ -381,7 +388,8 @@
     bool handle(int fd, const Message &request)
     {
         const std::size_t from = request.startLine.find(' ') + 1;
-        const std::string target = request.startLine.substr(from, request.startLine.find(' ', from) - from);
+        const std::string target
+                = request.startLine.substr(from, request.startLine.find(' ', from) - from);
         const std::string json = "Content-Type: application/json\r\n";
         std::unique_lock lock(this->mutex);
         std::string body;
@@ -398,9 +406,9 @@
                     more = true;
                     break;
                 }
-                body += (body.empty() ? "" : ",") + ("{\"key\":\"" + key) + "\",\"value\":\"" + item.value
-                        + "\",\"revision\":" + std::to_string(item.revision) + ",\"created_at\":"
-                        + std::to_string(item.createdAt) + ",\"lease\":0}";
+                body += (body.empty() ? "" : ",") + ("{\"key\":\"" + key) + "\",\"value\":\""
+                        + item.value + "\",\"revision\":" + std::to_string(item.revision)
+                        + ",\"created_at\":" + std::to_string(item.createdAt) + ",\"lease\":0}";
             }
             body = "{\"items\":[" + body + "],\"has_more\":" + (more ? "true" : "false")
                     + ",\"current_rev\":" + std::to_string(this->revision) + "}";
@@ -413,19 +421,23 @@
                 for (const Event &event : this->history) {
                     if (event.revision > after && event.key.rfind(prefix, 0) == 0) {
                         text += (text.empty() ? "" : ",") + ("{\"key\":\"" + event.key) + "\","
-                                + (event.deleted ? "\"deleted\":true" : "\"value\":\"" + event.value + "\"")
+                                + (event.deleted ? "\"deleted\":true"
+                                                 : "\"value\":\"" + event.value + "\"")
                                 + ",\"revision\":" + std::to_string(event.revision) + "}";
                     }
                 }
                 return text;
             };
             const int cut = this->cutAfterMs;
-            const bool heard = this->changed.wait_for(lock, std::chrono::milliseconds(cut > 0 ? std::min<long>(cut, wait) : wait), [&] { return !events().empty(); });
+            const bool heard = this->changed.wait_for(
+                    lock, std::chrono::milliseconds(cut > 0 ? std::min<long>(cut, wait) : wait),
+                    [&] { return !events().empty(); });
             if (!heard && cut > 0 && cut < wait) {
                 ++this->cuts;
                 return false; // The connection is closed without a response.
             }
-            body = "{\"events\":[" + events() + "],\"current_rev\":" + std::to_string(this->revision) + "}";
+            body = "{\"events\":[" + events()
+                    + "],\"current_rev\":" + std::to_string(this->revision) + "}";
         } else {
             lock.unlock();
             return respond(fd, 404, "", "");
@@ -448,7 +460,8 @@
 class Replica
 {
 public:
-    Replica(Record &theRecord, std::string ownId, std::string ownService, Address ownAddress, std::string ownZone)
+    Replica(Record &theRecord, std::string ownId, std::string ownService, Address ownAddress,
+            std::string ownZone)
         : record(theRecord)
         , id(std::move(ownId))
         , service(std::move(ownService))
@@ -458,15 +471,18 @@
 
     bool start()
     {
-        return this->server.start(this->address,
-                                  [this](int fd, const Message &request) { return this->handle(fd, request); });
+        return this->server.start(this->address, [this](int fd, const Message &request) {
+            return this->handle(fd, request);
+        });
     }
 
     [[nodiscard]] std::string entry(std::uint64_t sequence) const
     {
-        return "{\"service\":\"" + this->service + "\",\"address\":\"" + this->address.text() + "\",\"zone\":\""
-                + this->zone + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,"
-                + "\"born\":" + std::to_string(this->born) + ",\"sequence\":" + std::to_string(sequence) + "}";
+        return "{\"service\":\"" + this->service + "\",\"address\":\"" + this->address.text()
+                + "\",\"zone\":\"" + this->zone
+                + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,"
+                + "\"born\":" + std::to_string(this->born)
+                + ",\"sequence\":" + std::to_string(sequence) + "}";
     }
 
     Record &record;
@@ -504,10 +520,11 @@
             this->record.line("replica " + this->id + " runs " + requestId);
         }
         sleepMs(this->workMs);
-        const bool sent = respond(fd, 200, "X-Request-Id: " + requestId + "\r\nX-Response-Seal: " + this->id + "."
-                                          + requestId + "\r\n",
+        const bool sent = respond(fd, 200,
+                                  "X-Request-Id: " + requestId + "\r\nX-Response-Seal: " + this->id
+                                          + "." + requestId + "\r\n",
                                   this->answerBytes == 0 ? "done " + requestId + "\n"
-                                                                  : std::string(this->answerBytes, 'y'));
+                                                         : std::string(this->answerBytes, 'y'));
         if (this->isRecorded) {
             this->record.line("replica " + this->id + " answered " + requestId);
         }
@@ -581,22 +598,32 @@
     {
         std::ofstream file(daemon.settingsFile, std::ios::trunc);
         file << "node: \"" << daemon.node << "\"\nrole: \"edge\"\nmachine_class: \"front\"\n"
-             << "serves:\n  - \"front\"\n  - \"control\"\nip: \"" << daemon.ip << "\"\nzone: \"" << daemon.zone
-             << "\"\nregion: \"mids-east\"\nzones:\n  leic-a: \"mids-east\"\n  brum-a: \"mids-west\"\n  nott-b: "
+             << "serves:\n  - \"front\"\n  - \"control\"\nip: \"" << daemon.ip << "\"\nzone: \""
+             << daemon.zone
+             << "\"\nregion: \"mids-east\"\nzones:\n  leic-a: \"mids-east\"\n  brum-a: "
+                "\"mids-west\"\n  nott-b: "
                 "\"mids-east\"\nlisten:\n  front: \""
-             << daemon.front().text() << "\"\n  ready: \"" << daemon.ready().text() << "\"\n  control: \""
-             << daemon.control().text() << "\"\ninternal_ports:\n  - 7380\n  - 7395\nseeds:\n";
+             << daemon.front().text() << "\"\n  ready: \"" << daemon.ready().text()
+             << "\"\n  control: \"" << daemon.control().text()
+             << "\"\ninternal_ports:\n  - 7380\n  - 7395\nseeds:\n";
         for (std::size_t i = 0; i < this->daemons.size() && i < 3; ++i) {
             file << "  - \"" << this->daemons[i].control().text() << "\"\n";
         }
         file << "bootstrap: " << (bootstrap ? "true" : "false")
-             << "\ntolerance_member: false\nlimits:\n  cpu_share: " << this->cpuShare << "\n  cores: 1\n  memory_mb: 260\n  max_fds: 4100\n"
-                "  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\n"
-                "heartbeat_ms: 1200\nbounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  contact_ms: 4000\n  ack_ms: 5000\n"
-                "  catch_up_s: 4\n  drain_ms: 3000\n  grace_s: 8\n  loss_slack_ms: 200\n  config_ms: 3000\n"
-                "  rollback_slack_ms: 250\n  max_skew_ms: 6000\n  retry_budget_ratio: 0.2\n  budget_window_s: 10\n"
-                "  budget_slack: 56\n  recovery_s: 12\n  pass_ms: 400\n  retry_after_s: 0\n  require_fence: false\n"
-                "  lease_ms: 3000\n  thaw_ms: 300\n  ceiling_window_s: 5\n  ceiling_overage: 1.1\n  version_ms: 5000\n"
+             << "\ntolerance_member: false\nlimits:\n  cpu_share: " << this->cpuShare
+             << "\n  cores: 1\n  memory_mb: 260\n  max_fds: 4100\n"
+                "  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\ndiscovery: "
+                "\"platform\"\nentry: \"vip\"\n"
+                "heartbeat_ms: 1200\nbounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  contact_ms: "
+                "4000\n  ack_ms: 5000\n"
+                "  catch_up_s: 4\n  drain_ms: 3000\n  grace_s: 8\n  loss_slack_ms: 200\n  "
+                "config_ms: 3000\n"
+                "  rollback_slack_ms: 250\n  max_skew_ms: 6000\n  retry_budget_ratio: 0.2\n  "
+                "budget_window_s: 10\n"
+                "  budget_slack: 56\n  recovery_s: 12\n  pass_ms: 400\n  retry_after_s: 0\n  "
+                "require_fence: false\n"
+                "  lease_ms: 3000\n  thaw_ms: 300\n  ceiling_window_s: 5\n  ceiling_overage: 1.1\n "
+                " version_ms: 5000\n"
                 "platform:\n  address: \""
              << this->store.text()
              << "\"\n  form: \"read\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n"
@@ -689,7 +716,8 @@
 inline std::string ownNetwork(int which)
 {
     const int pid = static_cast<int>(getpid());
-    return "127." + std::to_string(100 + pid / 250 % 150) + "." + std::to_string(which * 60 + pid % 50 + 1);
+    return "127." + std::to_string(100 + pid / 250 % 150) + "."
+            + std::to_string(which * 60 + pid % 50 + 1);
 }
 
 } // namespace review
