Show how long requests, tasks and responses wait inside a daemon

The longest of each in two seconds is now a gauge and a line 'delays', and the line on a retry says by how many daemons the budget's slack was divided. No decision changes.

--- a/include/balsamport/core/metric_names.h
+++ b/include/balsamport/core/metric_names.h
@@ -122,6 +122,10 @@
 constexpr MetricInfo edgeEngineLoad{
         "balsamport_edge_engine_load_ratio", MetricKind::Gauge, "",
         "Load of the busiest engine by the mean, as this daemon sees it"};
+constexpr MetricInfo edgeDelay{
+        "balsamport_edge_longest_delay_seconds", MetricKind::Gauge, "stage",
+        "Longest wait in the last two seconds: of requests read until the event loop handled them, "
+        "of tasks of the event loop, and of responses until they were written"};
 constexpr MetricInfo edgeRefusedConnections{
         "balsamport_edge_refused_connections_total", MetricKind::Counter, "reason",
         "Callers' connections that were ended to stay within limits: memory, connections, slow"};
@@ -179,6 +183,7 @@
         edgeQuotaRequests,
         edgeQuotaUse,
         edgeEngineLoad,
+        edgeDelay,
         edgeRefusedConnections,
         logDrops,
 };
--- a/include/balsamport/edge/loop.h
+++ b/include/balsamport/edge/loop.h
@@ -33,6 +33,10 @@
     void post(std::function<void()> task);
     [[nodiscard]] std::unique_ptr<LoopTimer> makeTimer();
 
+    /// @brief Returns the longest time for which a posted task waited since the last call. Called
+    /// on the thread of the loop only.
+    [[nodiscard]] Millis takeLongestWait();
+
     /// @brief Executes tasks until stop().
     void run();
     void stop();
--- a/include/balsamport/http/http_server.h
+++ b/include/balsamport/http/http_server.h
@@ -24,6 +24,7 @@
     HttpHeaders headers;
     std::string body;
     std::string remote; ///< IP:PORT of the caller
+    Millis receivedAt; ///< When its last byte was read.
 };
 
 /// @brief Writes the response to one request, either complete or as a stream. May be used from any
@@ -125,6 +126,10 @@
     /// destroyed
     [[nodiscard]] bool hasUnsentBytes() const noexcept;
 
+    /// @return the longest time for which written bytes waited until their sockets took them, since
+    /// the last call
+    [[nodiscard]] Millis takeLongestWrite() noexcept;
+
     /// @brief From now on, a response closes its connection, unless the caller has already sent
     /// another request on it: then the last of these responses does.
     void closeAfterResponses() noexcept;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -54,6 +54,8 @@
 constexpr std::uint32_t maxOperatorConnections = 64;
 constexpr std::uint64_t maxOperatorBodyBytes = 4 * 1024;
 constexpr Millis loadLogInterval{5'000};
+/// Interval over which the longest waits are taken.
+constexpr Millis delayInterval{2'000};
 
 std::shared_ptr<MemoryBudget> connectionMemory(const EdgeSettings &settings)
 {
@@ -94,6 +96,8 @@
     void updateGauges(Millis now);
     /// Publishes and logs the memory that each part of the daemon uses.
     void reportMemory(Millis now);
+    /// Publishes and logs the longest waits inside the daemon.
+    void reportDelays(Millis now);
     void detectPause(Millis now);
     void updateEngines(Millis now);
     void applyChanges(const std::vector<PublishedEntry> &changed, const StoreRevision &since,
@@ -189,6 +193,8 @@
     Millis lastPullAt{-1};
     Millis lastMemoryLogAt{0};
     Millis lastLoadLogAt{0};
+    Millis lastDelayLogAt{0};
+    Millis longestArrival{0}; ///< From the reading of a request to handleRequest(), since then.
     std::atomic<std::uint64_t> unhandledBytes{0}; ///< Of the messages of peers.
     std::atomic<std::uint64_t> droppedMessages{0}; ///< Of peers, because too many waited.
     Millis lastRequestAt{0};
@@ -297,6 +303,7 @@
     this->updateEngineLoads(now);
     this->updateGauges(now);
     this->reportMemory(now);
+    this->reportDelays(now);
     this->lastTickAt = now;
     this->tickTimer->set(tickInterval, [this] { this->tick(); });
 }
@@ -395,6 +402,27 @@
                      {"bytes_received", this->messageServer->bytesReceived()}});
 }
 
+void EdgeDaemon::Impl::reportDelays(Millis now)
+{
+    if (now - this->lastDelayLogAt < delayInterval) {
+        return;
+    }
+    this->lastDelayLogAt = now;
+    const Millis arrival = std::exchange(this->longestArrival, Millis(0));
+    const Millis task = this->loop.takeLongestWait();
+    const Millis write = this->callerServer->takeLongestWrite();
+    const auto setGauge = [this](std::string_view stage, Millis wait) {
+        constexpr double millisPerSecond = 1000.0;
+        this->context.metrics.gauge(metric::edgeDelay, stage)
+                .set(static_cast<double>(wait.count()) / millisPerSecond);
+    };
+    setGauge("arrival", arrival);
+    setGauge("task", task);
+    setGauge("write", write);
+    this->log.write(EventPriority::Notable, "delays",
+                    {{"arrival_ms", arrival}, {"task_ms", task}, {"write_ms", write}});
+}
+
 void EdgeDaemon::Impl::detectPause(Millis now)
 {
     const Millis gap = now - this->lastTickAt;
@@ -748,6 +776,7 @@
 {
     const Millis now = monotonicNow();
     this->lastRequestAt = now;
+    this->longestArrival = std::max(this->longestArrival, now - request->receivedAt);
     if (this->state.stop && now > this->state.stop->admitUntil) {
         // The request might outlive this process; any other daemon can accept it.
         this->log.write(
--- a/src/edge/loop.cpp
+++ b/src/edge/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <asio.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -14,6 +15,7 @@
             = asio::make_work_guard(context);
     asio::signal_set signals{context, SIGTERM, SIGINT, SIGHUP};
     std::function<void(int)> signalCallback;
+    Millis longestWait{0}; ///< Used by the thread of the loop only.
 
     void awaitSignal()
     {
@@ -78,7 +80,16 @@
 
 void Loop::post(std::function<void()> task)
 {
-    asio::post(this->impl->context, std::move(task));
+    asio::post(this->impl->context,
+               [raw = this->impl.get(), postedAt = monotonicNow(), task = std::move(task)] {
+                   raw->longestWait = std::max(raw->longestWait, monotonicNow() - postedAt);
+                   task();
+               });
+}
+
+Millis Loop::takeLongestWait()
+{
+    return std::exchange(this->impl->longestWait, Millis(0));
 }
 
 std::unique_ptr<LoopTimer> Loop::makeTimer()
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -487,15 +487,17 @@
 
 bool RequestFlow::tryTakeRetry(std::string_view reason)
 {
+    const std::size_t daemons = this->context.peers.liveDaemons();
     const bool taken = this->context.state.retryBudgets[this->service].tryTake(
-            this->context.edge.settings.retryBudget, this->context.peers.liveDaemons(),
-            monotonicNow());
+            this->context.edge.settings.retryBudget, daemons, monotonicNow());
     if (taken) {
         this->context.edge.metrics.counter(metric::edgeRetries, reason).add();
     }
-    this->context.edge.log.write(
-            EventPriority::Notable, "retry",
-            {{"request", this->request.id.str()}, {"reason", reason}, {"allowed", taken}});
+    this->context.edge.log.write(EventPriority::Notable, "retry",
+                                 {{"request", this->request.id.str()},
+                                  {"reason", reason},
+                                  {"allowed", taken},
+                                  {"daemons", daemons}});
     return taken;
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -98,6 +98,11 @@
     return *this->impl->registry->unsentWrites() > 0;
 }
 
+Millis HttpServer::takeLongestWrite() noexcept
+{
+    return Millis(this->impl->registry->longestWriteMs()->exchange(0));
+}
+
 void HttpServer::closeAfterResponses() noexcept
 {
     this->impl->registry->closeAfterResponses();
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -95,7 +95,12 @@
     auto reserved = std::make_shared<MemoryReservation>(this->registry->memoryBudget());
     reserved->grow(bytes);
     return [count = std::move(count), reserved = std::move(reserved), unsent = this->unsentBytes,
-            bytes, callback = std::move(onWritten)](const asio::error_code & /*failure*/) {
+            longest = this->registry->longestWriteMs(), startedAt = monotonicNow(), bytes,
+            callback = std::move(onWritten)](const asio::error_code & /*failure*/) {
+        const std::int64_t took = (monotonicNow() - startedAt).count();
+        if (took > *longest) {
+            *longest = took; // A lost update only hides one of two long writes.
+        }
         --*count;
         *unsent -= bytes;
         reserved->reset();
@@ -328,7 +333,7 @@
 void ConnectionRegistry::accept(const restinio::request_handle_t &request)
 {
     const std::shared_ptr<ConnectionMeter> currentMeter = ConnectionMeter::current();
-    ReceivedRequest received{request, MemoryReservation()};
+    ReceivedRequest received{request, MemoryReservation(), monotonicNow()};
     {
         const std::lock_guard lock(this->mutex);
         const auto found = this->connections.find(request->connection_id());
@@ -336,7 +341,7 @@
             return; // The connection has ended.
         }
         Connection &connection = found->second;
-        connection.activeAt = monotonicNow();
+        connection.activeAt = received.readAt;
         connection.meter = currentMeter ? currentMeter : connection.meter;
         if (connection.meter) {
             received.memory = connection.meter->completeRequest();
@@ -371,7 +376,7 @@
         std::erase_if(writers, [](const auto &old) { return old.expired(); });
         writers.push_back(writer);
     }
-    const std::shared_ptr<const IncomingRequest> incoming = readRequest(request);
+    const std::shared_ptr<const IncomingRequest> incoming = readRequest(request, received.readAt);
     const Result<void> checked = checkRequestHead(*incoming);
     if (checked.has_error()) {
         writer->refuse(checked.error());
@@ -536,7 +541,8 @@
     this->reportEnd(closed, reason);
 }
 
-std::shared_ptr<const IncomingRequest> readRequest(const restinio::request_handle_t &handle)
+std::shared_ptr<const IncomingRequest> readRequest(const restinio::request_handle_t &handle,
+                                                   Millis readAt)
 {
     auto request = std::make_shared<IncomingRequest>();
     const restinio::http_request_header_t &header = handle->header();
@@ -549,6 +555,7 @@
     });
     request->body = handle->body();
     request->remote = fmt::format("{}", fmt::streamed(handle->remote_endpoint()));
+    request->receivedAt = readAt;
     return request;
 }
 
--- a/src/http/response_writer.h
+++ b/src/http/response_writer.h
@@ -171,6 +171,12 @@
         return this->unsentWriteCount;
     }
 
+    /// @return the longest time of a write since the value was last set to 0
+    [[nodiscard]] std::shared_ptr<std::atomic<std::int64_t>> longestWriteMs() const noexcept
+    {
+        return this->longestWriteTime;
+    }
+
 private:
     using Writers = std::vector<std::weak_ptr<RestinioWriter>>;
     /// A request and the memory that is reserved for its bytes.
@@ -178,6 +184,7 @@
     {
         restinio::request_handle_t handle;
         MemoryReservation memory;
+        Millis readAt; ///< When its last byte was read.
     };
     using Requests = std::deque<ReceivedRequest>;
 
@@ -217,11 +224,13 @@
     std::atomic<std::uint32_t> connectionCount{0};
     std::shared_ptr<std::atomic<std::uint32_t>> unsentWriteCount
             = std::make_shared<std::atomic<std::uint32_t>>(0);
+    std::shared_ptr<std::atomic<std::int64_t>> longestWriteTime
+            = std::make_shared<std::atomic<std::int64_t>>(0);
 };
 
 /// @brief Copies the parts of a RESTinio request that a handler uses.
 [[nodiscard]] std::shared_ptr<const IncomingRequest>
-readRequest(const restinio::request_handle_t &handle);
+readRequest(const restinio::request_handle_t &handle, Millis readAt);
 
 } // namespace balsamport
 
