--- a/tests/e2e/edge_world.h
+++ b/tests/e2e/edge_world.h
@@ -239,10 +239,10 @@
                 fmt::format("node: \"{}\"\nip: \"127.0.0.1\"\nzone: \"{}\"\n"
                             "zones: {{a: \"east\", b: \"west\"}}\n"
                             "listen: {{front: \"{}\", ready: \"{}\", control: \"{}\"}}\n"
-                            "seeds: [{}]\nbounds: {{lease_ms: 3000, grace_s: {}}}\n"
+                            "seeds: [{}]\nbounds: {{lease_ms: 3000, grace_s: {}{}}}\n"
                             "platform: {{address: \"{}\"}}\n{}",
                             edge.name, edge.dataCentre, edge.front, edge.ready, edge.control, seeds,
-                            this->graceSeconds,
+                            this->graceSeconds, this->furtherBounds,
                             edge.storeLink ? edge.storeLink->address() : this->storeLink->address(),
                             this->furtherSettings));
         edge.process = std::make_unique<Process>(
@@ -362,6 +362,7 @@
     standins::ReplicaOptions engineOptions;
     int graceSeconds = 8; ///< Of edge daemons that are started from then on.
     std::string furtherSettings; ///< Lines of their settings files, likewise.
+    std::string furtherBounds; ///< Entries of their bounds, each after a comma, likewise.
     std::vector<std::string> addedRoutes; ///< Prefixes that the next configuration adds.
     MachineLock lock;
     TemporaryFolder folder;
