Count the retries of a whole window

Retries are now counted over eleven counters, requests still over ten. unit-retry-budget, which counts every window apart from the module, had 1.06 and 1.14 of the budget before, and holds now.

--- a/include/balsamport/edge/shared_retry_budget.h
+++ b/include/balsamport/edge/shared_retry_budget.h
@@ -32,7 +32,9 @@
     bool tryTake(const RetryBudgetLimits &limits, std::size_t daemons, Millis now);
 
 private:
-    static constexpr std::size_t bucketCount = 10;
+    static constexpr std::size_t bucketsPerWindow = 10;
+    /// The current bucket is incomplete: with one more, the retries of a whole window count.
+    static constexpr std::size_t bucketCount = bucketsPerWindow + 1;
     /// Fraction of the limit that is used, because the windows of whoever checks the limit begin at
     /// other times than those here.
     static constexpr double usableFraction = 0.75;
--- a/src/edge/shared_retry_budget.cpp
+++ b/src/edge/shared_retry_budget.cpp
@@ -6,7 +6,7 @@
 
 SharedRetryBudget::Bucket &SharedRetryBudget::bucketAt(const RetryBudgetLimits &limits, Millis now)
 {
-    const Millis length = limits.window / static_cast<std::int64_t>(bucketCount);
+    const Millis length = limits.window / static_cast<std::int64_t>(bucketsPerWindow);
     const std::int64_t index = now.count() / std::max<std::int64_t>(1, length.count());
     Bucket &bucket = this->ring[static_cast<std::size_t>(index) % bucketCount];
     if (bucket.index != index) {
@@ -26,8 +26,10 @@
     double requests = 0;
     double retries = 0;
     for (const Bucket &bucket : this->ring) {
-        if (bucket.index > current.index - static_cast<std::int64_t>(bucketCount)) {
+        if (bucket.index > current.index - static_cast<std::int64_t>(bucketsPerWindow)) {
             requests += bucket.requests;
+        }
+        if (bucket.index > current.index - static_cast<std::int64_t>(bucketCount)) {
             retries += bucket.retries;
         }
     }
