Divide the retry budget by the daemons that may be running

Each daemon divided the slack by the daemons that it had heard lately: in a cut, or just after its start, it took the parts of all those that it didn't hear; a daemon that started anew had also forgotten what its previous run had used. The slack is now divided by all daemons that may be running: those known, whether silent or removed, until they have drained for a window, and those that peers know of. A daemon that has heard nobody, or nobody of some data centre, uses no slack. In the first window after its start it uses a quarter of its part, as the previous run may have used three quarters.

e2e-retry-budget before: 60 repeats of 26 allowed when no daemon hears another, 78 of 40 when all are killed and start cut off; both hold now. unit-retry-budget has a fleet of 64 with an oracle that counts every window: cuts between data centres, into halves, of 26 daemons one by one and for minutes, restarts at once and in turn, drains and replacements, at 60, 276 and 788 requests a second.

--- a/include/balsamport/edge/peers.h
+++ b/include/balsamport/edge/peers.h
@@ -39,6 +39,16 @@
     bool operator==(const Peer &) const = default;
 };
 
+/// @brief A daemon that may be running, whether or not this daemon receives gossip from it.
+struct KnownDaemon
+{
+    DataCentreId dataCentre;
+    Millis knownAt; ///< When it last sent a message, or was announced.
+    bool draining = false; ///< By its last message.
+
+    bool operator==(const KnownDaemon &) const = default;
+};
+
 /// @brief Intervals and time-outs of the gossip between daemons.
 ///
 /// Local peers are those of the own data centre, remote peers those of other data centres. Local
@@ -76,6 +86,8 @@
     PeerTimings timings;
     std::map<VmId, Peer> peers; ///< Without this daemon.
     std::map<VmId, Millis> removed; ///< See removedPeerMemory; with the time of their removal.
+    /// All other daemons that may be running, removed peers included.
+    std::map<VmId, KnownDaemon> known;
     std::uint64_t round = 0;
 
     bool operator==(const PeerTable &) const = default;
@@ -118,6 +130,30 @@
 /// @return true if the peer sent a message within the time-out for its data centre
 [[nodiscard]] bool isAlive(const PeerTable &table, const Peer &peer, Millis now) noexcept;
 
+/// @brief Returns the number of daemons that may be running, this one included.
+///
+/// Shares of what all daemons use together are divided by it: a daemon that is cut off still uses
+/// its share. Daemons count until `window` after a last message that said that they drain; others
+/// until removedPeerMemory after their last message, and for longer while no peer is heard at all.
+/// @param window for which a share that was used counts
+[[nodiscard]] std::size_t possibleDaemons(const PeerTable &table, Millis window, Millis now);
+
+/// @brief What tells a daemon that it knows the whole fleet.
+struct FleetEvidence
+{
+    bool hasOtherSeeds = false; ///< The settings name seed nodes other than this daemon.
+    std::set<DataCentreId> dataCentres; ///< All of the platform, as the settings name them.
+    Millis startedAt; ///< Of this daemon.
+
+    bool operator==(const FleetEvidence &) const = default;
+};
+
+/// @brief Returns the number of daemons that a shared budget is divided by.
+/// @return possibleDaemons(); 0 if further daemons may be running that this one hasn't heard of
+/// since its start
+[[nodiscard]] std::size_t budgetSharers(const PeerTable &table, const FleetEvidence &evidence,
+                                        Millis window, Millis now);
+
 /// @brief Returns the daemons that may issue the permits of servers in a data centre: its own, also
 /// silent ones, or those of all data centres if it has none. Draining daemons leave others to
 /// issue.
--- a/include/balsamport/edge/shared_retry_budget.h
+++ b/include/balsamport/edge/shared_retry_budget.h
@@ -20,24 +20,40 @@
 };
 
 /// @brief This daemon's share of the budget: its requests and retries in the last window.
+///
+/// The sum over all daemons stays within the limit if each of them divides the slack by at least
+/// the number of daemons that are running.
 class SharedRetryBudget
 {
 public:
+    /// @brief For a daemon that has had no previous run.
+    SharedRetryBudget() = default;
+    /// @param daemonStartedAt when this daemon started: its previous run may have used its share
+    /// until then
+    explicit SharedRetryBudget(Millis daemonStartedAt)
+        : startedAt(daemonStartedAt)
+    { }
+
     /// @brief Records a request of a caller.
     void recordRequest(const RetryBudgetLimits &limits, Millis now);
 
     /// @brief Takes one retry from the budget.
-    /// @param daemons number of daemons that share the slack, this one included
+    /// @param daemons number of daemons that share the slack, this one included; 0 where it is
+    /// unknown: the slack isn't used then
     /// @return false if the share is exhausted; nothing is taken then
     bool tryTake(const RetryBudgetLimits &limits, std::size_t daemons, Millis now);
 
 private:
+    static constexpr Millis neverRestarted{-86'400'000};
     static constexpr std::size_t bucketsPerWindow = 10;
     /// The current bucket is incomplete: with one more, the retries of a whole window count.
     static constexpr std::size_t bucketCount = bucketsPerWindow + 1;
     /// Fraction of the limit that is used, because the windows of whoever checks the limit begin at
     /// other times than those here.
     static constexpr double usableFraction = 0.75;
+    /// The same in the first window after the start: the previous run may have used its fraction in
+    /// that window.
+    static constexpr double startFraction = 1 - usableFraction;
 
     struct Bucket
     {
@@ -48,6 +64,7 @@
 
     Bucket &bucketAt(const RetryBudgetLimits &limits, Millis now);
 
+    Millis startedAt = neverRestarted;
     std::array<Bucket, bucketCount> ring{};
 };
 
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -116,13 +116,8 @@
 const ContactState &PeerController::updateContact(Millis now)
 {
     const LocalStatus status = this->localStatus();
-    const std::vector<std::string> &seeds = this->context.settings.seeds;
-    const ContactEvidence evidence{
-            std::any_of(seeds.begin(), seeds.end(),
-                        [this](const std::string &seed) {
-                            return seed != this->context.settings.advertisedPeerAddress;
-                        }),
-            status.storeReachable, status.publishedAge};
+    const ContactEvidence evidence{this->hasOtherSeeds(), status.storeReachable,
+                                   status.publishedAge};
     const FleetContact assessed
             = assessContact(this->peers, evidence, this->contact.startedAt, now);
     if (balsamport::updateContact(this->contact, assessed, now)) {
@@ -555,6 +550,23 @@
     this->sendTo(recipients, std::move(message));
 }
 
+bool PeerController::hasOtherSeeds() const
+{
+    const std::vector<std::string> &seeds = this->context.settings.seeds;
+    return std::any_of(seeds.begin(), seeds.end(), [this](const std::string &seed) {
+        return seed != this->context.settings.advertisedPeerAddress;
+    });
+}
+
+std::size_t PeerController::budgetSharers(Millis window) const
+{
+    FleetEvidence evidence{this->hasOtherSeeds(), {}, this->contact.startedAt};
+    for (const auto &[dataCentre, region] : this->context.settings.location.regions) {
+        evidence.dataCentres.insert(dataCentre);
+    }
+    return balsamport::budgetSharers(this->peers, evidence, window, monotonicNow());
+}
+
 std::size_t PeerController::liveDaemons() const
 {
     const Millis now = monotonicNow();
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -95,12 +95,18 @@
     /// @return the number of live daemons, this one included
     [[nodiscard]] std::size_t liveDaemons() const;
 
+    /// @brief Returns the number of daemons that a shared budget is divided by; see
+    /// balsamport::budgetSharers().
+    [[nodiscard]] std::size_t budgetSharers(Millis window) const;
+
 private:
     void runRound();
     void sendGossip(const std::string &endpoint);
     void sendTo(const std::vector<const Peer *> &recipients, wire::Envelope message);
     /// @return true where this daemon relays messages to its data centre
     [[nodiscard]] bool isDelegate() const;
+    /// @return true if the settings name seed nodes other than this daemon
+    [[nodiscard]] bool hasOtherSeeds() const;
     void contactSeeds();
     void updateLiveness(Millis now);
     /// @return the status of this daemon, with what it knows of backend servers
--- a/src/edge/peers.cpp
+++ b/src/edge/peers.cpp
@@ -43,6 +43,8 @@
         peer.knownMembers = status.knownMembers;
     }
     peer.lastSeenAt = lastSeenAt;
+    table.known.insert_or_assign(status.vm,
+                                 KnownDaemon{status.dataCentre, lastSeenAt, status.draining});
     return isNew;
 }
 
@@ -58,6 +60,7 @@
     peer.dataCentre = status.dataCentre;
     peer.discoveredAt = now;
     table.peers.emplace(status.vm, peer);
+    table.known.try_emplace(status.vm, KnownDaemon{status.dataCentre, now, false});
     return true;
 }
 
@@ -66,6 +69,9 @@
     std::erase_if(table.removed, [&](const auto &entry) {
         return now - entry.second > table.timings.removedPeerMemory;
     });
+    std::erase_if(table.known, [&](const auto &entry) {
+        return now - entry.second.knownAt > table.timings.removedPeerMemory;
+    });
     std::vector<VmId> removed;
     for (auto peer = table.peers.begin(); peer != table.peers.end();) {
         const Millis silentSince = std::max(peer->second.lastSeenAt, peer->second.discoveredAt);
@@ -115,6 +121,36 @@
     return !draining && (!seenRecently || isDelegate(table, draining, now));
 }
 
+std::size_t possibleDaemons(const PeerTable &table, Millis window, Millis now)
+{
+    auto count = static_cast<std::size_t>(
+            std::count_if(table.known.begin(), table.known.end(), [&](const auto &entry) {
+                return !entry.second.draining || now - entry.second.knownAt <= window;
+            }));
+    for (const auto &[vm, peer] : table.peers) {
+        count = std::max<std::size_t>(count, peer.knownMembers);
+    }
+    return count + 1;
+}
+
+std::size_t budgetSharers(const PeerTable &table, const FleetEvidence &evidence, Millis window,
+                          Millis now)
+{
+    const std::size_t possible = possibleDaemons(table, window, now);
+    if (!evidence.hasOtherSeeds) {
+        return possible;
+    }
+    std::set<DataCentreId> missing = evidence.dataCentres;
+    missing.erase(table.dataCentre);
+    for (const auto &[vm, daemon] : table.known) {
+        missing.erase(daemon.dataCentre);
+    }
+    // Later, a data centre without a message is taken for one that has no daemons.
+    const bool mayBeHidden
+            = !missing.empty() && now - evidence.startedAt <= table.timings.removedPeerMemory;
+    return possible == 1 || mayBeHidden ? 0 : possible;
+}
+
 std::vector<PermitMember> permitMembers(const PeerTable &table, const DataCentreId &dataCentre,
                                         bool draining, Millis now)
 {
--- a/src/edge/request_exchange.cpp
+++ b/src/edge/request_exchange.cpp
@@ -487,9 +487,9 @@
 
 bool RequestFlow::tryTakeRetry(std::string_view reason)
 {
-    const std::size_t daemons = this->context.peers.liveDaemons();
-    const bool taken = this->context.state.retryBudgets[this->service].tryTake(
-            this->context.edge.settings.retryBudget, daemons, monotonicNow());
+    const RetryBudgetLimits &limits = this->context.edge.settings.retryBudget;
+    const std::size_t daemons = this->context.peers.budgetSharers(limits.window);
+    const bool taken = this->retryBudget().tryTake(limits, daemons, monotonicNow());
     if (taken) {
         this->context.edge.metrics.counter(metric::edgeRetries, reason).add();
     }
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -226,14 +226,22 @@
     this->traits = traitsOf(this->request.promptParts);
     this->traits.fingerprint
             = Fingerprint(mixHash(hash64(this->request.target), hash64(this->request.body)));
-    this->context.state.retryBudgets[this->service].recordRequest(
-            this->context.edge.settings.retryBudget, this->arrivedAt);
+    this->retryBudget().recordRequest(this->context.edge.settings.retryBudget, this->arrivedAt);
     if (this->refuseIfQuarantined("arrival")) {
         return false;
     }
     return true;
 }
 
+SharedRetryBudget &RequestFlow::retryBudget()
+{
+    EdgeState &state = this->context.state;
+    const SharedRetryBudget unused = this->context.edge.settings.fleetStarts
+            ? SharedRetryBudget()
+            : SharedRetryBudget(state.startedAt);
+    return state.retryBudgets.try_emplace(this->service, unused).first->second;
+}
+
 void RequestFlow::cancelUnfinished()
 {
     if (this->attempt) {
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -142,6 +142,8 @@
     void handleFailure(const std::shared_ptr<Attempt> &attempt, ErrorCode code);
     void endAttempt(const std::shared_ptr<Attempt> &attempt, GrantEvent event);
     [[nodiscard]] bool mayRepeat() const;
+    /// @return the budget for retries of the request's service
+    [[nodiscard]] SharedRetryBudget &retryBudget();
     [[nodiscard]] bool tryTakeRetry(std::string_view reason);
     void retry();
     void reportCrash(const std::shared_ptr<Attempt> &attempt);
--- a/src/edge/shared_retry_budget.cpp
+++ b/src/edge/shared_retry_budget.cpp
@@ -33,8 +33,9 @@
             retries += bucket.retries;
         }
     }
-    const double slack = limits.slack / static_cast<double>(std::max<std::size_t>(1, daemons));
-    if (retries + 1 > usableFraction * (limits.ratio * requests + slack)) {
+    const double slack = daemons == 0 ? 0 : limits.slack / static_cast<double>(daemons);
+    const double fraction = now - this->startedAt < limits.window ? startFraction : usableFraction;
+    if (retries + 1 > fraction * (limits.ratio * requests + slack)) {
         return false;
     }
     ++current.retries;
