Relay the crash reports of a moment in one message

A delegate sent each report on by itself, to each daemon of its data centre: some 240 reports to eleven daemons. It now collects the reports and suspects for 50 ms, as it does with completions, and sends them together.

unit-crash-note-relay: 240 reports of a moment are one message, with their ages, and nothing is lost.

--- a/src/edge/crash_controller.cpp
+++ b/src/edge/crash_controller.cpp
@@ -3,6 +3,7 @@
 #include <balsamport/core/hash.h>
 #include <balsamport/core/http_status.h>
 #include <balsamport/core/metric_names.h>
+#include <balsamport/edge/crash_note_relay.h>
 
 #include <fmt/format.h>
 
@@ -26,8 +27,6 @@
 /// Requests of one crash in one message; more add no evidence.
 constexpr std::size_t maxReportedRequests = 64;
 constexpr std::size_t maxReportedParts = 16;
-/// Suspects in one message.
-constexpr std::size_t maxSharedSuspects = 32;
 /// Longest delay before completions are published. Each daemon has its own, so that those that
 /// would publish the same mostly learn it from the first.
 constexpr std::int64_t maxPublishDelayMs = 120;
@@ -305,15 +304,12 @@
 {
     const Millis now = monotonicNow();
     if (note.has_report()) {
-        const ServerCrash crash = crashFromWire(note.report(), now);
-        this->context.metrics.counter(metric::edgeCrashReports, "received").add();
-        this->context.log.write(EventPriority::Notable, "crash_reported",
-                                {{"told_by", peer.str()},
-                                 {"server", note.report().backend_server()},
-                                 {"requests", crash.requests.size()},
-                                 {"age_ms", note.report().age_ms()}});
-        this->confirm(crash.serverRun, "reported by another daemon");
-        recordCrash(this->state.crashEvidence, this->limits, crash, now);
+        this->applyReport(peer, note.report(), now);
+    }
+    for (const wire::CrashReport &report : note.relayed_reports()) {
+        this->applyReport(peer, report, now);
+    }
+    if (note.has_report() || note.relayed_reports_size() > 0) {
         this->publishSoon();
         this->judgeAfter(minJudgeDelay);
     }
@@ -326,6 +322,19 @@
     this->peers.relayCrashes(note);
 }
 
+void CrashController::applyReport(const VmId &peer, const wire::CrashReport &report, Millis now)
+{
+    const ServerCrash crash = crashFromWire(report, now);
+    this->context.metrics.counter(metric::edgeCrashReports, "received").add();
+    this->context.log.write(EventPriority::Notable, "crash_reported",
+                            {{"told_by", peer.str()},
+                             {"server", report.backend_server()},
+                             {"requests", crash.requests.size()},
+                             {"age_ms", report.age_ms()}});
+    this->confirm(crash.serverRun, "reported by another daemon");
+    recordCrash(this->state.crashEvidence, this->limits, crash, now);
+}
+
 void CrashController::mergeSuspects(
         const VmId &peer, const google::protobuf::RepeatedPtrField<wire::SuspectEvidence> &suspects)
 {
--- a/src/edge/crash_controller.h
+++ b/src/edge/crash_controller.h
@@ -65,6 +65,7 @@
     void handleProbe(std::uint64_t serverRun, const Result<HttpResponse> &response);
     void confirm(std::uint64_t serverRun, std::string_view evidence);
     void recordObserved(const BackendServerId &server, const ServerCrash &crash);
+    void applyReport(const VmId &peer, const wire::CrashReport &report, Millis now);
     void mergeSuspects(const VmId &peer,
                        const google::protobuf::RepeatedPtrField<wire::SuspectEvidence> &suspects);
     void publishSoon();
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -84,19 +84,6 @@
     return "unknown";
 }
 
-/// Merges completions of the same suspect that were received `later` than those held.
-void mergeCompletions(wire::SuspectEvidence &held, const wire::SuspectEvidence &received,
-                      Millis later)
-{
-    const auto ageOf = [later](std::uint32_t age) {
-        return std::max(static_cast<std::int64_t>(age) - later.count(), std::int64_t{0});
-    };
-    const auto sentAge = static_cast<std::uint32_t>(ageOf(received.completed_sent_age_ms()));
-    const auto age = static_cast<std::uint32_t>(ageOf(received.completed_age_ms()));
-    held.set_completed_sent_age_ms(std::min(held.completed_sent_age_ms(), sentAge));
-    held.set_completed_age_ms(std::min(held.completed_age_ms(), age));
-}
-
 } // namespace
 
 PeerController::PeerController(EdgeContext &owner, MessageClient &client,
@@ -374,17 +361,10 @@
 {
     this->relaysScheduled = false;
     const Millis now = monotonicNow();
-    if (!this->completionsRelays.empty()) {
-        wire::Envelope notes;
-        for (auto &[suspect, relay] : this->completionsRelays) {
-            const auto delay = static_cast<std::uint32_t>((now - relay.receivedAt).count());
-            wire::SuspectEvidence &completions = relay.completions;
-            completions.set_completed_sent_age_ms(completions.completed_sent_age_ms() + delay);
-            completions.set_completed_age_ms(completions.completed_age_ms() + delay);
-            *notes.mutable_crash_note()->add_completions() = std::move(completions);
-        }
-        this->completionsRelays.clear();
-        this->sendToDataCentre(std::move(notes));
+    for (wire::CrashNote &note : takeRelayedNotes(this->crashRelay, now)) {
+        wire::Envelope message;
+        *message.mutable_crash_note() = std::move(note);
+        this->sendToDataCentre(std::move(message));
     }
     if (this->relays.empty()) {
         return;
@@ -431,27 +411,8 @@
     if (!note.relay() || !this->isDelegate()) {
         return;
     }
-    const Millis now = monotonicNow();
-    for (const wire::SuspectEvidence &completions : note.completions()) {
-        if (!completions.completed()) {
-            continue;
-        }
-        const SuspectId suspect(completions.prompt_part(), completions.id());
-        const auto [relay, isNew]
-                = this->completionsRelays.try_emplace(suspect, CompletionsRelay{completions, now});
-        if (!isNew) {
-            mergeCompletions(relay->second.completions, completions,
-                             now - relay->second.receivedAt);
-        }
-        this->scheduleRelays();
-    }
-    if (note.has_report() || note.suspects_size() > 0) {
-        wire::Envelope message;
-        *message.mutable_crash_note() = note;
-        message.mutable_crash_note()->set_relay(false);
-        message.mutable_crash_note()->clear_completions();
-        this->sendToDataCentre(std::move(message));
-    }
+    collect(this->crashRelay, note, monotonicNow());
+    this->scheduleRelays();
 }
 
 void PeerController::broadcastRateLimit(const wire::ServerRateLimit &rateLimit)
--- a/src/edge/peer_controller.h
+++ b/src/edge/peer_controller.h
@@ -3,6 +3,7 @@
 
 #include "edge_context.h"
 
+#include <balsamport/edge/crash_note_relay.h>
 #include <balsamport/edge/engine_ownership.h>
 #include <balsamport/edge/fleet_contact.h>
 #include <balsamport/edge/peers.h>
@@ -142,13 +143,6 @@
         wire::EdgeMember member;
         Millis receivedAt;
     };
-    /// Completions of a suspect that wait to be relayed.
-    struct CompletionsRelay
-    {
-        wire::SuspectEvidence completions;
-        Millis receivedAt;
-    };
-    using SuspectId = std::pair<bool, std::uint64_t>; ///< Whether it is a prompt part, and its id.
     /// The use of quotas in another data centre, which waits to be relayed.
     struct UsageRelay
     {
@@ -157,7 +151,7 @@
     };
     std::map<VmId, Relay> relays; ///< The latest status of each daemon.
     std::map<DataCentreId, UsageRelay> usageRelays; ///< The latest of each data centre.
-    std::map<SuspectId, CompletionsRelay> completionsRelays; ///< The latest of each suspect.
+    CrashNoteRelay crashRelay;
     bool relaysScheduled = false;
     std::unique_ptr<LoopTimer> relayTimer;
     /// Incarnations of the remote owners that this daemon has sent its gossip to.
