Probe only servers that refuse requests, and end a stop only once no task waits

The probe of read delays woke the servers for health checks and metrics as well, which don't use it. Tasks of low priority can now wait beside the timer of a planned stop, so a stop waits for them: a request that was read must be answered.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -887,7 +887,9 @@
 {
     const StopPlan &plan = *this->state.stop;
     const Millis now = monotonicNow();
-    if (!this->flows.running.empty() || this->callerServer->hasUnsentBytes()) {
+    // Requests that were received may still wait for the loop.
+    const bool hasWaitingTasks = this->loop.taskDelay() > Millis(0);
+    if (hasWaitingTasks || !this->flows.running.empty() || this->callerServer->hasUnsentBytes()) {
         this->lastBusyAt = now;
     }
     // A copy, because requests that end are removed from the set.
--- a/src/http/server_runner.h
+++ b/src/http/server_runner.h
@@ -76,7 +76,7 @@
     }
 
 private:
-    static constexpr std::chrono::milliseconds interval{50};
+    static constexpr std::chrono::milliseconds interval{100};
     /// After a pause of the process the timer is late although little may be unread.
     static constexpr Millis maxDelay{1'000};
 
@@ -92,7 +92,7 @@
 public:
     TypedRunner(restinio::server_settings_t<Traits> settings, const RunnerSettings &runner)
         : registry(attached(runner.registry, this->loop))
-        , delayProbe(startProbe(this->registry, this->loop))
+        , delayProbe(startProbe(runner, this->loop))
         , guard(startGuard(runner.http, this->loop))
         , server(restinio::run_async<Traits>(restinio::external_io_context(this->loop),
                                              std::move(settings), runner.http.threads))
@@ -123,10 +123,13 @@
         return connections;
     }
 
-    static std::shared_ptr<ReadDelayProbe>
-    startProbe(const std::shared_ptr<ConnectionRegistry> &connections, ServerLoop &serverLoop)
+    static std::shared_ptr<ReadDelayProbe> startProbe(const RunnerSettings &runner,
+                                                      ServerLoop &serverLoop)
     {
-        auto probe = std::make_shared<ReadDelayProbe>(connections, serverLoop);
+        if (!runner.http.refuses) {
+            return nullptr;
+        }
+        auto probe = std::make_shared<ReadDelayProbe>(runner.registry, serverLoop);
         probe->start();
         return probe;
     }
@@ -146,7 +149,7 @@
 
     ServerLoop loop;
     std::shared_ptr<ConnectionRegistry> registry;
-    std::shared_ptr<ReadDelayProbe> delayProbe;
+    std::shared_ptr<ReadDelayProbe> delayProbe; ///< Null for a server that refuses nothing.
     std::shared_ptr<ConnectionGuard> guard; ///< Null without a budget.
     restinio::running_server_handle_t<Traits> server;
 };
