--- a/tests/src/unit-tls.cpp
+++ b/tests/src/unit-tls.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const std::string listenAddress = "127.0.0.1:18491";
+const std::string listenAddress = "127.0.0.1:18495";
 Result<std::unique_ptr<HttpServer>> startServer(const std::string &certificate,
                                                 const std::string &key)
 {
@@ -32,7 +32,7 @@
 CURLcode connectTo(const std::string &scheme, const std::string &trusted)
 {
     CURL *const easy = curl_easy_init();
-    const std::string url = scheme + "://localhost:18491/";
+    const std::string url = scheme + "://localhost:18495/";
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_CAINFO, trusted.c_str());
