--- a/src/edge/loop.cpp
+++ b/src/edge/loop.cpp
@@ -56,11 +56,9 @@
     void runBatch()
     {
         const Millis end = monotonicNow() + maxBatchTime;
-        Millis now;
         while (std::optional<Task> task = this->takeTask()) {
             task->function();
-            now = monotonicNow();
-            if (now >= end || this->context.stopped()) {
+            if (monotonicNow() >= end || this->context.stopped()) {
                 break;
             }
         }
