Start the daemon of the rogue replicas as one without a previous run

This daemon starts for the first time, which its settings now say (bootstrap), as the platform does.

--- a/tests/e2e/rogue_responses.h
+++ b/tests/e2e/rogue_responses.h
@@ -43,6 +43,8 @@
                               [this](const ReceivedRequest &request, ServerConnection &connection) {
                                   this->serve(request, connection);
                               });
+        // The daemon has no previous run, whose retries would count.
+        this->world.furtherSettings = "bootstrap: true\n";
         this->world.startAll();
         this->world.store->put("op/config",
                                fmt::format(R"({{"version":{},"routes":[
