Name the relay's collector, and type the reason of a busy daemon's refusals

Read as a newcomer: 'collect' said nothing of what it collects; the refusals of a busy daemon were counted under a string of their own instead of the ErrorCode that callers get; a start long ago stood for a budget without a previous run, which an empty optional says. No decision changes: unit-retry-budget, unit-crash-note-relay, unit-edge-state, unit-platform and e2e-retry-budget passed.

--- a/include/balsamport/edge/crash_note_relay.h
+++ b/include/balsamport/edge/crash_note_relay.h
@@ -39,7 +39,7 @@
 };
 
 /// @brief Adds what a note says.
-void collect(CrashNoteRelay &relay, const wire::CrashNote &note, Millis now);
+void collectCrashNote(CrashNoteRelay &relay, const wire::CrashNote &note, Millis now);
 
 /// @brief Returns the collected notes in as few messages as their receivers accept, with ages as of
 /// `now`, and removes them.
--- a/include/balsamport/edge/shared_retry_budget.h
+++ b/include/balsamport/edge/shared_retry_budget.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace balsamport {
 
@@ -44,7 +45,6 @@
     bool tryTake(const RetryBudgetLimits &limits, std::size_t daemons, Millis now);
 
 private:
-    static constexpr Millis neverRestarted{-86'400'000};
     static constexpr std::size_t bucketsPerWindow = 10;
     /// The current bucket is incomplete: with one more, the retries of a whole window count.
     static constexpr std::size_t bucketCount = bucketsPerWindow + 1;
@@ -64,7 +64,7 @@
 
     Bucket &bucketAt(const RetryBudgetLimits &limits, Millis now);
 
-    Millis startedAt = neverRestarted;
+    std::optional<Millis> startedAt; ///< Empty without a previous run.
     std::array<Bucket, bucketCount> ring{};
 };
 
--- a/src/edge/crash_note_relay.cpp
+++ b/src/edge/crash_note_relay.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-void collect(CrashNoteRelay &relay, const wire::CrashNote &note, Millis now)
+void collectCrashNote(CrashNoteRelay &relay, const wire::CrashNote &note, Millis now)
 {
     if (note.has_report()) {
         relay.reports.push_back({note.report(), now});
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -810,7 +810,7 @@
         return false;
     }
     this->context.metrics.counter(metric::edgeAnswers, "refused").add();
-    this->context.metrics.counter(metric::edgeFailures, "busy").add();
+    this->context.metrics.counter(metric::edgeFailures, errorName(ErrorCode::Overloaded)).add();
     this->log.write(EventPriority::Routine, "refused",
                     {{"reason", "busy"},
                      {"read_delay_ms", readDelay},
--- a/src/edge/peer_controller.cpp
+++ b/src/edge/peer_controller.cpp
@@ -411,7 +411,7 @@
     if (!note.relay() || !this->isDelegate()) {
         return;
     }
-    collect(this->crashRelay, note, monotonicNow());
+    collectCrashNote(this->crashRelay, note, monotonicNow());
     this->scheduleRelays();
 }
 
--- a/src/edge/shared_retry_budget.cpp
+++ b/src/edge/shared_retry_budget.cpp
@@ -34,7 +34,8 @@
         }
     }
     const double slack = daemons == 0 ? 0 : limits.slack / static_cast<double>(daemons);
-    const double fraction = now - this->startedAt < limits.window ? startFraction : usableFraction;
+    const bool hasJustStarted = this->startedAt && now - *this->startedAt < limits.window;
+    const double fraction = hasJustStarted ? startFraction : usableFraction;
     if (retries + 1 > fraction * (limits.ratio * requests + slack)) {
         return false;
     }
--- a/tests/src/unit-crash-note-relay.cpp
+++ b/tests/src/unit-crash-note-relay.cpp
@@ -41,7 +41,7 @@
     SECTION("reports are one message, with their ages as of its sending")
     {
         for (int i = 0; i < reports; ++i) {
-            collect(relay, reportOf(i), start + Millis(i / 8));
+            collectCrashNote(relay, reportOf(i), start + Millis(i / 8));
         }
         const std::vector<wire::CrashNote> notes = takeRelayedNotes(relay, start + Millis(50));
         REQUIRE(notes.size() == 1);
@@ -69,7 +69,7 @@
             suspect.set_id(id);
             suspect.set_seen_age_ms(20);
             suspect.add_crashes()->set_age_ms(30);
-            collect(relay, note, start);
+            collectCrashNote(relay, note, start);
         }
         const std::vector<wire::CrashNote> notes = takeRelayedNotes(relay, start + Millis(40));
         REQUIRE(notes.size() == 4);
@@ -95,7 +95,7 @@
             completions.set_completed(true);
             completions.set_completed_age_ms(age);
             completions.set_completed_sent_age_ms(age + 100);
-            collect(relay, note, start);
+            collectCrashNote(relay, note, start);
         }
         const std::vector<wire::CrashNote> notes = takeRelayedNotes(relay, start + Millis(50));
         REQUIRE(notes.size() == 1);
